Holders found by an index of serving nodes by cell

Ids of serving nodes are now kept by cell and made anew after a roster change; where calls cost nothing, a part's group is the part alone.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -26,10 +26,12 @@
     customers: Vec<(Customer, f64, f64)>,
     placement: Placement,
     allowance: Allowance,
-    stated: bool,
     cold: Option<ColdRule>,
     purse: Purse,
     nodes: BTreeMap<String, Node>,
+    /// Ids of serving nodes by cell, made anew after a roster change: a part's cost follows its holders.
+    serving: BTreeMap<u32, Vec<String>>,
+    roster_changed: bool,
     shards: BTreeMap<u32, Shard>,
     usual: Vec<Recent>,
     bare: Vec<f64>,
@@ -136,13 +138,14 @@
     tokens: f64,
     ratio: f64,
     capacity: f64,
+    stated: bool,
 }
 
 impl Purse {
     fn new(budget: Option<Budget>, ratio: f64, capacity: f64) -> Self {
         let ratio = budget.map_or(ratio, |b| ratio.min(b.ratio));
         let capacity = budget.map_or(capacity, |b| capacity.min(b.free));
-        Purse { tokens: capacity, ratio, capacity }
+        Purse { tokens: capacity, ratio, capacity, stated: budget.is_some() }
     }
 
     fn pay(&mut self) -> bool {
@@ -258,9 +261,11 @@
 impl Intake for Router {
     fn roster_whole(&mut self) {
         self.nodes.values_mut().for_each(|n| n.state = NodeState::Gone);
+        self.roster_changed = true;
     }
 
     fn roster_entry(&mut self, id: &str, cell: u32, state: NodeState, started: Option<f64>) {
+        self.roster_changed = true;
         let fresh = started.is_some_and(|s| self.cold.is_some_and(|c| self.now - s < c.warm_up));
         let cap = if fresh { 1.0 } else { 4.0 };
         match self.nodes.get_mut(id) {
@@ -295,8 +300,8 @@
             over_share = *tokens < 1.0;
             *tokens -= if over_share { 0.0 } else { 1.0 };
         }
-        let id = id.to_string();
-        let query = Query { id, vertical, over_share, not_after, slo_at, again, ..Query::default() };
+        let query =
+            Query { id: id.into(), vertical, over_share, not_after, slo_at, again, ..Query::default() };
         self.queries.insert(number, query);
     }
 
@@ -369,7 +374,6 @@
             bare: vec![f64::INFINITY; verticals.len()],
             longest_try: vec![0.0; verticals.len()],
             customers: customers.into_iter().map(|c| (c, 1.0, 0.0)).collect(),
-            stated: budget.is_some(),
             purse: Purse::new(budget, 0.1, 10.0),
             follow_at: if allowance.follow { 0.0 } else { f64::INFINITY },
             verticals,
@@ -394,6 +398,12 @@
             out.follow_roster();
         }
         self.nodes.retain(|_, n| n.state != NodeState::Gone || !n.calls.is_empty());
+        if std::mem::take(&mut self.roster_changed) {
+            self.serving.clear();
+            for (id, node) in self.nodes.iter().filter(|(_, n)| n.state == NodeState::Serving) {
+                self.serving.entry(node.cell % self.placement.cells).or_default().push(id.clone());
+            }
+        }
         self.look_at_nodes(out);
         let open: Vec<u64> = self.queries.keys().copied().collect();
         for &number in &open {
@@ -523,10 +533,8 @@
 
     /// Nodes that hold a shard and serve, in the order in which they take turns.
     fn holders(&self, shard: u32) -> Vec<&str> {
-        let held = |n: &Node| n.state == NodeState::Serving && self.placement.holds(n.cell, shard);
-        let mut holders: Vec<_> = self.nodes.iter().filter(|(_, n)| held(n)).collect();
-        holders.sort_by_key(|(_, n)| self.placement.steps(n.cell, shard));
-        holders.into_iter().map(|(id, _)| id.as_str()).collect()
+        let holding = self.placement.holding(shard);
+        holding.filter_map(|c| self.serving.get(&c)).flatten().map(String::as_str).collect()
     }
 
     /// Turns away by chance under overload, the cheaper more often. Pressure is the expected latency over
@@ -550,14 +558,13 @@
                 let caps: f64 = sound.map(|n| n.cap).sum();
                 if caps > 0.0 {
                     // Parts of neighbouring cells wait for some of the same holders.
-                    let shared = |c: u32| self.placement.shared(part.shard % cells, c);
-                    let ahead: f64 = backlog.iter().map(|(c, waiting)| waiting * shared(*c)).sum();
+                    let near = self.placement.near(part.shard);
+                    let ahead: f64 = near.filter_map(|(c, shared)| Some(shared * backlog.get(&c)?)).sum();
                     pressure = pressure.max(usual * (1.0 + ahead / caps) / left);
                     reachable += part.weight;
                 }
             }
-            // A query that cannot reach its floor for want of sound holders would hold its other parts' room
-            // for nothing (guards against all replicas of a shard being down).
+            // Guards against all replicas of a shard being down: other parts would hold room for nothing.
             pressure = if reachable < v.floor - SLACK { 1.0 } else { pressure };
             let utility = v.utility * if q.over_share { self.allowance.over_share } else { 1.0 };
             let value = utility / (q.parts.len().max(1) as f64 * self.bare_work(q.vertical));
@@ -570,9 +577,7 @@
                 self.shedding = !self.shedding;
                 let word = if self.shedding { "rejecting by chance" } else { "admitting all" };
                 let (open, jam) = (self.queries.len(), self.jam);
-                out.remark(&format!(
-                    "{word}: odds {jam:.2} of late, pressure {pressure:.2}, {open} queries open"
-                ));
+                out.remark(&format!("{word}: odds {jam:.2}, pressure {pressure:.2}, {open} queries open"));
             }
             if self.chance.draw() < odds {
                 self.give_up(number, self.allowance.come_back.map(|most| most.min(0.2 * left)), out);
@@ -592,7 +597,10 @@
         let bundle = if self.placement.call_work > 0.0 { self.placement.bundle } else { 1 };
         while let Some(&first) = waiting.front() {
             let q = &self.queries[&number];
-            let group: Vec<(usize, u32)> = waiting.iter().map(|&i| (i, q.parts[i].shard)).collect();
+            // A node that holds this shard may hold others of the query's too: those ride along.
+            let along = if bundle > 1 { waiting.len() } else { 1 };
+            let group: Vec<(usize, u32)> =
+                waiting.iter().take(along).map(|&i| (i, q.parts[i].shard)).collect();
             let shards: Vec<u32> = group.iter().map(|g| g.1).collect();
             let Some((node, room, turn)) = self.next_node(number, first, &shards, bundle) else {
                 waiting.pop_front();
@@ -604,7 +612,7 @@
                 if taken.len() < room && self.placement.holds(cell, shard) {
                     taken.insert(i);
                     let further = !self.queries[&number].parts[i].calls.is_empty();
-                    if !further || !self.stated || self.purse.pay() {
+                    if !further || !self.purse.stated || self.purse.pay() {
                         self.send(number, i, &node, out);
                     }
                 }
@@ -652,10 +660,9 @@
     fn send(&mut self, number: u64, i: usize, id: &str, out: &mut dyn Writer) {
         let q = &self.queries[&number];
         let v = &self.verticals[q.vertical];
-        let (delay, work) = (self.delay(q.parts[i].shard, v.slo), self.bare_work(q.vertical));
-        let (now, allowed) = (self.now, self.allowance);
-        let more = v.effect == Effect::Repeatable && q.parts[i].calls.len() + 1 < allowed.calls;
-        let timed = if more && !allowed.cancel { 0.5 * v.slo } else { f64::INFINITY };
+        let (delay, work, now) = (self.delay(q.parts[i].shard, v.slo), self.bare_work(q.vertical), self.now);
+        let more = v.effect == Effect::Repeatable && q.parts[i].calls.len() + 1 < self.allowance.calls;
+        let timed = if more && !self.allowance.cancel { 0.5 * v.slo } else { f64::INFINITY };
         let limit = timed.min(q.not_after - now);
         let Some(part) = self.queries.get_mut(&number).map(|q| &mut q.parts[i]) else { return };
         let Some(node) = self.nodes.get_mut(id) else { return };
@@ -684,30 +691,24 @@
             }
             let (age, delay) = (self.now - part.calls[oldest].at, self.delay(shard, v.slo));
             let may = part.may_call(self.now, v.effect, allowed.calls);
-            if age <= delay || !may || (self.stated && self.purse.tokens < 1.0) {
+            if age <= delay || !may || (self.purse.stated && self.purse.tokens < 1.0) {
                 continue;
             }
             // A stuck call is given up where another holder has room; the part then waits for its next call.
             // Guards against hung and silent nodes when the bucket is dry. A call is lost, and given up
             // anyway, when one that its node was sent a whole delay later is answered: guards against
             // nodes that swallow some of their calls; it hurts a part that is heavy by nature.
-            let calls =
-                outs.iter().filter_map(|&h| Some((&part.calls[h], self.nodes.get(&part.calls[h].node)?)));
-            let stuck = calls.clone().all(|(c, node)| {
+            let calls = || outs.iter().map(|&h| (&part.calls[h], &self.nodes[&part.calls[h].node]));
+            let stuck = calls().all(|(c, node)| {
                 let (age, sick) = (self.now - c.at, node.standing(self.now, SILENT) == 2);
                 age > (2.0 * delay).max(0.5 * v.slo) || (sick && age > SILENT * delay)
             });
-            let lost = calls.clone().all(|(c, node)| node.answered > c.at + delay);
-            let copy = v.effect == Effect::Repeatable
-                && allowed.parallel
-                && part.copies < MAX_COPIES
-                && outs.len() == 1;
+            let lost = calls().all(|(c, node)| node.answered > c.at + delay);
+            let may_copy = v.effect == Effect::Repeatable && allowed.parallel;
+            let copy = may_copy && part.copies < MAX_COPIES && outs.len() == 1;
             let other = self.next_node(number, i, &[shard], 1);
             let useful = self.now + 0.5 * self.work(vertical) < self.queries[&number].slo_at;
-            if let Some((node, _, turn)) = &other
-                && copy
-                && self.purse.pay()
-            {
+            if let (Some((node, _, turn)), true) = (&other, copy && self.purse.pay()) {
                 self.shards.entry(shard).or_default().turn = *turn;
                 self.send(number, i, node, out);
             } else if useful && (lost || (stuck && other.is_some())) {
