Calls are given up on evidence against their node only, not for their age

Now only calls on sick nodes, or overtaken by 2.5 delays. Also holds against: hung nodes, swallowed calls, later than before.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -696,14 +696,14 @@
             }
             // A stuck call is given up where another holder has room; the part then waits for its next call.
             // Guards against hung and silent nodes when the bucket is dry. A call is lost, and given up
-            // anyway, when one that its node was sent a whole delay later is answered: guards against
-            // nodes that swallow some of their calls; it hurts a part that is heavy by nature.
+            // anyway, when one that its node was sent 2.5 delays later is answered: guards against
+            // nodes that swallow some of their calls. Age alone proves nothing: one part of many is heavy.
             let calls = || outs.iter().map(|&h| (&part.calls[h], &self.nodes[&part.calls[h].node]));
             let stuck = calls().all(|(c, node)| {
                 let (age, sick) = (self.now - c.at, node.standing(self.now, SILENT) == 2);
-                age > (2.0 * delay).max(0.5 * v.slo) || (sick && age > SILENT * delay)
+                sick && age > SILENT * delay
             });
-            let lost = calls().all(|(c, node)| node.answered > c.at + delay);
+            let lost = calls().all(|(c, node)| node.answered > c.at + SILENT * delay);
             let may_copy = v.effect == Effect::Repeatable && allowed.parallel;
             let copy = may_copy && part.copies < MAX_COPIES && outs.len() == 1;
             let other = self.next_node(number, i, &[shard], 1);
