Turns begin at a holder drawn by chance, not all at the first one

Cause: at full size a router meets a shard once or twice in a run, and turns that all begin at the shard's first holder gather there. Kept: it follows from the number of routers.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -307,6 +307,9 @@
 
     fn part(&mut self, number: u64, id: &str, shard: u32, weight: f64) {
         let Some(query) = self.queries.get_mut(&number) else { return };
+        // Where many routers see a shard once, turns that all begin alike would all meet on one holder.
+        let turn = (self.chance.draw() * f64::from(self.placement.reach) * 64.0) as usize;
+        self.shards.entry(shard).or_insert_with(|| Shard { turn, ..Shard::default() });
         self.parts.insert(id.into(), (number, query.parts.len()));
         query.parts.push(Part { id: id.into(), shard, weight, merged: false, copies: 0, calls: vec![] });
         self.purse.tokens = (self.purse.tokens + self.purse.ratio).min(self.purse.capacity);
