The least rest of a late node grows with the number of routers

Cause: each of dozens of routers calls a given node every 10 to 20 s, and a rest of 0.6 s had long ended by then: each call met the slow nodes, or the far side of a slow link, anew. The least rest is now a quarter second a peer, at most 15 s, doubling up to 10 s more. Also holds against trouble that only some routers see, one-sided or on a link; hurts a node that recovers early.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -31,7 +31,6 @@
     nodes: BTreeMap<String, Node>,
     /// Ids of serving nodes by cell, made anew after a roster change: a part's cost follows its holders.
     serving: BTreeMap<u32, Vec<String>>,
-    roster_changed: bool,
     shards: BTreeMap<u32, Shard>,
     usual: Vec<Recent>,
     bare: Vec<f64>,
@@ -48,7 +47,6 @@
     alarm_set: bool,
 }
 
-/// All that is known of one data node.
 #[derive(Default)]
 struct Node {
     cell: u32,
@@ -192,7 +190,7 @@
 
     /// Takes in how a leaf call ended. The cap on parts in flight grows by answers well inside the SLO time
     /// and shrinks by those beyond, so that waiting happens here, where it can still go elsewhere.
-    fn ended(&mut self, now: f64, ending: Ending, latency: f64, delay: f64, slo: f64) {
+    fn ended(&mut self, now: f64, ending: Ending, latency: f64, delay: f64, slo: f64, least: f64) {
         let (late, sent) = (latency > delay, now - latency);
         match ending {
             Ending::Success => {
@@ -216,9 +214,10 @@
             Ending::TimedOut | Ending::Cancelled if late => self.cap = (self.cap * 0.85).max(1.0),
             _ => {}
         }
-        // A late node is passed over for a rest that doubles while it stays late.
+        // A late node is passed over for a rest that doubles while it stays late; the more peers, the rarer
+        // this router's calls and the longer the rest (guards against forgetting slow nodes in between).
         if late || ending == Ending::Full {
-            self.rest = (self.rest * 2.0).clamp(0.6, 10.0);
+            self.rest = (self.rest * 2.0).clamp(least, least + 10.0);
             self.late_until = now + self.rest;
         } else if ending == Ending::Success {
             (self.rest, self.late_until) = (0.0, now);
@@ -261,11 +260,11 @@
 impl Intake for Router {
     fn roster_whole(&mut self) {
         self.nodes.values_mut().for_each(|n| n.state = NodeState::Gone);
-        self.roster_changed = true;
+        self.serving.clear();
     }
 
     fn roster_entry(&mut self, id: &str, cell: u32, state: NodeState, started: Option<f64>) {
-        self.roster_changed = true;
+        self.serving.clear();
         let fresh = started.is_some_and(|s| self.cold.is_some_and(|c| self.now - s < c.warm_up));
         let cap = if fresh { 1.0 } else { 4.0 };
         match self.nodes.get_mut(id) {
@@ -300,9 +299,8 @@
             over_share = *tokens < 1.0;
             *tokens -= if over_share { 0.0 } else { 1.0 };
         }
-        let query =
-            Query { id: id.into(), vertical, over_share, not_after, slo_at, again, ..Query::default() };
-        self.queries.insert(number, query);
+        let q = Query { id: id.into(), vertical, over_share, not_after, slo_at, again, ..Query::default() };
+        self.queries.insert(number, q);
     }
 
     fn part(&mut self, number: u64, id: &str, shard: u32, weight: f64) {
@@ -341,7 +339,7 @@
         if let Some(node) = self.nodes.get_mut(node)
             && let Some((_, delay)) = node.calls.remove(&(part.to_string(), hop))
         {
-            node.ended(self.now, ending, latency, delay, slo);
+            node.ended(self.now, ending, latency, delay, slo, (0.25 * self.peers).min(15.0));
         }
     }
 
@@ -401,8 +399,7 @@
             out.follow_roster();
         }
         self.nodes.retain(|_, n| n.state != NodeState::Gone || !n.calls.is_empty());
-        if std::mem::take(&mut self.roster_changed) {
-            self.serving.clear();
+        if self.serving.is_empty() {
             for (id, node) in self.nodes.iter().filter(|(_, n)| n.state == NodeState::Serving) {
                 self.serving.entry(node.cell % self.placement.cells).or_default().push(id.clone());
             }
