Own stalls are left out of lateness; shunning grows with the routers; no shut shards

Lateness, silence and rests go by a clock that leaves out what the router itself stood still: with an alarm due in 10 ms, rounds far apart mean a stall of its own. Guards against reading it as lateness of every node.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -10,8 +10,7 @@
 /// Seconds between two looks at what is open; also how far ahead of a limit a final answer goes out.
 const LOOK: f64 = 0.010;
 const AHEAD: f64 = 0.030;
-/// What sums of weights may fall short by.
-const SLACK: f64 = 0.00005;
+const SLACK: f64 = 0.00005; // What sums of weights may fall short by.
 /// A node that answered nothing for so many times a part's delay is silent.
 const SILENT: f64 = 2.5;
 const MAX_COPIES: usize = 1;
@@ -20,6 +19,8 @@
 #[derive(Default)]
 pub struct Router {
     now: f64,
+    /// The clock of lateness, which leaves out what this router itself stood still.
+    awake: f64,
     chance: Pcg,
     peers: f64,
     verticals: Vec<Vertical>,
@@ -72,8 +73,6 @@
 struct Shard {
     turn: usize,
     recent: Recent,
-    /// Share of arrivals kept out: grows with queries begun and given up for want of this shard's part.
-    shut: f64,
 }
 
 #[derive(Default)]
@@ -103,6 +102,8 @@
 struct Call {
     node: String,
     at: f64,
+    /// When it was sent, by the clock of lateness.
+    since: f64,
     out: bool,
     cancelled: bool,
     may_have_run: bool,
@@ -116,9 +117,8 @@
     fn note(&mut self, latency: f64, keep: usize) {
         self.0.push_back(latency);
         self.1.insert(self.1.partition_point(|&l| l < latency), latency);
-        if self.0.len() > keep
-            && let Some(old) = self.0.pop_front()
-        {
+        while self.0.len() > keep {
+            let old = self.0.pop_front().unwrap_or_default();
             self.1.remove(self.1.partition_point(|&l| l < old));
         }
     }
@@ -205,9 +205,8 @@
             Ending::Full => (self.heard, self.cap) = (now, (self.cap * 0.6).max(1.0)),
             Ending::Error | Ending::Unreachable | Ending::Reset => {
                 self.failures += if ending == Ending::Error { 1 } else { 2 };
-                if self.failures > 1 {
-                    self.shun_until = now + (0.25 * 1.6f64.powi(self.failures)).min(4.0);
-                }
+                let shun = (1.6f64.powi(self.failures).min(16.0) * least.max(0.25)).min(30.0);
+                self.shun_until = if self.failures > 1 { now + shun } else { self.shun_until };
             }
             // Nothing heard since the call went out: its next trial is a single part.
             Ending::TimedOut | Ending::Cancelled if late && self.heard < sent => self.cap = 1.0,
@@ -314,6 +313,8 @@
     }
 
     fn call_ended(&mut self, part: &str, hop: usize, node: &str, ending: Ending, latency: f64) {
+        let record = self.nodes.get_mut(node).and_then(|n| n.calls.remove(&(part.to_string(), hop)));
+        let latency = record.map_or(latency, |(at, _)| latency.min(self.awake - at));
         let found = self.parts.get(part).and_then(|&(n, i)| Some((self.queries.get_mut(&n)?, i)));
         let slo = self.verticals.iter().map(|v| v.slo).fold(f64::MAX, f64::min);
         if let Some((query, i)) = found {
@@ -331,15 +332,11 @@
             }
             // A cancelled call took at least so long: left out, the delay would shrink by its own work.
             if matches!(ending, Ending::Success | Ending::Cancelled) {
-                let shard = self.shards.entry(part.shard).or_default();
-                shard.recent.note(latency, 40);
-                shard.shut = (shard.shut - 0.03).max(0.0);
+                self.shards.entry(part.shard).or_default().recent.note(latency, 40);
             }
         }
-        if let Some(node) = self.nodes.get_mut(node)
-            && let Some((_, delay)) = node.calls.remove(&(part.to_string(), hop))
-        {
-            node.ended(self.now, ending, latency, delay, slo, (0.25 * self.peers).min(15.0));
+        if let (Some(node), Some((_, delay))) = (self.nodes.get_mut(node), record) {
+            node.ended(self.awake, ending, latency, delay, slo, (0.25 * self.peers).min(15.0));
         }
     }
 
@@ -392,6 +389,10 @@
         came_in: impl FnOnce(&mut dyn Intake) -> Result<(), E>,
         out: &mut dyn Writer,
     ) -> Result<(), E> {
+        // Guards against this router's own pauses, read as lateness of every node: with an alarm due soon,
+        // rounds far apart mean that it stood still. Deadlines and windows go by the plain clock.
+        let passed = now - self.now;
+        self.awake += if self.alarm_set { passed.min(5.0 * LOOK) } else { passed };
         self.now = now;
         came_in(self)?;
         if now >= self.follow_at {
@@ -426,7 +427,7 @@
 
     fn look_at_nodes(&mut self, out: &mut dyn Writer) {
         for (id, node) in &mut self.nodes {
-            let sick = node.standing(self.now, SILENT) == 2;
+            let sick = node.standing(self.awake, SILENT) == 2;
             if sick != node.sick {
                 node.sick = sick;
                 let (calls, failures, cap) = (node.calls.len(), node.failures, node.cap);
@@ -500,10 +501,6 @@
 
     fn give_up(&mut self, number: u64, come_back: Option<f64>, out: &mut dyn Writer) {
         let q = &self.queries[&number];
-        for part in q.parts.iter().filter(|p| q.admitted && !p.merged && !p.out()) {
-            let shut = &mut self.shards.entry(part.shard).or_default().shut;
-            *shut += 0.12 * (0.9 - *shut);
-        }
         self.unserved += if q.again { 0.5 } else { 1.0 };
         let ran = q.second_step || q.parts.iter().flat_map(|p| &p.calls).any(|c| c.may_have_run);
         if self.verticals[q.vertical].effect == Effect::SideEffecting && ran {
@@ -533,8 +530,12 @@
 
     /// Nodes that hold a shard and serve, in the order in which they take turns.
     fn holders(&self, shard: u32) -> Vec<&str> {
-        let holding = self.placement.holding(shard);
-        holding.filter_map(|c| self.serving.get(&c)).flatten().map(String::as_str).collect()
+        self.placement
+            .holding(shard)
+            .filter_map(|c| self.serving.get(&c))
+            .flatten()
+            .map(String::as_str)
+            .collect()
     }
 
     /// Turns away by chance under overload, the cheaper more often. Pressure is the expected latency over
@@ -554,7 +555,7 @@
             let (mut pressure, mut reachable): (f64, f64) = (0.0, 0.0);
             for part in &q.parts {
                 let holders = self.holders(part.shard).into_iter().map(|id| &self.nodes[id]);
-                let sound = holders.filter(|n| n.standing(self.now, SILENT) < 2);
+                let sound = holders.filter(|n| n.standing(self.awake, SILENT) < 2);
                 let caps: f64 = sound.map(|n| n.cap).sum();
                 if caps > 0.0 {
                     // Parts of neighbouring cells wait for some of the same holders.
@@ -570,8 +571,7 @@
             let value = utility / (q.parts.len().max(1) as f64 * self.bare_work(q.vertical));
             self.dearest = (self.dearest * 0.99).max(value);
             let cheap = 2.0 - value / self.dearest;
-            let shut = q.parts.iter().filter_map(|p| self.shards.get(&p.shard)).map(|s| s.shut);
-            let odds = ((pressure - 0.5) / 0.5).clamp(shut.fold(0.0, f64::max), 1.0) * cheap;
+            let odds = ((pressure - 0.5) / 0.5).clamp(0.0, 1.0) * cheap;
             self.jam += 0.1 * (odds.min(1.0) - self.jam);
             if (self.jam > if self.shedding { 0.03 } else { 0.15 }) != self.shedding {
                 self.shedding = !self.shedding;
@@ -634,14 +634,14 @@
         let q = &self.queries[&number];
         let (part, work) = (&q.parts[i], self.bare_work(q.vertical));
         let (shard, holders) = (part.shard, self.holders(part.shard));
-        let sick = |id: &&str| self.nodes[*id].standing(self.now, SILENT) == 2;
+        let sick = |id: &&str| self.nodes[*id].standing(self.awake, SILENT) == 2;
         let all_sick = part.calls.is_empty() && holders.iter().all(sick);
         let turn = self.shards.get(&shard).map_or(0, |s| s.turn);
         let mut best: Option<((u8, usize, usize), usize, usize)> = None;
         for step in 0..holders.len() {
             let at = (turn + step) % holders.len();
             let node = &self.nodes[holders[at]];
-            let standing = node.standing(self.now, SILENT);
+            let standing = node.standing(self.awake, SILENT);
             let room = node.room(self.now, work, self.peers, self.cold, bundle);
             let asked = part.calls.iter().any(|c| c.out && c.node == holders[at]);
             if asked || room == 0 || (standing == 2 && !all_sick) {
@@ -660,18 +660,19 @@
     fn send(&mut self, number: u64, i: usize, id: &str, out: &mut dyn Writer) {
         let q = &self.queries[&number];
         let v = &self.verticals[q.vertical];
-        let (delay, work, now) = (self.delay(q.parts[i].shard, v.slo), self.bare_work(q.vertical), self.now);
+        let (now, delay, work) = (self.now, self.delay(q.parts[i].shard, v.slo), self.bare_work(q.vertical));
         let more = v.effect == Effect::Repeatable && q.parts[i].calls.len() + 1 < self.allowance.calls;
         let timed = if more && !self.allowance.cancel { 0.5 * v.slo } else { f64::INFINITY };
         let limit = timed.min(q.not_after - now);
         let Some(part) = self.queries.get_mut(&number).map(|q| &mut q.parts[i]) else { return };
         let Some(node) = self.nodes.get_mut(id) else { return };
-        node.calls.insert((part.id.clone(), part.calls.len()), (now, delay));
+        node.calls.insert((part.id.clone(), part.calls.len()), (self.awake, delay));
         node.cold_work.retain(|w| w.0 >= now - self.cold.map_or(0.0, |c| c.span + LOOK));
         node.cold_work.push_back((now, work));
         out.call(&part.id, id, limit);
         part.copies += usize::from(part.out());
-        part.calls.push(Call { node: id.into(), at: now, out: true, cancelled: false, may_have_run: true });
+        let (node, since) = (id.into(), self.awake);
+        part.calls.push(Call { node, at: now, since, out: true, cancelled: false, may_have_run: true });
     }
 
     /// Cancels losers, copies late parts while the bucket pays, and gives up calls that are stuck.
@@ -689,21 +690,20 @@
                 outs.iter().for_each(|&hop| self.cancel(number, i, hop, out));
                 continue;
             }
-            let (age, delay) = (self.now - part.calls[oldest].at, self.delay(shard, v.slo));
+            let (age, delay) = (self.awake - part.calls[oldest].since, self.delay(shard, v.slo));
             let may = part.may_call(self.now, v.effect, allowed.calls);
             if age <= delay || !may || (self.purse.stated && self.purse.tokens < 1.0) {
                 continue;
             }
-            // A stuck call is given up where another holder has room; the part then waits for its next call.
-            // Guards against hung and silent nodes when the bucket is dry. A call is lost, and given up
-            // anyway, when one that its node was sent 2.5 delays later is answered: guards against
-            // nodes that swallow some of their calls. Age alone proves nothing: one part of many is heavy.
+            // Guards against hung and silent nodes when the bucket is dry: their calls move on where a holder
+            // has room. And against nodes that swallow some calls: one is lost when one sent 2.5 delays later
+            // is answered. Age alone proves nothing: one part of many is heavy.
             let calls = || outs.iter().map(|&h| (&part.calls[h], &self.nodes[&part.calls[h].node]));
             let stuck = calls().all(|(c, node)| {
-                let (age, sick) = (self.now - c.at, node.standing(self.now, SILENT) == 2);
+                let (age, sick) = (self.awake - c.since, node.standing(self.awake, SILENT) == 2);
                 sick && age > SILENT * delay
             });
-            let lost = calls().all(|(c, node)| node.answered > c.at + SILENT * delay);
+            let lost = calls().all(|(c, node)| node.answered > c.since + SILENT * delay);
             let may_copy = v.effect == Effect::Repeatable && allowed.parallel;
             let copy = may_copy && part.copies < MAX_COPIES && outs.len() == 1;
             let other = self.next_node(number, i, &[shard], 1);
