Pressure from the geometric mean of a median part and the slowest

Cause: the slowest part alone cannot tell a jam, which lifts the median too, from a few slow or far nodes, which copies and rests meet. Odds rise from 0.3 to 0.7 of the time left; a try with no time left for a median part is kept out for sure.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -552,7 +552,8 @@
             let v = &self.verticals[q.vertical];
             let left = (q.slo_at.min(q.not_after) - self.now).max(0.001);
             let share = 1.0 - 1.0 / (1.0 + q.parts.len() as f64);
-            let usual = self.usual[q.vertical].quantile(share, 16).unwrap_or(0.25 * v.slo);
+            let slowest = self.usual[q.vertical].quantile(share, 16).unwrap_or(0.25 * v.slo);
+            let usual = (slowest * self.work(q.vertical)).sqrt();
             let (mut pressure, mut reachable): (f64, f64) = (0.0, 0.0);
             for part in &q.parts {
                 let holders = self.holders(part.shard).into_iter().map(|id| &self.nodes[id]);
@@ -572,7 +573,8 @@
             let value = utility / (q.parts.len().max(1) as f64 * self.bare_work(q.vertical));
             self.dearest = (self.dearest * 0.99).max(value);
             let cheap = 2.0 - value / self.dearest;
-            let odds = (((pressure - 0.6) / 0.4).clamp(0.0, 1.0) * cheap).min(0.85);
+            let most = if left < self.work(q.vertical) { 1.0 } else { 0.85 };
+            let odds = (((pressure - 0.3) / 0.4).clamp(0.0, 1.0) * cheap).min(most);
             self.jam += 0.1 * (odds.min(1.0) - self.jam);
             if (self.jam > if self.shedding { 0.03 } else { 0.15 }) != self.shedding {
                 self.shedding = !self.shedding;
