Cold shares under one part; overtaken calls and counted backlog taken out

Cold nodes: with 24 routers or more a router's share of what a cold node bears is under one part a span, so cold nodes got nothing until fully warm.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -58,14 +58,14 @@
     /// Most parts in flight from this query router.
     cap: f64,
     heard: f64,
-    /// When the latest call that it answered went out.
-    answered: f64,
     late_until: f64,
     rest: f64,
     failures: i32,
     shun_until: f64,
     /// Work sent while cold, with its time.
     cold_work: VecDeque<(f64, f64)>,
+    /// Where in its turn this router is among those that send to the node while it is cold, from 0 to 1.
+    phase: f64,
     sick: bool,
 }
 
@@ -169,8 +169,8 @@
 impl Node {
     /// A node that is not fresh starts at `cap` parts in flight; a fresh one at a single part, and its
     /// answers raise that (guards against sending a newcomer what its elders can bear).
-    fn new(cell: u32, state: NodeState, started: Option<f64>, cap: f64) -> Self {
-        Node { cell, state, started, cap, ..Node::default() }
+    fn new(cell: u32, state: NodeState, started: Option<f64>, cap: f64, phase: f64) -> Self {
+        Node { cell, state, started, cap, phase, ..Node::default() }
     }
 
     /// 0: in turn. 1: late, passed over while another holder is not. 2: sick, last resort only.
@@ -194,8 +194,7 @@
         let (late, sent) = (latency > delay, now - latency);
         match ending {
             Ending::Success => {
-                (self.heard, self.answered) = (now, self.answered.max(sent));
-                (self.failures, self.shun_until) = (0, now);
+                (self.heard, self.failures, self.shun_until) = (now, 0, now);
                 if latency < 0.15 * slo {
                     self.cap = (self.cap + 1.0 / self.cap).min(24.0);
                 } else if latency > 0.25 * slo {
@@ -226,16 +225,23 @@
     /// How many more parts of `work` seconds each the node may be sent now. A warm node with any room takes
     /// a whole bundle, past its cap: in a jam single parts would each pay the work of a call. A cold one is
     /// held to this router's share of what would push it over, every peer sending likewise, taken as one
-    /// core; the 1.3 makes up for part of the waiting in `work` (at most 0.39 of the limit was seen).
+    /// core. Where many peers leave less than one part a span, it is one part in as long as the share takes,
+    /// the first after a part of that drawn by chance, so that peers do not send in step.
     fn room(&self, now: f64, work: f64, peers: f64, cold: Option<ColdRule>, bundle: usize) -> usize {
         let free = (self.cap - self.calls.len() as f64).max(0.0).floor() as usize;
         let warm = if free > 0 { bundle } else { 0 };
         let aged = cold.and_then(|c| self.started.map(|s| (c, (now - s).max(0.0))));
         let Some((rule, age)) = aged.filter(|(c, age)| *age < c.warm_up + c.span) else { return warm };
         let warmth = rule.share + (1.0 - rule.share) * (age - rule.span).max(0.0) / rule.warm_up;
-        let bearable = 1.3 * rule.multiple * warmth.min(1.0) * rule.span / peers;
-        let sent: f64 = self.cold_work.iter().filter(|w| w.0 >= now - rule.span - LOOK).map(|w| w.1).sum();
-        free.min(bundle).min(((bearable - sent) / work).max(0.0) as usize)
+        let share = rule.multiple * warmth.min(1.0) / peers;
+        // The 1.3 makes up for part of the waiting in `work` (at most 0.39 of the limit was seen); without
+        // whole parts in a span, chance adds up over the peers and the margin stays.
+        let rare = work > share * rule.span;
+        let (span, bearable) =
+            if rare { (work / share, 1.001 * work) } else { (rule.span, 1.3 * share * rule.span) };
+        let sent: f64 = self.cold_work.iter().filter(|w| w.0 >= now - span - LOOK).map(|w| w.1).sum();
+        let room = free.min(bundle).min(((bearable - sent) / work).max(0.0) as usize);
+        if rare && age < self.phase * span { 0 } else { room }
     }
 }
 
@@ -266,13 +272,14 @@
         self.serving.clear();
         let fresh = started.is_some_and(|s| self.cold.is_some_and(|c| self.now - s < c.warm_up));
         let cap = if fresh { 1.0 } else { 4.0 };
+        let phase = if fresh { self.chance.draw() } else { 0.0 };
         match self.nodes.get_mut(id) {
             Some(node) if node.started == started => (node.cell, node.state) = (cell, state),
             Some(node) => {
                 let calls = std::mem::take(&mut node.calls);
-                *node = Node { calls, ..Node::new(cell, state, started, cap) };
+                *node = Node { calls, ..Node::new(cell, state, started, cap, phase) };
             }
-            None => drop(self.nodes.insert(id.into(), Node::new(cell, state, started, cap))),
+            None => drop(self.nodes.insert(id.into(), Node::new(cell, state, started, cap, phase))),
         }
     }
 
@@ -539,14 +546,11 @@
     }
 
     /// Turns away by chance under overload, the cheaper more often. Pressure is the expected latency over
-    /// the time left; it sees what waits here and what the shards' holders may take.
+    /// the time left. A query is as late as its slowest part, of n parts the one that a share of 1 / (n + 1)
+    /// exceeds; the geometric mean with a median part tells a jam, where both rise, from a few slow or far
+    /// nodes, which copies and rests meet. Some are always let in, or no answer would show a jam's end.
     fn admit(&mut self, out: &mut dyn Writer) {
         let new: Vec<u64> = self.queries.iter().filter(|(_, q)| !q.admitted).map(|(n, _)| *n).collect();
-        let (mut backlog, cells): (BTreeMap<u32, f64>, u32) = (BTreeMap::new(), self.placement.cells);
-        let admitted = self.queries.values().filter(|q| q.admitted).flat_map(|q| &q.parts);
-        for part in admitted.filter(|p| !p.merged && !p.out()) {
-            *backlog.entry(part.shard % cells).or_default() += 1.0;
-        }
         for number in new {
             let q = &self.queries[&number];
             let v = &self.verticals[q.vertical];
@@ -554,21 +558,12 @@
             let share = 1.0 - 1.0 / (1.0 + q.parts.len() as f64);
             let slowest = self.usual[q.vertical].quantile(share, 16).unwrap_or(0.25 * v.slo);
             let usual = (slowest * self.work(q.vertical)).sqrt();
-            let (mut pressure, mut reachable): (f64, f64) = (0.0, 0.0);
-            for part in &q.parts {
-                let holders = self.holders(part.shard).into_iter().map(|id| &self.nodes[id]);
-                let sound = holders.filter(|n| n.standing(self.awake, SILENT) < 2);
-                let caps: f64 = sound.map(|n| n.cap).sum();
-                if caps > 0.0 {
-                    // Parts of neighbouring cells wait for some of the same holders.
-                    let near = self.placement.near(part.shard);
-                    let ahead: f64 = near.filter_map(|(c, shared)| Some(shared * backlog.get(&c)?)).sum();
-                    pressure = pressure.max(usual * (1.0 + ahead / caps) / left);
-                    reachable += part.weight;
-                }
-            }
+            let sound = |p: &&Part| {
+                self.holders(p.shard).iter().any(|id| self.nodes[*id].standing(self.awake, SILENT) < 2)
+            };
+            let reachable: f64 = q.parts.iter().filter(sound).map(|p| p.weight).sum();
             // Guards against all replicas of a shard being down: other parts would hold room for nothing.
-            pressure = if reachable < v.floor - SLACK { 1.0 } else { pressure };
+            let pressure = if reachable < v.floor - SLACK { 1.0 } else { usual / left };
             let utility = v.utility * if q.over_share { self.allowance.over_share } else { 1.0 };
             let value = utility / (q.parts.len().max(1) as f64 * self.bare_work(q.vertical));
             self.dearest = (self.dearest * 0.99).max(value);
@@ -586,7 +581,6 @@
                 self.give_up(number, self.allowance.come_back.map(|most| most.min(0.2 * left)), out);
             } else if let Some(q) = self.queries.get_mut(&number) {
                 q.admitted = true;
-                q.parts.iter().for_each(|p| *backlog.entry(p.shard % cells).or_default() += 1.0);
             }
         }
     }
@@ -670,7 +664,7 @@
         let Some(part) = self.queries.get_mut(&number).map(|q| &mut q.parts[i]) else { return };
         let Some(node) = self.nodes.get_mut(id) else { return };
         node.calls.insert((part.id.clone(), part.calls.len()), (self.awake, delay));
-        node.cold_work.retain(|w| w.0 >= now - self.cold.map_or(0.0, |c| c.span + LOOK));
+        node.cold_work.retain(|w| w.0 >= now - self.cold.map_or(0.0, |c| c.warm_up + c.span));
         node.cold_work.push_back((now, work));
         out.call(&part.id, id, limit);
         part.copies += usize::from(part.out());
@@ -699,14 +693,12 @@
                 continue;
             }
             // Guards against hung and silent nodes when the bucket is dry: their calls move on where a holder
-            // has room. And against nodes that swallow some calls: one is lost when one sent 2.5 delays later
-            // is answered. Age alone proves nothing: one part of many is heavy.
+            // has room. Age alone proves nothing: one part of many is heavy.
             let calls = || outs.iter().map(|&h| (&part.calls[h], &self.nodes[&part.calls[h].node]));
             let stuck = calls().all(|(c, node)| {
                 let (age, sick) = (self.awake - c.since, node.standing(self.awake, SILENT) == 2);
                 sick && age > SILENT * delay
             });
-            let lost = calls().all(|(c, node)| node.answered > c.since + SILENT * delay);
             let may_copy = v.effect == Effect::Repeatable && allowed.parallel;
             let copy = may_copy && part.copies < MAX_COPIES && outs.len() == 1;
             let other = self.next_node(number, i, &[shard], 1);
@@ -714,7 +706,7 @@
             if let (Some((node, _, turn)), true) = (&other, copy && self.purse.pay()) {
                 self.shards.entry(shard).or_default().turn = *turn;
                 self.send(number, i, node, out);
-            } else if useful && (lost || (stuck && other.is_some())) {
+            } else if useful && stuck && other.is_some() {
                 outs.iter().for_each(|&hop| self.cancel(number, i, hop, out));
             }
         }
--- a/src/host.rs
+++ b/src/host.rs
@@ -58,17 +58,6 @@
         (0..self.reach.min(cells)).map(move |step| (first + step) % cells)
     }
 
-    /// The cells whose shards share holders with a shard, each with the share of them.
-    pub fn near(&self, shard: u32) -> impl Iterator<Item = (u32, f64)> {
-        let (placement, side) = (*self, self.reach.saturating_sub(1));
-        let first = shard % self.cells + self.cells - side % self.cells;
-        (0..self.cells.min(2 * side + 1)).map(move |step| {
-            let cell = (first + step) % placement.cells;
-            let apart = placement.steps(cell, shard).min(placement.steps(shard % placement.cells, cell));
-            (cell, f64::from(placement.reach.saturating_sub(apart)) / f64::from(placement.reach))
-        })
-    }
-
     pub fn holds(&self, cell: u32, shard: u32) -> bool {
         self.steps(cell, shard) < self.reach
     }
