A customer's share can save up two queries at least

Cause: a share divided by up to 170 routers earns under a tenth of a query a second, and twice that was the most it could hold, so that every query counted as beyond its customer's share and none could be told apart. Kept, since the share means nothing without it.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -300,7 +300,7 @@
         let mut over_share = false;
         if let Some((c, tokens, at)) = self.customers.iter_mut().find(|c| c.0.name == customer) {
             let rate = c.quota / self.peers;
-            *tokens = (*tokens + (self.now - *at) * rate).min(2.0 * rate);
+            *tokens = (*tokens + (self.now - *at) * rate).min((2.0 * rate).max(2.0));
             *at = self.now;
             over_share = *tokens < 1.0;
             *tokens -= if over_share { 0.0 } else { 1.0 };
