The bucket holds 40 tokens

Cause: a query of 200 parts earns 20 tokens at once and its slow parts want as many copies; a bucket of 10 threw half away. The capacity is open in the design; with a stated budget its own figure still caps it.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -379,7 +379,7 @@
             bare: vec![f64::INFINITY; verticals.len()],
             longest_try: vec![0.0; verticals.len()],
             customers: customers.into_iter().map(|c| (c, 1.0, 0.0)).collect(),
-            purse: Purse::new(budget, 0.1, 10.0),
+            purse: Purse::new(budget, 0.1, 40.0),
             follow_at: if allowance.follow { 0.0 } else { f64::INFINITY },
             verticals,
             placement,
