A node whose call took over 2.5 delays stands behind the merely late

Cause: at full size a shard's delay stays at a quarter of the SLO time, and sound nodes are late often enough that all holders of a shard are; then the next in turn goes, be it ten times too slow or behind a slow way. A node last far too late now stands behind those that are late, until its rest ends; sick ones still come last. It also catches pauses, where it hurts for one rest.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -7,9 +7,8 @@
 use crate::host::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// Seconds between two looks at what is open; also how far ahead of a limit a final answer goes out.
-const LOOK: f64 = 0.010;
-const AHEAD: f64 = 0.030;
+const LOOK: f64 = 0.010; // Seconds between two looks at what is open.
+const AHEAD: f64 = 0.030; // How far ahead of a limit a final answer goes out.
 const SLACK: f64 = 0.00005; // What sums of weights may fall short by.
 /// A node that answered nothing for so many times a part's delay is silent.
 const SILENT: f64 = 2.5;
@@ -59,6 +58,7 @@
     cap: f64,
     heard: f64,
     late_until: f64,
+    far_until: f64,
     rest: f64,
     failures: i32,
     shun_until: f64,
@@ -173,7 +173,8 @@
         Node { cell, state, started, cap, phase, ..Node::default() }
     }
 
-    /// 0: in turn. 1: late, passed over while another holder is not. 2: sick, last resort only.
+    /// 0: in turn. 1: late, passed over while another holder is not. 2: far too late, behind
+    /// those. 3: sick, last resort only.
     /// Sick is a node that refuses connections or fails again and again, or that has answered nothing at
     /// all since it was sent a part now long past its delay (guards against hung, silent and very slow
     /// nodes alike; it hurts where a long pause makes a sound node look silent, until its next answer).
@@ -182,7 +183,8 @@
         let oldest = self.calls.values().map(age).fold(0.0, f64::max);
         let unheard = self.calls.values().any(|c| age(c) > silent && self.heard < c.0);
         match () {
-            _ if self.shun_until > now || unheard => 2,
+            _ if self.shun_until > now || unheard => 3,
+            _ if self.far_until > now => 2,
             _ if oldest > 1.0 || self.late_until > now => 1,
             _ => 0,
         }
@@ -217,8 +219,11 @@
         if late || ending == Ending::Full {
             self.rest = (self.rest * 2.0).clamp(least, least + 10.0);
             self.late_until = now + self.rest;
+            // Guards against trouble that only some see: where all holders are late at times, being late tells
+            // a slow or far node no more from a sound one, being far too late does.
+            self.far_until = if latency > SILENT * delay { self.late_until } else { self.far_until };
         } else if ending == Ending::Success {
-            (self.rest, self.late_until) = (0.0, now);
+            (self.rest, self.late_until, self.far_until) = (0.0, now, now);
         }
     }
 
@@ -434,7 +439,7 @@
 
     fn look_at_nodes(&mut self, out: &mut dyn Writer) {
         for (id, node) in &mut self.nodes {
-            let sick = node.standing(self.awake, SILENT) == 2;
+            let sick = node.standing(self.awake, SILENT) == 3;
             if sick != node.sick {
                 node.sick = sick;
                 let (calls, failures, cap) = (node.calls.len(), node.failures, node.cap);
@@ -559,7 +564,7 @@
             let slowest = self.usual[q.vertical].quantile(share, 16).unwrap_or(0.25 * v.slo);
             let usual = (slowest * self.work(q.vertical)).sqrt();
             let sound = |p: &&Part| {
-                self.holders(p.shard).iter().any(|id| self.nodes[*id].standing(self.awake, SILENT) < 2)
+                self.holders(p.shard).iter().any(|id| self.nodes[*id].standing(self.awake, SILENT) < 3)
             };
             let reachable: f64 = q.parts.iter().filter(sound).map(|p| p.weight).sum();
             // Guards against all replicas of a shard being down: other parts would hold room for nothing.
@@ -631,7 +636,7 @@
         let q = &self.queries[&number];
         let (part, work) = (&q.parts[i], self.bare_work(q.vertical));
         let (shard, holders) = (part.shard, self.holders(part.shard));
-        let sick = |id: &&str| self.nodes[*id].standing(self.awake, SILENT) == 2;
+        let sick = |id: &&str| self.nodes[*id].standing(self.awake, SILENT) == 3;
         let all_sick = part.calls.is_empty() && holders.iter().all(sick);
         let turn = self.shards.get(&shard).map_or(0, |s| s.turn);
         let mut best: Option<((u8, usize, usize), usize, usize)> = None;
@@ -641,7 +646,7 @@
             let standing = node.standing(self.awake, SILENT);
             let room = node.room(self.now, work, self.peers, self.cold, bundle);
             let asked = part.calls.iter().any(|c| c.out && c.node == holders[at]);
-            if asked || room == 0 || (standing == 2 && !all_sick) {
+            if asked || room == 0 || (standing == 3 && !all_sick) {
                 continue;
             }
             let tried = part.calls.iter().any(|c| c.node == holders[at]);
@@ -696,7 +701,7 @@
             // has room. Age alone proves nothing: one part of many is heavy.
             let calls = || outs.iter().map(|&h| (&part.calls[h], &self.nodes[&part.calls[h].node]));
             let stuck = calls().all(|(c, node)| {
-                let (age, sick) = (self.awake - c.since, node.standing(self.awake, SILENT) == 2);
+                let (age, sick) = (self.awake - c.since, node.standing(self.awake, SILENT) == 3);
                 sick && age > SILENT * delay
             });
             let may_copy = v.effect == Effect::Repeatable && allowed.parallel;
