A second copy when the first is late too (maxCopies 2)

A part now gets up to two copies, the second a delay after the first, each paid from the bucket; maxCopies is open in the design. Hurts in a jam, where tokens go sooner.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -12,7 +12,7 @@
 const SLACK: f64 = 0.00005; // What sums of weights may fall short by.
 /// A node that answered nothing for so many times a part's delay is silent.
 const SILENT: f64 = 2.5;
-const MAX_COPIES: usize = 1;
+const MAX_COPIES: usize = 2;
 
 /// One query router. It knows what its own rounds told it and nothing else.
 #[derive(Default)]
@@ -687,12 +687,12 @@
             let (shard, merged) = (part.shard, part.merged);
             let outs: Vec<usize> =
                 (0..part.calls.len()).filter(|&h| part.calls[h].out && !part.calls[h].cancelled).collect();
-            let Some(&oldest) = outs.first() else { continue };
+            let Some(&newest) = outs.last() else { continue };
             if merged {
                 outs.iter().for_each(|&hop| self.cancel(number, i, hop, out));
                 continue;
             }
-            let (age, delay) = (self.awake - part.calls[oldest].since, self.delay(shard, v.slo));
+            let (age, delay) = (self.awake - part.calls[newest].since, self.delay(shard, v.slo));
             let may = part.may_call(self.now, v.effect, allowed.calls);
             if age <= delay || !may || (self.purse.stated && self.purse.tokens < 1.0) {
                 continue;
@@ -705,7 +705,7 @@
                 sick && age > SILENT * delay
             });
             let may_copy = v.effect == Effect::Repeatable && allowed.parallel;
-            let copy = may_copy && part.copies < MAX_COPIES && outs.len() == 1;
+            let copy = may_copy && part.copies < MAX_COPIES;
             let other = self.next_node(number, i, &[shard], 1);
             let useful = self.now + 0.5 * self.work(vertical) < self.queries[&number].slo_at;
             if let (Some((node, _, turn)), true) = (&other, copy && self.purse.pay()) {
