Latencies take in the parts that never came; stories for copies and far nodes

When a query is given up, its missing parts count with the time that they have taken. Also holds against silent nodes and lost calls; hurts where a few bad nodes make the tail, until rests end.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -14,7 +14,6 @@
 const SILENT: f64 = 2.5;
 const MAX_COPIES: usize = 2;
 
-/// One query router. It knows what its own rounds told it and nothing else.
 #[derive(Default)]
 pub struct Router {
     now: f64,
@@ -464,8 +463,7 @@
         self.usual[vertical].quantile(0.5, 5).unwrap_or(0.25 * slo).max(0.001)
     }
 
-    /// Work of one part alone, for the cold rule: the lowest median that its vertical has shown, since in
-    /// a jam latencies are mostly waiting and would keep restarted nodes idle.
+    /// Work of one part alone, for the cold rule: the lowest median seen, as in a jam latencies are waiting.
     fn bare_work(&self, vertical: usize) -> f64 {
         self.bare[vertical].min(0.15 * self.verticals[vertical].slo)
     }
@@ -513,6 +511,10 @@
 
     fn give_up(&mut self, number: u64, come_back: Option<f64>, out: &mut dyn Writer) {
         let q = &self.queries[&number];
+        // Guards against a jam that looks like a quiet hour: parts that never came took at least so long.
+        for call in q.parts.iter().filter(|p| !p.merged).filter_map(|p| p.calls.first()) {
+            self.usual[q.vertical].note(self.awake - call.since, 256);
+        }
         self.unserved += if q.again { 0.5 } else { 1.0 };
         let ran = q.second_step || q.parts.iter().flat_map(|p| &p.calls).any(|c| c.may_have_run);
         if self.verticals[q.vertical].effect == Effect::SideEffecting && ran {
@@ -699,13 +701,11 @@
             }
             // Guards against hung and silent nodes when the bucket is dry: their calls move on where a holder
             // has room. Age alone proves nothing: one part of many is heavy.
-            let calls = || outs.iter().map(|&h| (&part.calls[h], &self.nodes[&part.calls[h].node]));
-            let stuck = calls().all(|(c, node)| {
-                let (age, sick) = (self.awake - c.since, node.standing(self.awake, SILENT) == 3);
-                sick && age > SILENT * delay
+            let stuck = outs.iter().all(|&hop| {
+                let (call, node) = (&part.calls[hop], &self.nodes[&part.calls[hop].node]);
+                self.awake - call.since > SILENT * delay && node.standing(self.awake, SILENT) == 3
             });
-            let may_copy = v.effect == Effect::Repeatable && allowed.parallel;
-            let copy = may_copy && part.copies < MAX_COPIES;
+            let copy = v.effect == Effect::Repeatable && allowed.parallel && part.copies < MAX_COPIES;
             let other = self.next_node(number, i, &[shard], 1);
             let useful = self.now + 0.5 * self.work(vertical) < self.queries[&number].slo_at;
             if let (Some((node, _, turn)), true) = (&other, copy && self.purse.pay()) {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -59,6 +59,32 @@
     assert_eq!(host.ends("p0.0", 1, "n1", Ending::Success, 0.1), ["answer q0 whole", "cancel p0.0 0"]);
 }
 
+#[rstest]
+fn a_copy_that_is_late_too_gets_the_third_holder_asked() {
+    let mut host = with(|_| ());
+    host.query(0, &[0]);
+    host.wait(0.52);
+    assert_eq!(calls(&host.wait(0.4)).len(), 0, "the copy has its own delay");
+    assert_eq!(calls(&host.wait(0.2)), ["call p0.0 n2"]);
+    assert_eq!(calls(&host.wait(0.5)).len(), 0, "two copies at most");
+}
+
+#[rstest]
+fn a_node_far_too_late_stands_behind_the_late() {
+    let mut host = with(|d| (d.allowance.parallel, d.peers) = (false, 40));
+    for (n, latency) in [(0, 1.4), (1, 0.6), (2, 0.6)] {
+        host.query(n, &[0]);
+        host.wait(0.01);
+        let asked = node_of(&host.notes, &format!("p{n}.0"));
+        host.wait(latency - 0.01);
+        host.ends(&format!("p{n}.0"), 0, &asked, Ending::Success, latency);
+    }
+    let far = node_of(&host.notes, "p0.0");
+    for n in 3..6 {
+        assert!(!calls(&host.query(n, &[0])).iter().any(|c| c.ends_with(&far)));
+    }
+}
+
 #[rstest]
 fn only_the_late_part_of_two_has_its_loser_cancelled_while_the_query_runs() {
     let mut host = with(|_| ());
@@ -80,9 +106,9 @@
     let mut host = with(|d| d.nodes = 3);
     for n in 0..24 {
         host.query(n, &[0, 1, 2]);
-        host.wait(0.55);
+        host.wait(0.52);
         for i in 0..3 {
-            for hop in 0..2 {
+            for hop in 0..3 {
                 let notes = host.notes.clone();
                 let asked: Vec<_> =
                     notes.iter().filter_map(|c| c.strip_prefix(&format!("call p{n}.{i} "))).collect();
