While rejecting, late queries stay only if what is in makes the late utility worth the wait

Cause: in a jam, queries of 37 to 50 parts with a late share of 0.3 went on after the SLO time with half of their parts out, taking the room of those still in time. While rejecting, a late query goes unless late share times merged weight reaches 0.27 (before: late share under 0.2).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -503,7 +503,7 @@
         let hopeless =
             short && arrived && q.admitted && self.now + self.work(q.vertical) > q.slo_at.min(q.not_after);
         let over = self.now >= q.not_after - AHEAD
-            || (late && (v.late_share <= 0.0 || (self.shedding && v.late_share < 0.2)));
+            || (late && (v.late_share <= 0.0 || (self.shedding && v.late_share * merged < 0.27)));
         if over || doomed || hopeless {
             self.give_up(number, self.allowance.come_back, out);
         }
