--- a/src/choice.rs
+++ b/src/choice.rs
@@ -218,8 +218,8 @@
         if late || ending == Ending::Full {
             self.rest = (self.rest * 2.0).clamp(least, least + 10.0);
             self.late_until = now + self.rest;
-            // Guards against trouble that only some see: where all holders are late at times, being late tells
-            // a slow or far node no more from a sound one, being far too late does.
+            // Guards against trouble that only some see: where all holders are late at times, being late does
+            // not tell a slow or far node from a sound one, being far too late does.
             self.far_until = if latency > SILENT * delay { self.late_until } else { self.far_until };
         } else if ending == Ending::Success {
             (self.rest, self.late_until, self.far_until) = (0.0, now, now);
