--- a/crates/router/src/drive/clients.rs
+++ b/crates/router/src/drive/clients.rs
@@ -1,5 +1,5 @@
 //! The drivers of the listener and of clients' connections.
-use super::until;
+use super::{arrival, until};
 use crate::memory::Shared;
 use crate::memory::clients::Client;
 use crate::memory::descriptors::{Held, Share};
@@ -28,7 +28,8 @@
     let mut closing = false;
     loop {
         let Some(held) = share.take() else {
-            desk.borrow().clients.dismiss_oldest();
+            let (now, patience) = (desk.borrow().clock.now(), desk.borrow().trunk.dial);
+            desk.borrow().clients.dismiss_oldest(now, patience);
             let _ = timeout(PAUSE, share.released.notified()).await;
             continue;
         };
@@ -102,9 +103,8 @@
                         Err(refusal) => answer::unreadable(&mut client.out.borrow_mut(), refusal),
                     }
                     messages.done(&mut buffer);
-                    went_ahead = false;
                     client.used.set(true);
-                    bound = f64::INFINITY;
+                    (went_ahead, bound) = (false, f64::INFINITY);
                 }
                 Ok(false) => {
                     if !went_ahead && messages.awaits_go_ahead(&buffer) {
@@ -116,7 +116,8 @@
                 Err(refusal) => {
                     desk.borrow_mut().counters.one("requests{unreadable}");
                     answer::unreadable(&mut client.out.borrow_mut(), refusal);
-                    (lost, _) = (true, client.closes.set(true));
+                    lost = true;
+                    client.closes.set(true);
                 }
             }
         }
@@ -139,35 +140,38 @@
             }
         }
         let (open, writing) = (client.query.get().is_some(), !client.out.borrow().is_empty());
-        let idle = !open && !writing && buffer.is_empty();
-        client.idle.set(idle.then_some(read_at));
-        if idle && client.dismissed.get() {
-            return true;
-        }
+        let waiting = !open && !writing;
+        client.idle.set(waiting.then_some(read_at));
+        client.half_sent.set(waiting && !buffer.is_empty());
         // A half-sent request or a half-read answer is waited for as long as any client may wait.
-        if (writing || (!open && !idle)) && bound.is_infinite() {
-            bound = clock.now() + patience;
-        }
-        if idle {
+        if !writing && !client.half_sent.get() {
             bound = f64::INFINITY;
+        } else if bound.is_infinite() {
+            bound = clock.now() + patience;
         }
         let room = !buffer.space().is_empty();
         tokio::select! {
-            _ = stream.readable(), if room => {
-                match stream.try_read(buffer.space()) {
-                    Ok(0) => return false,
-                    Ok(count) => {
-                        buffer.filled(count);
-                        read_at = clock.now();
-                        desk.borrow_mut().counters.add("bytes_from_clients", count);
-                    }
-                    Err(why) if why.kind() == ErrorKind::WouldBlock => {}
-                    Err(_) => return false,
+            biased;
+            _ = stream.readable(), if room => match arrival::read(stream, buffer.space(), clock) {
+                Ok((0, _)) => return false,
+                Ok((count, at)) => {
+                    buffer.filled(count);
+                    read_at = at;
+                    desk.borrow_mut().counters.add("bytes_from_clients", count);
                 }
-            }
+                Err(why) if why.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => return false,
+            },
             _ = stream.writable(), if writing => {}
             () = client.wake.notified() => {}
-            () = until(clock, bound), if bound.is_finite() => return false,
+            () = std::future::ready(()), if waiting && client.dismissed.get() => return false,
+            () = until(clock, bound), if bound.is_finite() && writing => return false,
+            () = until(clock, bound), if bound.is_finite() => {
+                desk.borrow_mut().counters.one("requests{half_sent}");
+                answer::unreadable(&mut client.out.borrow_mut(), (408, "the request did not come in time"));
+                lost = true;
+                client.closes.set(true);
+            }
         }
     }
 }
--- a/crates/router/src/drive/mod.rs
+++ b/crates/router/src/drive/mod.rs
@@ -1,4 +1,5 @@
 //! The drivers: they read and write sockets and keep time, and leave all else to `wire` and `memory`.
+pub mod arrival;
 pub mod clients;
 pub mod discovery;
 pub mod nodes;
--- a/crates/router/src/drive/nodes.rs
+++ b/crates/router/src/drive/nodes.rs
@@ -1,23 +1,24 @@
 //! The driver of one connection to a data node.
 use super::until;
 use crate::memory::Shared;
+use crate::memory::descriptors::{Held, Share};
 use crate::memory::desk::Dial;
 use crate::wire::buffer::Buffer;
 use crate::wire::{Fault, frames};
 use alderway::host::Ending;
 use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 /// Dials, speaks until the connection ends, and gives everything back.
-pub async fn run(desk: Shared, dial: Dial) {
-    let Dial { node, line, address, held } = dial;
+pub async fn run(desk: Shared, dial: Dial, share: Rc<Share>) {
+    let Dial { node, line, address } = dial;
     let limit = Duration::from_secs_f64(desk.borrow().trunk.dial);
-    match timeout(limit, TcpStream::connect(&*address)).await {
-        Ok(Ok(stream)) => {
-            // Without it small frames would wait for the acknowledgement of those before.
-            let _ = stream.set_nodelay(true);
+    match timeout(limit, connect(&desk, address, &share)).await {
+        Ok(Ok((stream, _held))) => {
             desk.borrow_mut().counters.one("connections{opened}");
             if let Err(why) = speak(&desk, &node, line, &stream).await {
                 log::warn!(target: "frame", "node {node}: {why}; its connection is closed");
@@ -27,10 +28,29 @@
         Ok(Err(_)) => desk.borrow_mut().counters.one("connections{refused}"),
         Err(_) => desk.borrow_mut().counters.one("connections{dial_timed_out}"),
     }
-    drop(held);
     desk.borrow_mut().line_lost(&node, line);
 }
 
+/// Waits for a descriptor, making room where all are taken, and dials.
+async fn connect(
+    desk: &Shared,
+    address: SocketAddr,
+    share: &Rc<Share>,
+) -> std::io::Result<(TcpStream, Held)> {
+    let held = loop {
+        if let Some(held) = share.take() {
+            break held;
+        }
+        desk.borrow_mut().counters.one("dials_short_of_descriptors");
+        desk.borrow_mut().roster.retire_oldest();
+        share.released.notified().await;
+    };
+    let stream = TcpStream::connect(address).await?;
+    // Without it small frames would wait for the acknowledgement of those before.
+    stream.set_nodelay(true)?;
+    Ok((stream, held))
+}
+
 /// Writes what waits and reads what comes; an error is a frame that cannot be read.
 async fn speak(desk: &Shared, node: &str, line: u64, stream: &TcpStream) -> Result<(), Fault> {
     let (clock, wake, idle) = {
@@ -42,11 +62,18 @@
         (clock, line.wake.clone(), idle)
     };
     let mut buffer = Buffer::new(frames::LONGEST + 4);
-    let (mut out, mut written) = (Vec::new(), 0);
+    let (mut out, mut written, mut stuck) = (Vec::new(), 0, f64::INFINITY);
     loop {
+        let before = written;
         if !write(desk, node, line, stream, &mut out, &mut written) {
             return Ok(());
         }
+        // A silent machine never closes: a frame that gets no further for so long ends the connection.
+        if written == out.len() {
+            stuck = f64::INFINITY;
+        } else if stuck.is_infinite() || written != before {
+            stuck = clock.now() + idle;
+        }
         let idle_since = {
             let mut desk = desk.borrow_mut();
             let Some(line) = desk.roster.line(node, line) else { return Ok(()) };
@@ -65,6 +92,7 @@
                 }
             }
             _ = stream.writable(), if written < out.len() => {}
+            () = until(clock, stuck), if stuck.is_finite() => return Ok(()),
             () = wake.notified() => {}
             () = until(clock, idle_since.unwrap_or_default() + idle), if idle_since.is_some() => {}
         }
@@ -105,7 +133,8 @@
     }
 }
 
-/// Reads all that has come; false when the connection has ended.
+/// Reads once what has come; false when the connection has ended. Whoever has more to say waits for its next
+/// turn, so that no data node can keep the core to itself.
 fn read(
     desk: &Shared,
     node: &str,
@@ -113,34 +142,33 @@
     stream: &TcpStream,
     buffer: &mut Buffer,
 ) -> Result<bool, Fault> {
-    loop {
-        match stream.try_read(buffer.space()) {
-            Ok(0) => return Ok(false),
-            Ok(count) => {
-                buffer.filled(count);
-                desk.borrow_mut().counters.add("bytes_from_nodes", count);
-            }
-            Err(why) if why.kind() == ErrorKind::WouldBlock => return Ok(true),
-            Err(_) => return Ok(false),
+    match stream.try_read(buffer.space()) {
+        Ok(0) => return Ok(false),
+        Ok(count) => {
+            buffer.filled(count);
+            desk.borrow_mut().counters.add("bytes_from_nodes", count);
         }
-        while let Some((letter, rest, used)) = frames::next(buffer.data())? {
-            match letter {
-                b'R' => {
-                    let (part, word, value) = frames::reply(rest)?;
-                    let ending = match word {
-                        "done" => Ending::Success,
-                        "failed" => Ending::Error,
-                        "full" => Ending::Full,
-                        _ => return Err("a reply with an unknown ending"),
-                    };
-                    desk.borrow_mut().replied(node, line, part, ending, value);
-                }
-                b'F' => return Err("it could not use a frame of ours"),
-                // Answers to probes, which this router does not send.
-                b'H' | b'M' => {}
-                _ => return Err("a frame with an unknown letter"),
+        Err(why) if why.kind() == ErrorKind::WouldBlock => return Ok(true),
+        Err(_) => return Ok(false),
+    }
+    while let Some((letter, rest, used)) = frames::next(buffer.data())? {
+        match letter {
+            b'R' => {
+                let (part, word, value) = frames::reply(rest)?;
+                let ending = match word {
+                    "done" => Ending::Success,
+                    "failed" => Ending::Error,
+                    "full" => Ending::Full,
+                    _ => return Err("a reply with an unknown ending"),
+                };
+                desk.borrow_mut().replied(node, line, part, ending, value);
             }
-            buffer.used(used);
+            b'F' => return Err("it could not use a frame of ours"),
+            // Answers to probes, which this router does not send.
+            b'H' | b'M' => {}
+            _ => return Err("a frame with an unknown letter"),
         }
+        buffer.used(used);
     }
+    Ok(true)
 }
--- a/crates/router/src/drive/rounds.rs
+++ b/crates/router/src/drive/rounds.rs
@@ -1,9 +1,11 @@
 //! The driver of the module: one round for all that came in.
 use super::{nodes, until};
 use crate::memory::Shared;
+use crate::memory::descriptors::Share;
 use alderway::choice::Router;
 use alderway::host::{Intake, Writer};
 use std::convert::Infallible;
+use std::rc::Rc;
 use tokio::task::spawn_local;
 
 /// The desk as the module writes to it.
@@ -37,7 +39,7 @@
 }
 
 /// Plays rounds for as long as the program runs, the settings' tick apart at least.
-pub async fn run(desk: Shared, mut module: Router) {
+pub async fn run(desk: Shared, mut module: Router, share: Rc<Share>) {
     let (clock, came, tick) = {
         let desk = desk.borrow();
         (desk.clock, desk.came.clone(), desk.room.tick)
@@ -61,7 +63,7 @@
             desk.post(now)
         };
         for dial in dials {
-            spawn_local(nodes::run(desk.clone(), dial));
+            spawn_local(nodes::run(desk.clone(), dial, share.clone()));
         }
         until(clock, now + tick).await;
     }
--- a/crates/router/src/life/logger.rs
+++ b/crates/router/src/life/logger.rs
@@ -1,9 +1,10 @@
 //! The log: one line a record on standard error, never waited for. A flood of one kind is held down, and the
 //! next line of that kind tells how many were left out.
 use log::{LevelFilter, Log, Metadata, Record};
-use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use nix::poll::{PollFd, PollFlags, PollTimeout, poll};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::os::fd::AsFd;
 use std::time::Instant;
 
 /// A pipe that polls as writable takes this much at once without waiting.
@@ -49,10 +50,9 @@
 fn write(line: &str) -> bool {
     let end = (0..=line.len().min(LINE - 1)).rev().find(|&i| line.is_char_boundary(i)).unwrap_or_default();
     let text = [&line.as_bytes()[..end], b"\n"].concat();
-    let out = rustix::stdio::stderr();
-    let mut ready = [PollFd::new(&out, PollFlags::OUT)];
-    let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
-    matches!(poll(&mut ready, Some(&at_once)), Ok(1)) && rustix::io::write(out, &text).is_ok()
+    let out = std::io::stderr();
+    let mut ready = [PollFd::new(out.as_fd(), PollFlags::POLLOUT)];
+    matches!(poll(&mut ready, PollTimeout::ZERO), Ok(1)) && nix::unistd::write(&out, &text).is_ok()
 }
 
 impl Log for Logger {
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,10 +1,9 @@
 //! Starts one query router: reads its configuration, listens, and runs until SIGTERM has been seen through.
-use alderway_router::drive::{clients, discovery, rounds};
+use alderway_router::drive::{arrival, clients, discovery, rounds};
 use alderway_router::life::{logger, start, stop};
 use alderway_router::memory::clock::Clock;
 use alderway_router::memory::descriptors;
 use alderway_router::memory::desk::Desk;
-use alderway_router::wire::http::MESSAGE;
 use std::cell::RefCell;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -36,19 +35,24 @@
 
 async fn run(station: start::Station, clock: Clock) -> std::io::Result<()> {
     let start::Station { name, listen, discovery: agent, roster, module, .. } = station;
-    // A client's buffers may grow to a whole message each way: half the memory is enough for all of them.
-    let (for_clients, for_nodes) = descriptors::shares(station.sockets.min(station.memory / (4 * MESSAGE)));
-    let mut desk = Desk::new(clock, station.trunk, station.room, station.verticals, for_nodes);
+    let (for_clients, for_nodes) = descriptors::shares(station.sockets, station.memory);
+    let mut desk = Desk::new(clock, station.trunk, station.room, station.verticals);
     desk.roster = roster;
     desk.came.notify_one();
     let listener = TcpListener::bind(listen).await?;
-    log::info!(target: "start", "{name} listens at {listen}: {} data nodes known", desk.roster.nodes.len());
+    arrival::stamp(&listener)?;
+    let (at, known) = (listener.local_addr()?, desk.roster.nodes.len());
+    log::info!(target: "start", "{name} listens at {at}: {known} data nodes known");
     let desk = Rc::new(RefCell::new(desk));
     let close = Rc::default();
-    spawn_local(rounds::run(desk.clone(), module));
+    let rounds = spawn_local(rounds::run(desk.clone(), module, for_nodes));
     spawn_local(discovery::run(desk.clone(), agent));
     spawn_local(clients::listen(desk.clone(), listener, for_clients, Rc::clone(&close)));
-    stop::at_sigterm(desk.clone(), close).await?;
+    // A router whose module has failed must not go on as if it served.
+    tokio::select! {
+        stopped = stop::at_sigterm(desk.clone(), close) => stopped?,
+        failed = rounds => return Err(std::io::Error::other(format!("the rounds ended: {failed:?}"))),
+    }
     logger::last_words(&desk.borrow().figures());
     Ok(())
 }
--- a/crates/router/src/memory/clients.rs
+++ b/crates/router/src/memory/clients.rs
@@ -15,9 +15,13 @@
     pub closes: Cell<bool>,
     /// Is to close now, as it is idle.
     pub dismissed: Cell<bool>,
-    /// Has sent a request, and since when it stands idle; `None` in the midst of one.
+    /// Has sent a request before.
     pub used: Cell<bool>,
+    /// Since when it stands idle, or waits for the rest of a request; `None` from a whole request to the last
+    /// byte of its answer.
     pub idle: Cell<Option<f64>>,
+    /// Part of a request has come.
+    pub half_sent: Cell<bool>,
 }
 
 impl Client {
@@ -54,17 +58,20 @@
         self.all.len()
     }
 
-    /// Dismisses the connection that has been idle longest, to make room for a new one.
-    pub fn dismiss_oldest(&self) -> bool {
+    /// Dismisses the connection that has been idle longest, to make room for a new one; where none is idle,
+    /// one of which only part of a request has come for `patience` or longer.
+    pub fn dismiss_oldest(&self, now: f64, patience: f64) {
         let idle = self.all.values().filter(|c| !c.dismissed.get());
-        let idle = idle.filter_map(|c| Some((c.idle.get()?, c)));
-        let oldest = idle.min_by(|a, b| a.0.total_cmp(&b.0));
-        oldest.inspect(|(_, client)| client.dismiss()).is_some()
+        let idle = idle.filter_map(|c| Some((c.half_sent.get(), c.idle.get()?, c)));
+        let idle = idle.filter(|(half, since, _)| !half || since + patience <= now);
+        let oldest = idle.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        oldest.into_iter().for_each(|(.., client)| client.dismiss());
     }
 
     /// Dismisses idle connections; those that have not sent a request yet only with `unused`.
     pub fn dismiss_idle(&self, unused: bool) {
-        let idle = self.all.values().filter(|c| c.idle.get().is_some() && (unused || c.used.get()));
+        let idle = self.all.values().filter(|c| c.idle.get().is_some() && !c.half_sent.get());
+        let idle = idle.filter(|c| unused || c.used.get());
         idle.for_each(|c| c.dismiss());
     }
 }
--- a/crates/router/src/memory/descriptors.rs
+++ b/crates/router/src/memory/descriptors.rs
@@ -1,5 +1,6 @@
 //! The descriptors that this program may hold, dealt out in two shares so that neither clients nor data nodes
 //! can take the other's, nor those of the listener and discovery.
+use crate::wire::http::MESSAGE;
 use std::cell::Cell;
 use std::rc::Rc;
 use tokio::sync::Notify;
@@ -34,8 +35,10 @@
     }
 }
 
-/// The shares of clients and of data nodes.
-pub fn shares(limit: usize) -> (Rc<Share>, Rc<Share>) {
+/// The shares of clients and of data nodes, out of so many descriptors and so many bytes of memory. What all
+/// clients may make this program keep of half-sent requests is held to a quarter of the memory.
+pub fn shares(limit: usize, memory: usize) -> (Rc<Share>, Rc<Share>) {
     let rest = limit.saturating_sub(APART).max(2);
-    (Share::new(rest - rest / 2), Share::new(rest / 2))
+    let clients = (rest - rest / 2).min(memory / 4 / MESSAGE).max(1);
+    (Share::new(clients), Share::new(rest / 2))
 }
--- a/crates/router/src/memory/desk.rs
+++ b/crates/router/src/memory/desk.rs
@@ -4,13 +4,13 @@
 use super::clients::{Client, Clients};
 use super::clock::Clock;
 use super::counters::Counters;
-use super::descriptors::{Held, Share};
 use super::lines::{Frame, Line, Place};
-use super::queries::{Part, Queries, Query};
+use super::queries::{Queries, Query};
 use super::roster::Roster;
 use crate::wire::{answer, frames};
 use alderway::host::{Ending, Intake, NodeState, Writer};
 use alderway_deployment::{Intake as Room, Trunk};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::Notify;
 
@@ -18,8 +18,7 @@
 pub struct Dial {
     pub node: String,
     pub line: u64,
-    pub address: String,
-    pub held: Held,
+    pub address: SocketAddr,
 }
 
 pub struct Desk {
@@ -38,7 +37,6 @@
     pub follow: Rc<Notify>,
     /// When SIGTERM came.
     pub stopping: Option<f64>,
-    node_share: Rc<Share>,
     new: Vec<u64>,
     left: Vec<Rc<str>>,
     alarms: Vec<(f64, u64)>,
@@ -46,13 +44,7 @@
 }
 
 impl Desk {
-    pub fn new(
-        clock: Clock,
-        trunk: Trunk,
-        room: Room,
-        verticals: Vec<String>,
-        node_share: Rc<Share>,
-    ) -> Self {
+    pub fn new(clock: Clock, trunk: Trunk, room: Room, verticals: Vec<String>) -> Self {
         Desk {
             clock,
             trunk,
@@ -66,7 +58,6 @@
             came: Rc::default(),
             follow: Rc::default(),
             stopping: None,
-            node_share,
             new: vec![],
             left: vec![],
             alarms: vec![],
@@ -117,10 +108,15 @@
         self.came.notify_one();
     }
 
-    /// The client has closed its connection, or its time is up with no answer.
+    /// The client has closed its connection.
     pub fn client_left(&mut self, number: u64) {
+        self.drop_query(number, "left");
+    }
+
+    /// A query ends from outside the module, which is told in the next round.
+    fn drop_query(&mut self, number: u64, what: &str) {
         let Some(query) = self.queries.release(number) else { return };
-        self.count("left", query.vertical);
+        self.count(what, query.vertical);
         for part in &query.parts {
             for id in self.calls.of_part(&part.id) {
                 self.give_up(&id, Ending::Cancelled);
@@ -140,7 +136,7 @@
         };
         let id: CallId = (part.into(), hop);
         self.end(&id, ending);
-        if let (Ending::Success, Some((part, _))) = (ending, self.queries.part(part)) {
+        if let (Ending::Success, Some(part)) = (ending, self.queries.part(part)) {
             part.value.get_or_insert_with(|| value.to_string());
             self.take_back(&id.0, Ending::Cancelled);
         }
@@ -272,7 +268,7 @@
             let closes = client.closes.get();
             answer::plain(&mut client.out.borrow_mut(), 504, "the time is up", None, closes);
             client.wake.notify_one();
-            self.client_left(number);
+            self.drop_query(number, "overdue");
         }
     }
 
@@ -326,7 +322,6 @@
                             line.queue(Frame::Call(call.to_vec()));
                         }
                     }
-                    // Out of descriptors: as if the node could not be reached.
                     None => call.iter().for_each(|id| self.end(id, Ending::Unreachable)),
                 }
             }
@@ -342,16 +337,11 @@
         if let Some((line, _)) = open.min_by_key(|(_, l)| (!l.up, l.taken())) {
             return Some(*line);
         }
-        let Some(held) = self.node_share.take() else {
-            self.roster.retire_oldest();
-            self.counters.one("dials_without_descriptor");
-            return None;
-        };
         self.roster.last_line += 1;
         let line = self.roster.last_line;
         let node = self.roster.nodes.get_mut(name)?;
         node.lines.insert(line, Line::new(now));
-        self.dials.push(Dial { node: name.into(), line, address: node.address.clone(), held });
+        self.dials.push(Dial { node: name.into(), line, address: node.address });
         Some(line)
     }
 
@@ -372,15 +362,15 @@
 impl Writer for Desk {
     fn call(&mut self, part: &str, node: &str, limit: f64) {
         let now = self.clock.now();
-        let (Some((record, _)), Some(there)) = (self.queries.part(part), self.roster.nodes.get_mut(node))
-        else {
-            return self.counters.one("calls_of_parts_over");
-        };
+        let Some(record) = self.queries.part(part) else { return self.counters.one("calls_of_parts_over") };
         let id = (record.id.clone(), record.calls);
         record.calls += 1;
         self.counters.one(if id.1 == 0 { "leaf_calls_sent{first}" } else { "leaf_calls_sent{further}" });
-        there.fresh.push(id.clone());
-        self.calls.start(id, node, now, now + limit);
+        self.calls.start(id.clone(), node, now, now + limit);
+        match self.roster.nodes.get_mut(node) {
+            Some(there) => there.fresh.push(id),
+            None => self.end(&id, Ending::NeverSent),
+        }
     }
 
     fn cancel(&mut self, part: &str, hop: usize) {
@@ -391,9 +381,7 @@
     fn answer(&mut self, query: &str, whole: bool) {
         let what = if whole { "merged" } else { "merged_in_part" };
         let Some((query, closes)) = self.close(query, what) else { return };
-        let came = |p: &'_ Part| p.value.is_some();
-        let parts = query.parts.iter().filter(|p| came(p));
-        let parts = parts.map(|p| (p.shard, p.value.as_deref().unwrap_or_default()));
+        let parts = query.parts.iter().filter_map(|p| Some((p.shard, p.value.as_deref()?)));
         answer::merged(&mut query.client.out.borrow_mut(), whole, parts, closes);
     }
 
--- a/crates/router/src/memory/queries.rs
+++ b/crates/router/src/memory/queries.rs
@@ -82,10 +82,10 @@
         self.numbers.get(id).copied()
     }
 
-    /// An open part with its query.
-    pub fn part(&mut self, id: &str) -> Option<(&mut Part, u64)> {
+    /// A part of an open query.
+    pub fn part(&mut self, id: &str) -> Option<&mut Part> {
         let &(number, i) = self.parts.get(id)?;
-        Some((self.open.get_mut(&number)?.parts.get_mut(i)?, number))
+        self.open.get_mut(&number)?.parts.get_mut(i)
     }
 
     pub fn has_part(&self, id: &str) -> bool {
--- a/crates/router/src/memory/roster.rs
+++ b/crates/router/src/memory/roster.rs
@@ -3,9 +3,10 @@
 use super::lines::Line;
 use alderway::host::NodeState;
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
 pub struct Node {
-    pub address: String,
+    pub address: SocketAddr,
     pub cell: u32,
     pub state: NodeState,
     pub started: Option<f64>,
@@ -41,10 +42,17 @@
 
     /// One entry. Connections to an address that is no longer the node's take nothing new, and those to a
     /// process that has since been started again are cut: nobody there will answer.
-    pub fn entry(&mut self, name: &str, address: &str, cell: u32, state: NodeState, started: Option<f64>) {
+    pub fn entry(
+        &mut self,
+        name: &str,
+        address: SocketAddr,
+        cell: u32,
+        state: NodeState,
+        started: Option<f64>,
+    ) {
         self.changed.insert(name.to_string());
         let Some(node) = self.nodes.get_mut(name) else {
-            let (address, lines, fresh) = (address.to_string(), BTreeMap::new(), vec![]);
+            let (lines, fresh) = (BTreeMap::new(), vec![]);
             self.nodes.insert(name.into(), Node { address, cell, state, started, lines, fresh });
             return;
         };
@@ -60,7 +68,7 @@
                 line.wake.notify_one();
             }
         }
-        (node.address, node.cell, node.state, node.started) = (address.into(), cell, state, started);
+        (node.address, node.cell, node.state, node.started) = (address, cell, state, started);
     }
 
     pub fn line(&mut self, node: &str, line: u64) -> Option<&mut Line> {
--- a/crates/router/src/wire/discovery.rs
+++ b/crates/router/src/wire/discovery.rs
@@ -5,6 +5,7 @@
 use super::json::Json;
 use alderway::host::NodeState;
 use std::io::Write;
+use std::net::SocketAddr;
 
 /// Longest line that is read: a whole list of some ten thousand data nodes.
 pub const LONGEST: usize = 2 * 1024 * 1024;
@@ -22,11 +23,17 @@
 
 /// Every entry of a readable object goes straight into `entry`: name, address, cell, state, and the Unix time
 /// in milliseconds of the last start, 0 for long ago.
-pub fn entries(bytes: &[u8], mut entry: impl FnMut(&str, &str, u32, NodeState, u64)) -> Result<(), Fault> {
+pub fn entries(
+    bytes: &[u8],
+    mut entry: impl FnMut(&str, SocketAddr, u32, NodeState, u64),
+) -> Result<(), Fault> {
     walk(bytes, &mut entry).map(drop)
 }
 
-type Entry<'a> = &'a mut dyn FnMut(&str, &str, u32, NodeState, u64);
+type Entry<'a> = &'a mut dyn FnMut(&str, SocketAddr, u32, NodeState, u64);
+
+/// Where a deleted data node, which needs no address any more, is said to be if discovery does not say.
+const NOWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED), 0);
 
 fn walk(bytes: &[u8], entry: Entry) -> Result<(u64, bool), Fault> {
     let (mut json, mut index, mut whole, mut listed) = (Json::new(bytes), None, None, false);
@@ -54,7 +61,9 @@
     json.object(|json, key| {
         match key {
             "name" => name = Some(json.text()?),
-            "address" => address = Some(json.text()?),
+            "address" => {
+                address = Some(json.text()?.parse().map_err(|_| "`address` is not address:port")?);
+            }
             "group" => cell = Some(json.whole()?),
             "since_ms" => since = json.whole()?,
             "status" => {
@@ -70,11 +79,10 @@
         Ok(())
     })?;
     let (name, state) = (name.ok_or("an entry without `name`")?, state.ok_or("an entry without `status`")?);
-    // A deleted data node needs no place any more.
     let gone = state == NodeState::Gone;
-    let address = address.or(gone.then_some("".into())).ok_or("an entry without `address`")?;
+    let address = address.or(gone.then_some(NOWHERE)).ok_or("an entry without `address`")?;
     let cell = cell.or(gone.then_some(0)).ok_or("an entry without `group`")?;
-    entry(&name, &address, u32::try_from(cell).map_err(|_| "`group` is too large")?, state, since);
+    entry(&name, address, u32::try_from(cell).map_err(|_| "`group` is too large")?, state, since);
     Ok(())
 }
 
--- /dev/null
+++ b/crates/router/tests/sockets.rs
@@ -0,0 +1,678 @@
+//! Starts the program and speaks to it over loopback as client, data node and discovery. Ports are the
+//! system's; stories wait for what the program does, never for a span that it might miss.
+use rstest::rstest;
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Settings of two verticals, one cell in which every data node holds every shard.
+fn settings(slo_ms: u64, room: usize) -> String {
+    let service = |name: &str| {
+        format!(
+            r#"{{"Name":"{name}","PromiseUs":{0},"DeadlineUs":5000000,"Effect":"idempotent","Worth":1,
+                "LateShare":0.3}}"#,
+            slo_ms * 1000
+        )
+    };
+    format!(
+        r#"{{"Extra":{{"Cells":1,"Reach":1,"Slices":40,"BundleMax":8,"PerCallWorkUs":57000}},
+        "Discovery":"automatic","TickUs":5000,"OverShareWorth":0.1,"Tenants":[],"ReplicasOfMe":2,
+        "Limits":{{"MayCancel":true,"ParallelTries":true,"MaxAttempts":3,"MaxOpen":{room},
+                  "StreamsPerConn":32,"DialTimeoutUs":250000,"KeepaliveUs":15000000}},
+        "Obligations":{{}},"Services":[{},{}]}}"#,
+        service("site-search"),
+        service("region-report")
+    )
+}
+
+fn entry(name: &str, address: SocketAddr, status: &str) -> String {
+    format!(
+        r#"{{"name":"{name}","address":"{address}","zone":"z","type":"m","group":0,"status":"{status}","weight":1.0,"since_ms":0}}"#
+    )
+}
+
+fn object(index: u64, whole: bool, entries: &[String]) -> String {
+    format!(r#"{{"index":{index},"snapshot":{whole},"endpoints":[{}]}}"#, entries.join(","))
+}
+
+fn soon<T>(events: &Receiver<T>, what: &str) -> T {
+    events.recv_timeout(PATIENCE).unwrap_or_else(|_| panic!("nothing came: {what}"))
+}
+
+/// Stand-ins of data nodes: they hand over every frame with the node and the connection that it came to.
+struct Nodes {
+    addresses: Vec<SocketAddr>,
+    frames: Receiver<Came>,
+}
+
+struct Came {
+    node: usize,
+    letter: char,
+    text: String,
+    stream: TcpStream,
+}
+
+impl Nodes {
+    fn new(count: usize) -> Nodes {
+        let (sender, frames) = channel();
+        let mut addresses = vec![];
+        for node in 0..count {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+            addresses.push(listener.local_addr().expect("an address"));
+            let sender = sender.clone();
+            thread::spawn(move || {
+                while let Ok((stream, _)) = listener.accept() {
+                    let sender = sender.clone();
+                    thread::spawn(move || Self::listen(node, stream, &sender));
+                }
+            });
+        }
+        Nodes { addresses, frames }
+    }
+
+    fn listen(node: usize, mut stream: TcpStream, sender: &Sender<Came>) {
+        let mut length = [0; 4];
+        while stream.read_exact(&mut length).is_ok() {
+            let mut frame = vec![0; u32::from_be_bytes(length) as usize];
+            stream.read_exact(&mut frame).expect("a whole frame");
+            let text = String::from_utf8(frame[1..].to_vec()).expect("text");
+            let (letter, stream) = (char::from(frame[0]), stream.try_clone().expect("a handle"));
+            if sender.send(Came { node, letter, text, stream }).is_err() {
+                return;
+            }
+        }
+    }
+
+    /// The next frame at any node, of that letter.
+    fn next(&self, letter: char) -> Came {
+        let came = soon(&self.frames, "a frame at a data node");
+        assert_eq!(came.letter, letter, "{}", came.text);
+        came
+    }
+
+    /// Answers every part of the next call; returns its parts and the node.
+    fn serve(&self) -> (Vec<String>, usize) {
+        let mut came = self.next('S');
+        let ids = parts(&came.text);
+        for id in &ids {
+            reply(&mut came.stream, &format!("{id} done 17 -\nvalue of {id}"));
+        }
+        (ids, came.node)
+    }
+}
+
+/// The ids of a call's parts, whose text is always `c41e77d0` here.
+fn parts(call: &str) -> Vec<String> {
+    call.split("c41e77d0").filter_map(|part| Some(part.split_once(' ')?.0.to_string())).collect()
+}
+
+fn reply(stream: &mut TcpStream, text: &str) {
+    let mut frame = (text.len() as u32 + 1).to_be_bytes().to_vec();
+    frame.push(b'R');
+    frame.extend_from_slice(text.as_bytes());
+    // The router may have closed the connection already.
+    let _ = stream.write_all(&frame);
+}
+
+/// A stand-in of discovery's agent: tells of every watch as it is asked for, with the connection to write to.
+struct Agent {
+    address: SocketAddr,
+    watches: Receiver<(String, TcpStream)>,
+}
+
+impl Agent {
+    fn new() -> Agent {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (sender, watches) = channel();
+        thread::spawn(move || {
+            while let Ok((mut stream, _)) = listener.accept() {
+                let mut line = String::new();
+                let mut head = BufReader::new(stream.try_clone().expect("a handle"));
+                head.read_line(&mut line).expect("a request");
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                if sender.send((line, stream)).is_err() {
+                    return;
+                }
+            }
+        });
+        Agent { address, watches }
+    }
+
+    fn watch(&self) -> (String, TcpStream) {
+        soon(&self.watches, "a watch")
+    }
+}
+
+fn tell(watch: &mut TcpStream, line: &str) {
+    write!(watch, "{:x}\r\n{line}\n\r\n", line.len() + 1).expect("written");
+}
+
+/// The program under test, with its log as it comes.
+struct Program {
+    child: Child,
+    log: Receiver<String>,
+    address: SocketAddr,
+    config: PathBuf,
+}
+
+impl Program {
+    fn start(nodes: &[SocketAddr], agent: SocketAddr, settings: &str, limits: &str) -> Program {
+        let serving = |(i, address): (usize, &SocketAddr)| entry(&format!("s-{i}"), *address, "SERVING");
+        let known: Vec<String> = nodes.iter().enumerate().map(serving).collect();
+        Program::configured(&format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{agent}","seed":"8c1f30d27a5be964",
+            "limits":{limits},"known":{},"settings":{settings}}}"#,
+            object(41, true, &known)
+        ))
+    }
+
+    fn configured(config: &str) -> Program {
+        let (mut child, path) = spawn(config);
+        let (sender, log) = channel();
+        let lines = BufReader::new(child.stderr.take().expect("piped")).lines();
+        thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| sender.send(line)));
+        let first = soon(&log, "the first line of the log");
+        let address = first.split("listens at ").nth(1).and_then(|rest| rest.split(": ").next());
+        let address = address.and_then(|a| a.parse().ok()).unwrap_or_else(|| panic!("{first}"));
+        Program { child, log, address, config: path }
+    }
+
+    fn connect(&self) -> Client {
+        let stream = TcpStream::connect(self.address).expect("connected");
+        stream.set_read_timeout(Some(PATIENCE)).expect("set");
+        Client(BufReader::new(stream))
+    }
+
+    /// Waits for a line of the log that holds `text`.
+    fn says(&self, text: &str) -> String {
+        loop {
+            let line = soon(&self.log, text);
+            if line.contains(text) {
+                return line;
+            }
+        }
+    }
+
+    fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
+    }
+
+    fn counters(&self) -> BTreeMap<String, u64> {
+        let mut client = self.connect();
+        client.send("GET /counters HTTP/1.1\r\n\r\n");
+        figures(client.answer().1.lines())
+    }
+
+    /// Waits for the program's end; returns how it ended and its counters at exit.
+    fn ends(mut self) -> (ExitStatus, BTreeMap<String, u64>) {
+        let status = self.child.wait().expect("it ends");
+        let mut lines = vec![];
+        while let Ok(line) = self.log.recv_timeout(PATIENCE) {
+            lines.push(line);
+        }
+        (status, figures(lines.iter().map(String::as_str)))
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+fn spawn(config: &str) -> (Child, PathBuf) {
+    static COUNT: AtomicUsize = AtomicUsize::new(0);
+    let name = format!("alderway-{}-{}.json", std::process::id(), COUNT.fetch_add(1, Ordering::Relaxed));
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, config).expect("written");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_alderway-router"));
+    let command = command.env("PROXY_CONFIG", &path).stderr(Stdio::piped()).stdin(Stdio::null());
+    (command.spawn().expect("it starts"), path)
+}
+
+fn figures<'a>(lines: impl Iterator<Item = &'a str>) -> BTreeMap<String, u64> {
+    let figure = |line: &str| {
+        let (name, figure) = line.rsplit_once(' ')?;
+        Some((name.to_string(), figure.parse().ok()?))
+    };
+    lines.filter_map(figure).collect()
+}
+
+/// The sum of all counters whose name starts so.
+fn sum(figures: &BTreeMap<String, u64>, start: &str) -> u64 {
+    figures.iter().filter(|(name, _)| name.starts_with(start)).map(|(_, figure)| figure).sum()
+}
+
+struct Client(BufReader<TcpStream>);
+
+impl Client {
+    fn send(&mut self, text: &str) {
+        self.0.get_mut().write_all(text.as_bytes()).expect("written");
+    }
+
+    fn ask(&mut self, id: &str, shards: &[u32], left_ms: u64) {
+        self.send(&post(id, "site-search", shards, left_ms));
+    }
+
+    /// The next answer: its head and its body.
+    fn answer(&mut self) -> (String, String) {
+        let (mut head, mut body) = (String::new(), vec![]);
+        while !head.ends_with("\r\n\r\n") {
+            assert_ne!(self.0.read_line(&mut head).expect("an answer"), 0, "ended after {head:?}");
+        }
+        let length = head.split("Content-Length: ").nth(1).and_then(|rest| rest.lines().next());
+        body.resize(length.expect("a length").parse().expect("a number"), 0);
+        self.0.read_exact(&mut body).expect("a body");
+        (head, String::from_utf8(body).expect("text"))
+    }
+
+    fn status(&mut self) -> String {
+        self.answer().0.split(' ').nth(1).expect("a status").to_string()
+    }
+
+    /// Waits for the router to end the connection.
+    fn ended(mut self) {
+        let mut rest = vec![];
+        // A reset is an end as well.
+        let _ = self.0.read_to_end(&mut rest);
+        assert!(rest.is_empty(), "{}", String::from_utf8_lossy(&rest));
+    }
+}
+
+fn post(id: &str, vertical: &str, shards: &[u32], left_ms: u64) -> String {
+    let share = 1.0 / shards.len() as f64;
+    let targets: Vec<String> =
+        shards.iter().map(|s| format!(r#"{{"partition":{s},"share":{share},"est_us":9000}}"#)).collect();
+    let body = format!(r#"{{"targets":[{}],"query":"c41e77d0"}}"#, targets.join(","));
+    format!(
+        "POST /api HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: {id}\r\nX-Service-Class: {vertical}\r\n\
+         X-Time-Left-Ms: {left_ms}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// A router over `count` data nodes, with discovery's agent silent but for what a story tells.
+fn started(count: usize) -> (Program, Nodes, Agent) {
+    limited(count, 1000, 180, r#"{"sockets":256}"#)
+}
+
+fn limited(count: usize, slo_ms: u64, room: usize, limits: &str) -> (Program, Nodes, Agent) {
+    let (nodes, agent) = (Nodes::new(count), Agent::new());
+    let program = Program::start(&nodes.addresses, agent.address, &settings(slo_ms, room), limits);
+    (program, nodes, agent)
+}
+
+#[rstest]
+fn a_query_is_asked_for_in_one_call_and_answered_with_what_came() {
+    let (program, nodes, _agent) = started(1);
+    let mut client = program.connect();
+    client.ask("9b1f", &[3, 9], 4000);
+    let Came { text, mut stream, .. } = nodes.next('S');
+    let (first, second) = text.split_at(text.len() / 2);
+    for (part, id) in [(first, "9b1f.3 3 d="), (second, "9b1f.9 9 d=")] {
+        let wait = part.strip_prefix(id).and_then(|rest| rest.split(' ').next()).expect("in the form");
+        assert!((1000..=4000).contains(&wait.parse::<u64>().expect("a number")), "{part}");
+        assert!(part.ends_with(" 8\nc41e77d0"), "{part}");
+    }
+    reply(&mut stream, "9b1f.9 done 184 inflight=7,util=0.61\nnine");
+    reply(&mut stream, "9b1f.9 done 184 -\nsent twice");
+    reply(&mut stream, "0000.3 done 184 -\nnobody's");
+    reply(&mut stream, "9b1f.3 done 184 -\nthree");
+    let (head, body) = client.answer();
+    assert!(head.starts_with("HTTP/1.1 200 "), "{head}");
+    let merged =
+        r#"{"whole":true,"results":[{"partition":3,"value":"three"},{"partition":9,"value":"nine"}]}"#;
+    assert_eq!(body, merged);
+}
+
+#[rstest]
+fn a_request_may_come_byte_by_byte_and_the_next_ones_right_behind() {
+    let (program, nodes, _agent) = started(1);
+    let mut client = program.connect();
+    client.0.get_mut().set_nodelay(true).expect("set");
+    for byte in post("a", "region-report", &[0], 4000).as_bytes() {
+        client.0.get_mut().write_all(&[*byte]).expect("written");
+    }
+    client.send(&(post("b", "site-search", &[1], 4000) + "GET /up HTTP/1.1\r\n\r\n"));
+    for id in ["a.0", "b.1"] {
+        assert_eq!(nodes.serve().0, [id]);
+        assert!(client.answer().1.contains(&format!("value of {id}")));
+    }
+    assert_eq!(client.answer().1, "up\n");
+}
+
+#[rstest]
+#[case::unknown_path("GET /elsewhere HTTP/1.1\r\n\r\n", "404")]
+#[case::wrong_method("GET /api HTTP/1.1\r\n\r\n", "405")]
+#[case::unknown_vertical(&post("q", "checkout", &[1], 400), "400")]
+#[case::repeated_shard(&post("q", "site-search", &[1, 1], 400), "400")]
+#[case::unplaced_shard(&post("q", "site-search", &[40], 400), "400")]
+#[case::no_parts(&post("q", "site-search", &[], 400), "400")]
+#[case::no_time(&post("q", "site-search", &[1], 400).replace("X-Time-Left-Ms", "X"), "400")]
+#[case::id_in_words(&post("a b", "site-search", &[1], 400), "400")]
+#[case::not_json(&post("q", "site-search", &[1], 400).replace("\"query\"", "'query'"), "400")]
+fn a_request_out_of_form_is_told_so_and_the_connection_kept(#[case] request: &str, #[case] status: &str) {
+    let (program, nodes, _agent) = started(1);
+    let mut client = program.connect();
+    client.send(request);
+    assert_eq!(client.status(), status);
+    client.send("GET /up HTTP/1.1\r\n\r\n");
+    assert_eq!(client.status(), "200");
+    assert!(nodes.frames.try_recv().is_err(), "no call for what no client asked for");
+}
+
+#[rstest]
+#[case::too_large("POST /api HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", "413")]
+#[case::no_framing("POST /api HTTP/1.1\r\nContent-Length: x\r\n\r\n", "400")]
+#[case::no_request("hello\r\n\r\n", "505")]
+fn where_the_framing_is_lost_the_connection_closes_after_the_answer(
+    #[case] request: &str,
+    #[case] status: &str,
+) {
+    let (program, _nodes, _agent) = started(1);
+    let mut client = program.connect();
+    client.send(request);
+    assert_eq!(client.status(), status);
+    client.ended();
+}
+
+#[rstest]
+fn a_part_whose_connection_breaks_is_asked_for_elsewhere() {
+    let (program, nodes, _agent) = started(2);
+    let mut client = program.connect();
+    client.ask("q", &[0], 4000);
+    let first = nodes.next('S');
+    first.stream.shutdown(Shutdown::Both).expect("shut");
+    assert_eq!(nodes.serve(), (vec!["q.0".to_string()], 1 - first.node));
+    assert_eq!(client.status(), "200");
+    assert_eq!(program.counters()["leaf_calls_ended{reset}"], 1);
+}
+
+/// Two queries take turns: one of them meets the bad node first.
+fn two_queries_past_a_bad_node(program: &Program, nodes: &Nodes) {
+    let mut client = program.connect();
+    for id in ["a", "b"] {
+        client.ask(id, &[0], 4000);
+        assert_eq!(nodes.serve().0, [format!("{id}.0")]);
+        assert_eq!(client.status(), "200");
+    }
+    assert_eq!(program.counters()["leaf_calls_ended{unreachable}"], 1);
+}
+
+#[rstest]
+fn a_node_that_refuses_connections_never_ran_the_part() {
+    let (nodes, agent) = (Nodes::new(1), Agent::new());
+    let refuses = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+    let both = [nodes.addresses[0], refuses];
+    let program = Program::start(&both, agent.address, &settings(4000, 180), "{}");
+    two_queries_past_a_bad_node(&program, &nodes);
+}
+
+#[rstest]
+fn a_dial_that_never_comes_up_ends_at_its_time_out() {
+    // Nobody accepts here: once the system's queue is full, new connections hang.
+    let full = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let hangs = full.local_addr().expect("an address");
+    let brief = Duration::from_millis(50);
+    let held: Vec<TcpStream> =
+        std::iter::from_fn(|| TcpStream::connect_timeout(&hangs, brief).ok()).take(10_000).collect();
+    let (nodes, agent) = (Nodes::new(1), Agent::new());
+    let both = [nodes.addresses[0], hangs];
+    let program = Program::start(&both, agent.address, &settings(4000, 180), "{}");
+    two_queries_past_a_bad_node(&program, &nodes);
+    assert_eq!(program.counters()["connections{dial_timed_out}"], 1);
+    drop(held);
+}
+
+#[rstest]
+#[case::unknown_letter(b"\0\0\0\x01Z")]
+#[case::too_long(b"\x7f\0\0\0R")]
+#[case::unreadable_line(b"\0\0\0\x04R???")]
+fn a_frame_that_cannot_be_read_ends_its_connection_and_nothing_else(#[case] bytes: &[u8]) {
+    let (program, nodes, _agent) = limited(2, 4000, 180, "{}");
+    let (mut one, mut other) = (program.connect(), program.connect());
+    one.ask("a", &[0], 4000);
+    let mut bad = nodes.next('S');
+    other.ask("b", &[0], 4000);
+    let mut good = nodes.next('S');
+    assert_eq!(good.node, 1 - bad.node);
+    bad.stream.write_all(bytes).expect("written");
+    program.says("its connection is closed");
+    assert_eq!(nodes.serve(), (vec!["a.0".to_string()], good.node));
+    reply(&mut good.stream, "b.0 done 1 -\nv");
+    assert_eq!((one.status(), other.status()), ("200".to_string(), "200".to_string()));
+}
+
+#[rstest]
+fn a_client_that_leaves_has_its_parts_given_up() {
+    let (program, nodes, _agent) = started(1);
+    let mut client = program.connect();
+    client.ask("q", &[0], 4000);
+    nodes.next('S');
+    drop(client);
+    assert_eq!(nodes.next('C').text, "q.0");
+    let figures = program.counters();
+    assert_eq!((figures["queries_left{site-search}"], figures["leaf_calls_open"]), (1, 0));
+}
+
+#[rstest]
+fn the_loser_of_a_copy_is_given_up_and_its_late_reply_passed_over() {
+    let (program, nodes, _agent) = limited(2, 400, 180, "{}");
+    let mut client = program.connect();
+    client.ask("q", &[0], 4000);
+    let mut late = nodes.next('S');
+    assert_eq!(
+        nodes.serve(),
+        (vec!["q.0".to_string()], 1 - late.node),
+        "a copy after a quarter of the SLO time"
+    );
+    let given_up = nodes.next('C');
+    assert_eq!((&*given_up.text, given_up.node), ("q.0", late.node));
+    assert!(client.answer().1.contains("value of q.0"));
+    reply(&mut late.stream, "q.0 done 1 -\nlate");
+    client.ask("r", &[0], 4000);
+    nodes.serve();
+    assert!(client.answer().1.contains("value of r.0"));
+}
+
+#[rstest]
+fn a_query_beyond_the_room_is_turned_away_at_once() {
+    let (program, nodes, _agent) = limited(1, 1000, 3, "{}");
+    let (mut one, mut other) = (program.connect(), program.connect());
+    one.ask("a", &[0, 1], 4000);
+    let mut held = nodes.next('S');
+    other.ask("b", &[0], 4000);
+    assert_eq!(other.status(), "503");
+    parts(&held.text).iter().for_each(|id| reply(&mut held.stream, &format!("{id} done 1 -\nv")));
+    assert_eq!(one.status(), "200");
+    other.ask("c", &[0], 4000);
+    assert_eq!(nodes.serve().0, ["c.0"]);
+    assert_eq!(other.status(), "200");
+}
+
+#[rstest]
+fn idle_connections_make_room_where_descriptors_are_few() {
+    let (program, nodes, _agent) = limited(1, 1000, 180, r#"{"sockets":32}"#);
+    let mut idle: Vec<Client> = (0..50).map(|_| program.connect()).collect();
+    let mut client = program.connect();
+    client.ask("q", &[0], 4000);
+    assert_eq!(nodes.serve().0, ["q.0"]);
+    assert_eq!(client.status(), "200");
+    idle.remove(0).ended();
+}
+
+#[rstest]
+fn a_slow_reader_holds_up_nobody() {
+    let (program, nodes, _agent) = started(1);
+    let mut slow = program.connect();
+    // Answers pile up unread until the system takes no more requests.
+    slow.0.get_mut().set_nonblocking(true).expect("set");
+    let (asked, mut full) = ("GET /counters HTTP/1.1\r\n\r\n".repeat(1000), 0);
+    while full < 20 {
+        let taken = slow.0.get_mut().write(asked.as_bytes()).unwrap_or_default();
+        full = if taken > 0 { 0 } else { full + 1 };
+        thread::sleep(Duration::from_millis(5));
+    }
+    let mut client = program.connect();
+    client.ask("q", &[0], 4000);
+    assert_eq!(nodes.serve().0, ["q.0"]);
+    assert_eq!(client.status(), "200");
+}
+
+#[rstest]
+fn time_counts_from_the_requests_last_byte_though_the_router_stood_still() {
+    let (program, nodes, _agent) = limited(1, 200, 180, "{}");
+    let mut client = program.connect();
+    client.send("GET /up HTTP/1.1\r\n\r\n");
+    assert_eq!(client.status(), "200");
+    program.signal("STOP");
+    let sent = Instant::now();
+    client.ask("q", &[0], 1500);
+    thread::sleep(Duration::from_millis(1000));
+    program.signal("CONT");
+    nodes.next('S');
+    assert_eq!(client.status(), "503");
+    // Counted from when it was read, the time would be up after 2.5 s.
+    let took = sent.elapsed();
+    assert!(took < Duration::from_millis(2000), "{took:?}");
+}
+
+#[rstest]
+fn a_draining_node_gets_nothing_new_and_a_new_one_is_asked() {
+    let (nodes, agent) = (Nodes::new(2), Agent::new());
+    let program = Program::start(&nodes.addresses[..1], agent.address, &settings(1000, 180), "{}");
+    let (asked, mut watch) = agent.watch();
+    assert!(asked.starts_with("GET /discovery/hosts?follow=1&since=41 "), "{asked}");
+    let change = [entry("s-0", nodes.addresses[0], "DRAINING"), entry("s-9", nodes.addresses[1], "SERVING")];
+    tell(&mut watch, &object(43, false, &change));
+    program.says("change 43: 2 entries");
+    let mut client = program.connect();
+    for id in ["a", "b", "c"] {
+        client.ask(id, &[0], 4000);
+        assert_eq!(nodes.serve(), (vec![format!("{id}.0")], 1));
+        assert_eq!(client.status(), "200");
+    }
+}
+
+#[rstest]
+fn what_discovery_says_in_no_form_leads_to_a_new_watch_and_the_old_list_holds() {
+    let (program, nodes, agent) = started(1);
+    let (_, mut watch) = agent.watch();
+    tell(&mut watch, r#"{"index":44,"snapshot":true,"endpoints":[{"name":"s-0"}]}"#);
+    program.says("the watch is lost");
+    let (asked, watch) = agent.watch();
+    assert!(asked.contains("since=41 "), "{asked}");
+    drop(watch);
+    let mut client = program.connect();
+    client.ask("q", &[0], 4000);
+    assert_eq!(nodes.serve().0, ["q.0"]);
+    assert_eq!(client.status(), "200");
+    let (_, mut watch) = agent.watch();
+    tell(&mut watch, &object(40, false, &[]));
+    let (asked, _watch) = agent.watch();
+    assert!(
+        asked.starts_with("GET /discovery/hosts?follow=1 "),
+        "{asked}: the whole list after an older one"
+    );
+}
+
+#[rstest]
+fn a_silent_watch_is_asked_for_anew() {
+    let (program, _nodes, agent) = started(1);
+    let (_, _silent) = agent.watch();
+    let (_, mut watch) = agent.watch();
+    program.says("silence");
+    tell(&mut watch, "");
+    tell(&mut watch, &object(45, true, &[]));
+    program.says("whole list 45: 0 entries");
+}
+
+#[rstest]
+fn sigterm_loses_nothing_that_was_taken() {
+    let (program, nodes, _agent) = limited(1, 4000, 180, "{}");
+    let (mut idle, mut open) = (program.connect(), program.connect());
+    idle.send("GET /up HTTP/1.1\r\n\r\n");
+    assert_eq!(idle.status(), "200");
+    open.ask("a", &[0], 4000);
+    let mut held = nodes.next('S');
+    program.signal("TERM");
+    program.says("SIGTERM");
+    idle.ended();
+    let mut late = program.connect();
+    late.ask("b", &[1], 4000);
+    assert_eq!(nodes.serve().0, ["b.1"]);
+    let (head, _) = late.answer();
+    assert!(head.starts_with("HTTP/1.1 200") && head.contains("Connection: close"), "{head}");
+    late.ended();
+    reply(&mut held.stream, "a.0 done 1 -\nv");
+    assert_eq!(open.status(), "200");
+    open.ended();
+    let (status, figures) = program.ends();
+    assert_eq!(status.code(), Some(0));
+    assert_eq!((sum(&figures, "queries_taken"), sum(&figures, "queries_merged{")), (2, 2));
+    assert_eq!(figures["clients_open"], 0);
+}
+
+#[rstest]
+fn counters_add_up() {
+    let (program, nodes, _agent) = limited(1, 200, 3, "{}");
+    let (mut client, mut other) = (program.connect(), program.connect());
+    client.ask("a", &[0], 4000);
+    nodes.serve();
+    client.ask("b", &[0], 1000);
+    nodes.next('S');
+    assert_eq!([client.status(), client.status()], ["200", "503"]);
+    assert_eq!(nodes.next('C').text, "b.0");
+    client.ask("c", &[0], 4000);
+    nodes.next('S');
+    other.ask("d", &[0, 1], 4000);
+    assert_eq!(other.status(), "503");
+    let figures = program.counters();
+    let ended = ["merged", "merged_in_part", "rejected", "aborted", "turned_away", "left", "overdue"];
+    let ended: u64 = ended.iter().map(|what| sum(&figures, &format!("queries_{what}{{"))).sum();
+    assert_eq!((sum(&figures, "queries_taken{"), ended, figures["queries_open"]), (4, 3, 1));
+    let calls = sum(&figures, "leaf_calls_ended{") + figures["leaf_calls_open"];
+    assert_eq!((sum(&figures, "leaf_calls_sent{"), calls), (3, 3));
+}
+
+#[rstest]
+#[case::not_json("{", "configuration")]
+#[case::no_settings(r#"{"listen":"127.0.0.1:0"}"#, "`settings`")]
+#[case::wrong_type(r#"{"name":7,"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{S}}"#, "`name`")]
+#[case::no_address(r#"{"name":"n","listen":"nowhere","discovery":"127.0.0.1:1","settings":{S}}"#, "`listen`")]
+#[case::seed(r#"{"seed":"xyz","settings":{S}}"#, "`seed`")]
+#[case::too_few(
+    r#"{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","limits":{"sockets":5},"settings":{S}}"#,
+    "`limits.sockets`"
+)]
+#[case::known(
+    r#"{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","known":{"index":1},"settings":{S}}"#,
+    "`known`"
+)]
+#[case::lacking(r#"{"settings":{S}}"#, "`StreamsPerConn`")]
+#[case::out_of_range(r#"{"settings":{S}}"#, "`TickUs`")]
+fn a_faulty_configuration_ends_the_program_with_its_key(#[case] config: &str, #[case] key: &str) {
+    let settings = match key {
+        "`StreamsPerConn`" => settings(1000, 180).replace("StreamsPerConn", "Other"),
+        "`TickUs`" => settings(1000, 180).replace("5000,\"OverShare", "0,\"OverShare"),
+        _ => settings(1000, 180),
+    };
+    let (child, path) = spawn(&config.replace("{S}", &settings));
+    let output = child.wait_with_output().expect("it ends");
+    let _ = std::fs::remove_file(path);
+    let errors = String::from_utf8_lossy(&output.stderr).to_string();
+    assert_eq!(output.status.code(), Some(2), "{errors}");
+    assert!(errors.contains(key) && errors.lines().count() == 1, "{errors}");
+}
