--- a/crates/router/src/memory/descriptors.rs
+++ b/crates/router/src/memory/descriptors.rs
@@ -6,7 +6,7 @@
 use tokio::sync::Notify;
 
 /// Kept apart: standard streams, the runtime's own, the listener, discovery's connection and one in passing.
-const APART: usize = 20;
+const APART: usize = 16;
 
 /// One share. What is taken is given back when its holder is dropped, and nowhere else.
 pub struct Share {
--- /dev/null
+++ b/crates/router/tests/desk.rs
@@ -0,0 +1,252 @@
+//! Stories of what is kept, without sockets: frames taken back, endings that prove what they say, connections
+//! with their places, and descriptors given back.
+use alderway::host::{Ending, Intake, NodeState, Writer};
+use alderway_deployment as deployment;
+use alderway_router::memory::clients::Client;
+use alderway_router::memory::clock::Clock;
+use alderway_router::memory::descriptors;
+use alderway_router::memory::desk::{Desk, Dial};
+use alderway_router::memory::queries::{Part, Query};
+use rstest::rstest;
+use std::rc::Rc;
+
+/// Writes down what the module is told.
+#[derive(Default)]
+struct Told(Vec<String>);
+
+impl Intake for Told {
+    fn roster_whole(&mut self) {
+        self.0.push("whole".into());
+    }
+    fn roster_entry(&mut self, node: &str, cell: u32, state: NodeState, _started: Option<f64>) {
+        self.0.push(format!("{node} {cell} {state:?}"));
+    }
+    fn roster_failed(&mut self) {
+        self.0.push("failed".into());
+    }
+    fn query(&mut self, number: u64, id: &str, vertical: usize, _customer: &str, _not_after: f64) {
+        self.0.push(format!("query {number} {id} {vertical}"));
+    }
+    fn part(&mut self, number: u64, id: &str, shard: u32, weight: f64) {
+        self.0.push(format!("part {number} {id} {shard} {weight}"));
+    }
+    fn call_ended(&mut self, part: &str, hop: usize, node: &str, ending: Ending, _latency: f64) {
+        self.0.push(format!("{part} {hop} {node} {ending:?}"));
+    }
+    fn client_left(&mut self, query: &str) {
+        self.0.push(format!("left {query}"));
+    }
+    fn alarm(&mut self, tag: u64) {
+        self.0.push(format!("alarm {tag}"));
+    }
+}
+
+/// A desk with data nodes `s` and `t`; bundles of two parts, four places on a connection.
+fn desk() -> Desk {
+    let trunk = deployment::Trunk { places: 4, bundle: 2, dial: 0.25, idle: 15.0 };
+    let room = deployment::Intake { room: 100, shards: 40, tick: 0.005, deadline: 10.0, follow: false };
+    let mut desk = Desk::new(Clock::default(), trunk, room, vec!["v".into()]);
+    desk.roster.begin(1, true);
+    for (name, port) in [("s", 1), ("t", 2)] {
+        roster(&mut desk, name, port, NodeState::Serving, None);
+    }
+    told(&mut desk);
+    desk
+}
+
+fn roster(desk: &mut Desk, name: &str, port: u16, state: NodeState, started: Option<f64>) {
+    desk.roster.entry(name, ([127, 0, 0, 1], port).into(), 0, state, started);
+    desk.roster_changed();
+}
+
+fn told(desk: &mut Desk) -> Vec<String> {
+    let (mut told, now) = (Told::default(), desk.clock.now());
+    desk.expire(now);
+    desk.tell(now, &mut told);
+    told.0
+}
+
+/// Takes in query `id` with one part for each shard.
+fn take(desk: &mut Desk, id: &str, shards: &[u32]) -> Rc<Client> {
+    let client = Rc::new(Client::default());
+    let part =
+        |s: &u32| Part { id: format!("{id}.{s}").into(), shard: *s, weight: 1.0, value: None, calls: 0 };
+    let parts = shards.iter().map(part).collect();
+    let (not_after, text) = (desk.clock.now() + 5.0, "text".to_string());
+    desk.take(&client, Query { id: id.into(), vertical: 0, not_after, text, parts, client: client.clone() });
+    told(desk);
+    client
+}
+
+/// Sends parts to a node as one round would; returns the dials that this takes.
+fn send(desk: &mut Desk, node: &str, parts: &[&str]) -> Vec<Dial> {
+    parts.iter().for_each(|part| desk.call(part, node, 5.0));
+    let now = desk.clock.now();
+    desk.post(now)
+}
+
+/// Writes the next frame of a connection to its last byte; its text, if one waits.
+fn write(desk: &mut Desk, dial: &Dial) -> Option<String> {
+    let mut out = vec![];
+    let begun = desk.next_frame(&dial.node, dial.line, &mut out);
+    desk.roster.line(&dial.node, dial.line)?.written();
+    begun.then(|| String::from_utf8_lossy(&out[4..]).to_string())
+}
+
+fn up(desk: &mut Desk, dial: &Dial) {
+    desk.roster.line(&dial.node, dial.line).expect("a connection").up = true;
+}
+
+#[rstest]
+fn parts_of_one_round_are_calls_of_a_bundle_on_one_connection() {
+    let mut desk = desk();
+    take(&mut desk, "q", &[1, 2, 3]);
+    let dials = send(&mut desk, "s", &["q.1", "q.2", "q.3"]);
+    assert_eq!(dials.len(), 1);
+    let frames = [write(&mut desk, &dials[0]), write(&mut desk, &dials[0]), write(&mut desk, &dials[0])];
+    let parts = frames.map(|f| f.map(|text| text.matches(" d=").count()));
+    assert_eq!(parts, [Some(2), Some(1), None]);
+}
+
+#[rstest]
+fn a_connection_carries_no_more_than_its_places_and_answers_free_them() {
+    let mut desk = desk();
+    take(&mut desk, "q", &[1, 2, 3, 4, 5]);
+    let first = send(&mut desk, "s", &["q.1", "q.2", "q.3", "q.4"]);
+    let second = send(&mut desk, "s", &["q.5"]);
+    assert_eq!((first.len(), second.len()), (1, 1));
+    take(&mut desk, "r", &[1]);
+    while write(&mut desk, &first[0]).is_some() {}
+    desk.replied("s", first[0].line, "q.1", Ending::Success, "v");
+    up(&mut desk, &first[0]);
+    assert!(send(&mut desk, "s", &["r.1"]).is_empty());
+    assert!(write(&mut desk, &first[0]).is_some_and(|text| text.contains("r.1 ")));
+}
+
+#[rstest]
+#[case::cancelled(|desk: &mut Desk, _| desk.cancel("q.1", 0), "q.1 0 s Cancelled")]
+#[case::answered_elsewhere(|desk: &mut Desk, _| {
+    let dial = send(desk, "t", &["q.1"]).remove(0);
+    write(desk, &dial);
+    desk.replied("t", dial.line, "q.1", Ending::Success, "v");
+}, "q.1 0 s Cancelled")]
+#[case::query_over(|desk: &mut Desk, _| desk.reject("q", None), "q.1 0 s NeverSent")]
+#[case::client_gone(|desk: &mut Desk, number| desk.client_left(number), "q.1 0 s Cancelled")]
+#[case::node_drains(|desk: &mut Desk, _| roster(desk, "s", 1, NodeState::Draining, None), "q.1 0 s NeverSent")]
+#[case::node_gone(|desk: &mut Desk, _| roster(desk, "s", 1, NodeState::Gone, None), "q.1 0 s NeverSent")]
+fn a_frame_not_begun_is_taken_back(#[case] happens: impl FnOnce(&mut Desk, u64), #[case] ending: &str) {
+    let mut desk = desk();
+    take(&mut desk, "q", &[1]);
+    let number = desk.queries.number("q").expect("open");
+    let dial = send(&mut desk, "s", &["q.1"]).remove(0);
+    happens(&mut desk, number);
+    up(&mut desk, &dial);
+    assert_eq!(write(&mut desk, &dial), None);
+    let told = told(&mut desk);
+    assert!(told.iter().any(|t| t == ending), "{told:?}");
+}
+
+#[rstest]
+fn a_part_taken_back_leaves_the_rest_of_its_call() {
+    let mut desk = desk();
+    take(&mut desk, "q", &[1, 2]);
+    let dial = send(&mut desk, "s", &["q.1", "q.2"]).remove(0);
+    desk.cancel("q.1", 0);
+    let text = write(&mut desk, &dial).expect("a call");
+    assert!(text.starts_with("Sq.2 2 d="), "{text}");
+}
+
+#[rstest]
+fn only_a_break_before_the_last_byte_proves_that_a_part_never_ran() {
+    let mut desk = desk();
+    take(&mut desk, "q", &[1, 2, 3, 4]);
+    let dial = send(&mut desk, "s", &["q.1", "q.2", "q.3", "q.4"]).remove(0);
+    write(&mut desk, &dial);
+    // The second call has begun, its last byte is not written.
+    assert!(desk.next_frame("s", dial.line, &mut vec![]));
+    desk.line_lost("s", dial.line);
+    let told = told(&mut desk);
+    for ending in ["q.1 0 s Reset", "q.2 0 s Reset", "q.3 0 s Unreachable", "q.4 0 s Unreachable"] {
+        assert!(told.iter().any(|t| t == ending), "{ending}: {told:?}");
+    }
+    assert_eq!(desk.calls.count_out(), 0);
+}
+
+#[rstest]
+fn a_part_given_up_in_the_midst_of_its_frame_ends_the_connection() {
+    let mut desk = desk();
+    take(&mut desk, "q", &[1]);
+    let dial = send(&mut desk, "s", &["q.1"]).remove(0);
+    assert!(desk.next_frame("s", dial.line, &mut vec![]));
+    desk.reject("q", None);
+    assert!(desk.roster.line("s", dial.line).expect("a connection").cut);
+}
+
+#[rstest]
+fn a_late_reply_is_not_taken_for_that_of_a_later_call_to_the_same_node() {
+    let mut desk = desk();
+    take(&mut desk, "q", &[1]);
+    let first = send(&mut desk, "s", &["q.1"]).remove(0);
+    up(&mut desk, &first);
+    write(&mut desk, &first);
+    desk.cancel("q.1", 0);
+    let second = send(&mut desk, "s", &["q.1"]);
+    assert_eq!(second.len(), 1, "another connection");
+    assert_eq!(write(&mut desk, &first).as_deref(), Some("Cq.1"));
+    write(&mut desk, &second[0]);
+    desk.replied("s", first.line, "q.1", Ending::Full, "");
+    assert_eq!(told(&mut desk), ["q.1 0 s Cancelled"], "the second call is still out");
+}
+
+#[rstest]
+fn a_time_out_ends_the_call_and_tells_the_node() {
+    let mut desk = desk();
+    take(&mut desk, "q", &[1]);
+    desk.call("q.1", "s", 0.0);
+    let now = desk.clock.now();
+    let dial = desk.post(now).remove(0);
+    write(&mut desk, &dial);
+    assert_eq!(told(&mut desk), ["q.1 0 s TimedOut"]);
+    assert_eq!(write(&mut desk, &dial).as_deref(), Some("Cq.1"));
+}
+
+#[rstest]
+fn a_node_that_moved_or_started_again_loses_its_connections() {
+    let mut desk = desk();
+    take(&mut desk, "q", &[1, 2]);
+    let (old, again) = (send(&mut desk, "s", &["q.1"]).remove(0), send(&mut desk, "t", &["q.2"]).remove(0));
+    roster(&mut desk, "s", 9, NodeState::Serving, None);
+    let line = desk.roster.line("s", old.line).expect("a connection");
+    assert!(line.retired && !line.cut, "what is out there may still come");
+    let later = desk.clock.now() + 1.0;
+    roster(&mut desk, "t", 2, NodeState::Serving, Some(later));
+    assert!(desk.roster.line("t", again.line).expect("a connection").cut, "nobody there will answer");
+}
+
+#[rstest]
+fn a_whole_list_tells_who_is_gone_and_forgets_them_with_their_last_connection() {
+    let mut desk = desk();
+    take(&mut desk, "q", &[1]);
+    let dial = send(&mut desk, "s", &["q.1"]).remove(0);
+    write(&mut desk, &dial);
+    desk.roster.begin(2, true);
+    desk.roster_changed();
+    assert_eq!(told(&mut desk), ["whole", "s 0 Gone", "t 0 Gone"]);
+    assert_eq!(desk.roster.nodes.len(), 1, "`s` has a call out");
+    desk.line_lost("s", dial.line);
+    told(&mut desk);
+    assert!(desk.roster.nodes.is_empty());
+}
+
+#[rstest]
+fn descriptors_come_back_when_their_holder_is_dropped() {
+    let (clients, nodes) = descriptors::shares(32, usize::MAX);
+    let held: Vec<_> = std::iter::from_fn(|| clients.take()).collect();
+    assert_eq!(held.len(), 8);
+    assert!(nodes.take().is_some(), "clients cannot take the data nodes' share");
+    drop(held);
+    assert!(clients.take().is_some());
+    let (few, _) = descriptors::shares(1024, 4 * 1024 * 1024);
+    let held: Vec<_> = std::iter::from_fn(|| few.take()).collect();
+    assert!(held.len() < 20, "memory bounds half-sent requests too");
+}
