--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -625,6 +625,46 @@
     assert_eq!(figures["clients_open"], 0);
 }
 
+#[rstest]
+fn a_partial_vertical_is_answered_at_its_slo_time_with_what_came() {
+    let (nodes, agent) = (Nodes::new(1), Agent::new());
+    let partial = settings(400, 180).replace("\"BundleMax\"", "\"FloorByClass\":[0.5,0.5],\"BundleMax\"");
+    let program = Program::start(&nodes.addresses, agent.address, &partial, "{}");
+    let mut client = program.connect();
+    client.ask("q", &[3, 9], 4000);
+    let mut held = nodes.next('S');
+    reply(&mut held.stream, "q.9 done 1 -\nnine");
+    let (_, body) = client.answer();
+    assert_eq!(body, r#"{"whole":false,"results":[{"partition":9,"value":"nine"}]}"#);
+    assert_eq!(nodes.next('C').text, "q.3");
+}
+
+#[rstest]
+fn where_the_roster_must_be_asked_for_the_watch_follows_the_modules_word() {
+    let (nodes, agent) = (Nodes::new(1), Agent::new());
+    let asked = settings(400, 180).replace("automatic", "subscribe");
+    let program = Program::start(&nodes.addresses, agent.address, &asked, "{}");
+    drop(agent.watch());
+    program.says("the watch is lost");
+    // Told that following has failed, the module asks again.
+    let (_, mut watch) = agent.watch();
+    tell(&mut watch, &object(45, true, &[]));
+    program.says("whole list 45: 0 entries");
+}
+
+#[rstest]
+fn a_client_may_ask_for_the_end_of_its_connection_and_no_id_is_open_twice() {
+    let (program, nodes, _agent) = started(1);
+    let (mut client, mut other) = (program.connect(), program.connect());
+    client.send(&post("q", "site-search", &[1], 4000).replace("Host", "Connection: close\r\nHost"));
+    let mut held = nodes.next('S');
+    other.ask("q", &[1], 4000);
+    assert_eq!(other.status(), "400");
+    reply(&mut held.stream, "q.1 done 1 -\nv");
+    assert_eq!(client.status(), "200");
+    client.ended();
+}
+
 #[rstest]
 fn counters_add_up() {
     let (program, nodes, _agent) = limited(1, 200, 3, "{}");
