Settings checked whole and above 0 where they must be; the word before a body is sent

A setting of the wrong type that has a default was passed over without a word (BundleMax, RetryAfter, Tenants, PerCallWorkUs, OverShareWorth), and counts might be fractions; each is refused by its key now. A client that sent Expect: 100-continue with a length never got its word: the length of the body was compared with what had come instead of the head's end (wire/http.rs, awaits_go_ahead).

--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -19,6 +19,31 @@
     Ok(number(from, key)? / 1e6)
 }
 
+fn whole(from: &Value, key: &str) -> Read<usize> {
+    let value = number(from, key)?;
+    if value >= 0.0 && value.fract() == 0.0 && value < 4e9 {
+        Ok(value as usize)
+    } else {
+        Err(format!("a whole number in setting `{key}`"))
+    }
+}
+
+fn above_zero(from: &Value, key: &str) -> Read<usize> {
+    let value = whole(from, key)?;
+    if value > 0 { Ok(value) } else { Err(format!("more than 0 in setting `{key}`")) }
+}
+
+/// A span of time that must not be 0.
+fn span(from: &Value, key: &str) -> Read<f64> {
+    let value = seconds(from, key)?;
+    if value > 0.0 { Ok(value) } else { Err(format!("more than 0 in setting `{key}`")) }
+}
+
+/// A setting that may be absent; one that is there must be readable.
+fn or<T>(usual: T, from: &Value, key: &str, read: impl FnOnce(&Value, &str) -> Read<T>) -> Read<T> {
+    if from.get(key).is_none_or(Value::is_null) { Ok(usual) } else { read(from, key) }
+}
+
 fn flag(from: &Value, key: &str) -> Read<bool> {
     item(from, key)?.as_bool().ok_or_else(|| format!("true or false in setting `{key}`"))
 }
@@ -67,29 +92,26 @@
             fetch: of_each(extra, "ClassFetch", at, 0.0)? as usize,
         });
     }
-    let tenants = all.get("Tenants").and_then(Value::as_array).map_or(&[][..], Vec::as_slice);
     let customer =
         |t: &Value| Ok(Customer { name: word(t, "Name")?.to_string(), quota: number(t, "QuotaPerS")? });
-    let customers = tenants.iter().map(customer).collect::<Read<Vec<_>>>()?;
-    let cells = number(extra, "Cells")? as u32;
-    let reach = number(extra, "Reach")? as u32;
-    if cells == 0 || reach == 0 {
-        return Err("`Cells` and `Reach` above 0".into());
-    }
+    let customers = match all.get("Tenants") {
+        None | Some(Value::Null) => vec![],
+        Some(_) => list(all, "Tenants")?.iter().map(customer).collect::<Read<Vec<_>>>()?,
+    };
     let placement = Placement {
-        cells,
-        reach,
-        bundle: number(extra, "BundleMax").unwrap_or(1.0).max(1.0) as usize,
-        call_work: seconds(extra, "PerCallWorkUs").unwrap_or(0.0),
+        cells: above_zero(extra, "Cells")? as u32,
+        reach: above_zero(extra, "Reach")? as u32,
+        bundle: or(1, extra, "BundleMax", above_zero)?,
+        call_work: or(0.0, extra, "PerCallWorkUs", seconds)?,
     };
-    let advice = flag(limits, "RetryAfter").unwrap_or(false);
+    let advice = or(false, limits, "RetryAfter", flag)?;
     let allowance = Allowance {
         cancel: flag(limits, "MayCancel")?,
         parallel: flag(limits, "ParallelTries")?,
-        calls: number(limits, "MaxAttempts")? as usize,
+        calls: whole(limits, "MaxAttempts")?,
         come_back: if advice { Some(seconds(limits, "MaxRetryAfterUs")?) } else { None },
         follow: word(all, "Discovery")? == "subscribe",
-        over_share: number(all, "OverShareWorth").unwrap_or(1.0),
+        over_share: or(1.0, all, "OverShareWorth", number)?,
     };
     let budget = match rules.get("ResendRatio") {
         None => None,
@@ -104,7 +126,7 @@
             span: seconds(rules, "FallUs")?,
         }),
     };
-    let peers = number(all, "ReplicasOfMe")? as usize;
+    let peers = whole(all, "ReplicasOfMe")?;
     Ok((Router::new(seed, peers, verticals, customers, placement, allowance, budget, cold), names))
 }
 
@@ -134,31 +156,30 @@
     pub follow: bool,
 }
 
-fn above_zero(value: f64, key: &str) -> Read<f64> {
-    if value > 0.0 { Ok(value) } else { Err(format!("more than 0 in setting `{key}`")) }
-}
-
 /// The connections and the intake of a router on sockets.
 pub fn sockets(all: &Value) -> Read<(Trunk, Intake)> {
     let (extra, limits) = (item(all, "Extra")?, item(all, "Limits")?);
     let trunk = Trunk {
-        places: above_zero(number(limits, "StreamsPerConn")?, "StreamsPerConn")? as usize,
-        bundle: number(extra, "BundleMax").unwrap_or(1.0).max(1.0) as usize,
-        dial: above_zero(seconds(limits, "DialTimeoutUs")?, "DialTimeoutUs")?,
-        idle: above_zero(seconds(limits, "KeepaliveUs")?, "KeepaliveUs")?,
+        places: above_zero(limits, "StreamsPerConn")?,
+        bundle: or(1, extra, "BundleMax", above_zero)?,
+        dial: span(limits, "DialTimeoutUs")?,
+        idle: span(limits, "KeepaliveUs")?,
     };
     let mut deadline = 0.0f64;
     for (at, service) in list(all, "Services")?.iter().enumerate() {
-        deadline = deadline.max(seconds(service, "DeadlineUs")?);
+        deadline = deadline.max(span(service, "DeadlineUs")?);
         if of_each(extra, "ClassFetch", at, 0.0)? > 0.0 {
             return Err("only queries of one step on sockets, 0 in setting `ClassFetch`".into());
         }
     }
+    if deadline == 0.0 {
+        return Err("at least one vertical in setting `Services`".into());
+    }
     let intake = Intake {
-        room: above_zero(number(limits, "MaxOpen")?, "MaxOpen")? as usize,
-        shards: above_zero(number(extra, "Slices")?, "Slices")? as u32,
-        tick: above_zero(seconds(all, "TickUs")?, "TickUs")?,
-        deadline: above_zero(deadline, "Services")?,
+        room: above_zero(limits, "MaxOpen")?,
+        shards: above_zero(extra, "Slices")? as u32,
+        tick: span(all, "TickUs")?,
+        deadline,
         follow: word(all, "Discovery")? == "subscribe",
     };
     Ok((trunk, intake))
--- a/crates/router/src/drive/clients.rs
+++ b/crates/router/src/drive/clients.rs
@@ -98,10 +98,8 @@
         while !lost && client.query.get().is_none() && client.out.borrow().is_empty() {
             match messages.find(&mut buffer) {
                 Ok(true) => {
-                    match messages.message(&buffer) {
-                        Ok((head, body)) => requests::take(desk, client, head, body, read_at),
-                        Err(refusal) => answer::unreadable(&mut client.out.borrow_mut(), refusal),
-                    }
+                    let (head, body) = messages.message(&buffer);
+                    requests::take(desk, client, head, body, read_at);
                     messages.done(&mut buffer);
                     client.used.set(true);
                     (went_ahead, bound) = (false, f64::INFINITY);
--- a/crates/router/src/wire/discovery.rs
+++ b/crates/router/src/wire/discovery.rs
@@ -105,7 +105,7 @@
             if !self.head.find_head(buffer).map_err(|refusal| refusal.1)? {
                 return Ok(None);
             }
-            let (head, _) = self.head.message(buffer).map_err(|refusal| refusal.1)?;
+            let (head, _) = self.head.message(buffer);
             if head.first().split(' ').nth(1) != Some("200") {
                 return Err("the answer is not 200");
             }
--- a/crates/router/src/wire/http.rs
+++ b/crates/router/src/wire/http.rs
@@ -199,16 +199,14 @@
             return Ok(false);
         }
         let start = self.head.unwrap_or_default();
-        match self.length {
-            Some(length) => self.body = start + length,
-            None => {
-                self.body = self.chunks.decode(buffer, self.body)?;
-                if self.body - start > BODY {
-                    return Err((413, "the body is larger than 64 KiB"));
-                }
-                return Ok(self.chunks.done());
+        let Some(length) = self.length else {
+            self.body = self.chunks.decode(buffer, self.body)?;
+            if self.body - start > BODY {
+                return Err((413, "the body is larger than 64 KiB"));
             }
-        }
+            return Ok(self.chunks.done());
+        };
+        self.body = start + length;
         Ok(buffer.data().len() >= self.body)
     }
 
@@ -239,15 +237,16 @@
     }
 
     /// The message that `find` has found, or the head that `find_head` has.
-    pub fn message<'b>(&self, buffer: &'b Buffer) -> Result<(Head<'b>, &'b [u8]), Refusal> {
+    pub fn message<'b>(&self, buffer: &'b Buffer) -> (Head<'b>, &'b [u8]) {
         let (data, end) = (buffer.data(), self.head.unwrap_or_default());
-        Ok((head(&data[..end])?, data.get(end..self.body).unwrap_or_default()))
+        let lines = std::str::from_utf8(&data[..end]).unwrap_or_default();
+        (Head { lines }, data.get(end..self.body).unwrap_or_default())
     }
 
-    /// Whether the head asks for a word before the body is sent.
+    /// Whether the client waits for a word before it sends the body.
     pub fn awaits_go_ahead(&self, buffer: &Buffer) -> bool {
-        let waits = |h: Head| h.lists("expect", "100-continue") && buffer.data().len() == self.body;
-        self.head.is_some() && self.message(buffer).is_ok_and(|m| waits(m.0))
+        let bare = self.head == Some(buffer.data().len());
+        bare && self.message(buffer).0.lists("expect", "100-continue")
     }
 
     /// The message is done with; the next one may be looked for.
--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -665,6 +665,21 @@
     client.ended();
 }
 
+#[rstest]
+fn a_client_that_waits_for_a_word_before_its_body_gets_it() {
+    let (program, nodes, _agent) = started(1);
+    let mut client = program.connect();
+    let request = post("q", "site-search", &[1], 4000).replace("Host", "Expect: 100-continue\r\nHost");
+    let (head, body) = request.split_once("\r\n\r\n").expect("a head");
+    client.send(&format!("{head}\r\n\r\n"));
+    let mut word = String::new();
+    client.0.read_line(&mut word).and_then(|_| client.0.read_line(&mut word)).expect("a word");
+    assert_eq!(word, "HTTP/1.1 100 Continue\r\n\r\n");
+    client.send(body);
+    assert_eq!(nodes.serve().0, ["q.1"]);
+    assert_eq!(client.status(), "200");
+}
+
 #[rstest]
 fn counters_add_up() {
     let (program, nodes, _agent) = limited(1, 200, 3, "{}");
@@ -703,10 +718,14 @@
 )]
 #[case::lacking(r#"{"settings":{S}}"#, "`StreamsPerConn`")]
 #[case::out_of_range(r#"{"settings":{S}}"#, "`TickUs`")]
+#[case::not_whole(r#"{"settings":{S}}"#, "`Cells`")]
+#[case::optional_of_wrong_type(r#"{"settings":{S}}"#, "`BundleMax`")]
 fn a_faulty_configuration_ends_the_program_with_its_key(#[case] config: &str, #[case] key: &str) {
     let settings = match key {
         "`StreamsPerConn`" => settings(1000, 180).replace("StreamsPerConn", "Other"),
         "`TickUs`" => settings(1000, 180).replace("5000,\"OverShare", "0,\"OverShare"),
+        "`Cells`" => settings(1000, 180).replace("\"Cells\":1", "\"Cells\":1.5"),
+        "`BundleMax`" => settings(1000, 180).replace("\"BundleMax\":8", "\"BundleMax\":\"8\""),
         _ => settings(1000, 180),
     };
     let (child, path) = spawn(&config.replace("{S}", &settings));
--- a/crates/router/tests/wire.rs
+++ b/crates/router/tests/wire.rs
@@ -15,7 +15,7 @@
         while from < cut {
             from += buffer.feed(&bytes[from..cut]);
             while messages.find(&mut buffer).map_err(|refusal| refusal.0)? {
-                let (head, body) = messages.message(&buffer).map_err(|refusal| refusal.0)?;
+                let (head, body) = messages.message(&buffer);
                 found.push((head.first().to_string(), String::from_utf8_lossy(body).to_string()));
                 messages.done(&mut buffer);
             }
