A frame half written ends with its query; a panic of the module aborts what is open, no more

Found by rereading the driver: write() looked at Line::cut only between frames, so the rest of a frame that had begun could go out after the final answer of a query in it (drive/nodes.rs). It is looked at before every write now. A panic in a round ended the program; the round is caught, open queries answered 504 and the module made anew (drive/rounds.rs, Desk::start_over); the story feeds the module a vertical that it does not know.

--- a/crates/router/src/drive/nodes.rs
+++ b/crates/router/src/drive/nodes.rs
@@ -78,8 +78,7 @@
             let mut desk = desk.borrow_mut();
             let Some(line) = desk.roster.line(node, line) else { return Ok(()) };
             let idle_since = line.idle_since();
-            let over = idle_since.is_some_and(|since| line.retired || since + idle <= clock.now());
-            if line.cut || over {
+            if idle_since.is_some_and(|since| line.retired || since + idle <= clock.now()) {
                 line.retired = true;
                 return Ok(());
             }
@@ -109,16 +108,19 @@
     written: &mut usize,
 ) -> bool {
     loop {
+        // Guards against the rest of a frame going out after the final answer of a query in it.
+        if desk.borrow_mut().roster.line(node, line).is_none_or(|l| l.cut) {
+            return false;
+        }
         if *written == out.len() {
             if !out.is_empty() {
                 if let Some(line) = desk.borrow_mut().roster.line(node, line) {
                     line.written();
                 }
-                (*written, _) = (0, out.clear());
+                out.clear();
+                *written = 0;
             }
-            if desk.borrow_mut().roster.line(node, line).is_none_or(|l| l.cut)
-                || !desk.borrow_mut().next_frame(node, line, out)
-            {
+            if !desk.borrow_mut().next_frame(node, line, out) {
                 return true;
             }
         }
--- a/crates/router/src/drive/rounds.rs
+++ b/crates/router/src/drive/rounds.rs
@@ -5,6 +5,7 @@
 use alderway::choice::Router;
 use alderway::host::{Intake, Writer};
 use std::convert::Infallible;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
 use tokio::task::spawn_local;
 
@@ -38,8 +39,10 @@
     }
 }
 
-/// Plays rounds for as long as the program runs, the settings' tick apart at least.
-pub async fn run(desk: Shared, mut module: Router, share: Rc<Share>) {
+/// Plays rounds for as long as the program runs, the settings' tick apart at least. `module` makes the module, at
+/// the start and again if it has failed; returns only where that is impossible.
+pub async fn run<E>(desk: Shared, module: impl Fn() -> Result<Router, E>, share: Rc<Share>) -> Result<(), E> {
+    let mut router = module()?;
     let (clock, came, tick) = {
         let desk = desk.borrow();
         (desk.clock, desk.came.clone(), desk.room.tick)
@@ -56,7 +59,14 @@
             desk.borrow_mut().tell(now, intake);
             Ok::<(), Infallible>(())
         };
-        let Ok(()) = module.round(now, tell, &mut Pen(&desk));
+        let round = AssertUnwindSafe(|| router.round(now, tell, &mut Pen(&desk)));
+        // Guards against a fault of the module that some rare query brings out: what is open is aborted, and the
+        // router goes on with a module that has yet to learn, as after a restart.
+        if catch_unwind(round).is_err() {
+            log::error!(target: "failure", "the module failed: open queries are aborted, it starts anew");
+            router = module()?;
+            desk.borrow_mut().start_over();
+        }
         let dials = {
             let mut desk = desk.borrow_mut();
             desk.counters.one("rounds");
--- a/crates/router/src/life/start.rs
+++ b/crates/router/src/life/start.rs
@@ -21,7 +21,8 @@
     pub sockets: usize,
     pub memory: usize,
     pub roster: Roster,
-    pub module: Router,
+    /// Makes the decision module, which its settings have proved to allow.
+    pub module: Box<dyn Fn() -> Read<Router>>,
     pub verticals: Vec<String>,
     pub trunk: deployment::Trunk,
     pub room: deployment::Intake,
@@ -68,7 +69,7 @@
     };
     let settings = all.get("settings").ok_or("key `settings`: missing")?;
     let wrong = |why: String| format!("key `settings`: expected {why}");
-    let (module, verticals) = deployment::router(seed, settings).map_err(wrong)?;
+    let (_, verticals) = deployment::router(seed, settings).map_err(wrong)?;
     let (trunk, room) = deployment::sockets(settings).map_err(wrong)?;
     Ok(Station {
         name: word("name", "PROXY_NAME")?,
@@ -77,7 +78,10 @@
         sockets: limit("sockets", SOCKETS, LEAST_SOCKETS)? as usize,
         memory: limit("memory_mb", MEMORY_MB, 1)? as usize * 1024 * 1024,
         roster: known(all.get("known"), clock).map_err(|why| format!("key `known`: {why}"))?,
-        module,
+        module: Box::new({
+            let settings = settings.clone();
+            move || deployment::router(seed, &settings).map(|made| made.0)
+        }),
         verticals,
         trunk,
         room,
--- a/crates/router/src/memory/calls.rs
+++ b/crates/router/src/memory/calls.rs
@@ -47,6 +47,10 @@
         self.out.len()
     }
 
+    pub fn all(&self) -> Vec<CallId> {
+        self.out.keys().cloned().collect()
+    }
+
     pub fn of_part(&self, part: &str) -> Vec<CallId> {
         let from = (part.into(), 0);
         let here = self.out.range(from..).take_while(|(id, _)| &*id.0 == part);
--- a/crates/router/src/memory/desk.rs
+++ b/crates/router/src/memory/desk.rs
@@ -303,6 +303,24 @@
         self.roster.forget_gone();
     }
 
+    /// After a failure of the module: aborts what is open and tells the next round everything from the start.
+    pub fn start_over(&mut self) {
+        self.counters.one("module_failures");
+        for query in self.queries.ids() {
+            self.abort(&query);
+        }
+        for id in self.calls.all() {
+            self.give_up(&id, Ending::Cancelled);
+        }
+        self.calls.take_ended();
+        self.new.clear();
+        self.left.clear();
+        self.alarms.clear();
+        self.roster.whole = true;
+        self.roster.changed = self.roster.nodes.keys().cloned().collect();
+        self.came.notify_one();
+    }
+
     /// Makes the parts that this round sends to one node into calls, up to the bundle, and gives each call a
     /// place on a connection.
     pub fn post(&mut self, now: f64) -> Vec<Dial> {
--- a/crates/router/src/memory/queries.rs
+++ b/crates/router/src/memory/queries.rs
@@ -50,6 +50,10 @@
         self.numbers.contains_key(id)
     }
 
+    pub fn ids(&self) -> Vec<Rc<str>> {
+        self.numbers.keys().cloned().collect()
+    }
+
     pub fn hold(&mut self, query: Query) -> u64 {
         self.last += 1;
         self.numbers.insert(query.id.clone(), self.last);
--- a/crates/router/tests/desk.rs
+++ b/crates/router/tests/desk.rs
@@ -2,6 +2,7 @@
 //! with their places, and descriptors given back.
 use alderway::host::{Ending, Intake, NodeState, Writer};
 use alderway_deployment as deployment;
+use alderway_router::drive::rounds;
 use alderway_router::memory::clients::Client;
 use alderway_router::memory::clock::Clock;
 use alderway_router::memory::descriptors;
@@ -238,6 +239,39 @@
     assert!(desk.roster.nodes.is_empty());
 }
 
+#[rstest]
+fn a_failure_of_the_module_aborts_what_is_open_and_the_router_goes_on() {
+    // The module knows one vertical, the desk two: a query of the second makes it panic.
+    let settings = r#"{"Extra":{"Cells":1,"Reach":1},"Discovery":"automatic","Obligations":{},"ReplicasOfMe":1,
+        "Limits":{"MayCancel":true,"ParallelTries":true,"MaxAttempts":3},"Services":[{"Name":"v","Worth":1,
+        "PromiseUs":1000000,"DeadlineUs":5000000,"Effect":"idempotent","LateShare":0.3}]}"#;
+    let settings = deployment::parse(settings).expect("readable");
+    let module = move || deployment::router(7, &settings).map(|made| made.0);
+    let desk = Rc::new(std::cell::RefCell::new(desk()));
+    desk.borrow_mut().verticals.push("w".into());
+    let taken = |id: &str, vertical| {
+        let client = Rc::new(Client::default());
+        let part = Part { id: format!("{id}.1").into(), shard: 1, weight: 1.0, value: None, calls: 0 };
+        let (not_after, text, parts) = (desk.borrow().clock.now() + 5.0, String::new(), vec![part]);
+        let query = Query { id: id.into(), vertical, not_after, text, parts, client: client.clone() };
+        desk.borrow_mut().take(&client, query);
+        client
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let share = descriptors::shares(64, usize::MAX).1;
+        tokio::task::spawn_local(rounds::run(desk.clone(), module, share));
+        let bad = taken("bad", 1);
+        bad.wake.notified().await;
+        assert!(bad.out.borrow().starts_with(b"HTTP/1.1 504 "));
+        // Both nodes refuse connections here: a decision all the same, and by the roster told again.
+        let good = taken("good", 0);
+        good.wake.notified().await;
+        assert!(good.out.borrow().starts_with(b"HTTP/1.1 503 "));
+        assert!(desk.borrow().figures().contains("leaf_calls_sent{first} 1"));
+    });
+}
+
 #[rstest]
 fn descriptors_come_back_when_their_holder_is_dropped() {
     let (clients, nodes) = descriptors::shares(32, usize::MAX);
