--- a/crates/router/src/life/start.rs
+++ b/crates/router/src/life/start.rs
@@ -10,8 +10,8 @@
 /// Descriptors and memory where no limit is stated: those of the usual small machine.
 const SOCKETS: u64 = 1024;
 const MEMORY_MB: u64 = 192;
-/// Fewer could not hold the listener, discovery, a client and a data node beside the runtime's own.
-const LEAST_SOCKETS: u64 = 32;
+/// Fewer could not hold the listener, discovery, some clients and data nodes beside the runtime's own.
+const LEAST_SOCKETS: u64 = 20;
 
 /// Where a router stands and what it starts with.
 pub struct Station {
--- a/crates/router/src/life/stop.rs
+++ b/crates/router/src/life/stop.rs
@@ -37,5 +37,7 @@
         }
         sleep(LOOK).await;
     }
+    let (took, open) = (clock.now() - began, desk.borrow().queries.len());
+    log::info!(target: "stop", "ended after {took:.1} s: {open} queries open");
     Ok(())
 }
--- a/crates/router/src/memory/desk.rs
+++ b/crates/router/src/memory/desk.rs
@@ -37,6 +37,8 @@
     pub follow: Rc<Notify>,
     /// When SIGTERM came.
     pub stopping: Option<f64>,
+    /// Queries could be served once, and the log has said so.
+    ready: bool,
     new: Vec<u64>,
     left: Vec<Rc<str>>,
     alarms: Vec<(f64, u64)>,
@@ -58,6 +60,7 @@
             came: Rc::default(),
             follow: Rc::default(),
             stopping: None,
+            ready: false,
             new: vec![],
             left: vec![],
             alarms: vec![],
@@ -274,6 +277,10 @@
 
     /// Tells the module all that came in since the last round.
     pub fn tell(&mut self, now: f64, module: &mut dyn Intake) {
+        if !self.ready && self.able() {
+            self.ready = true;
+            log::info!(target: "ready", "serves: {} data nodes known", self.roster.nodes.len());
+        }
         if std::mem::take(&mut self.roster.failed) {
             module.roster_failed();
         }
--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -566,6 +566,20 @@
     }
 }
 
+#[rstest]
+fn a_router_that_knows_no_node_is_ready_once_discovery_has_told_one() {
+    let (nodes, agent) = (Nodes::new(1), Agent::new());
+    let program = Program::start(&[], agent.address, &settings(1000, 180), "{}");
+    let mut client = program.connect();
+    client.send("GET /up HTTP/1.1\r\n\r\n");
+    assert_eq!(client.status(), "503");
+    let (_, mut watch) = agent.watch();
+    tell(&mut watch, &object(42, false, &[entry("s-0", nodes.addresses[0], "SERVING")]));
+    program.says("ready: serves: 1 data nodes known");
+    client.send("GET /up HTTP/1.1\r\n\r\n");
+    assert_eq!(client.status(), "200");
+}
+
 #[rstest]
 fn what_discovery_says_in_no_form_leads_to_a_new_watch_and_the_old_list_holds() {
     let (program, nodes, agent) = started(1);
