--- a/crates/router/src/memory/desk.rs
+++ b/crates/router/src/memory/desk.rs
@@ -386,11 +386,15 @@
 /// The module's decisions, carried out as they are written.
 impl Writer for Desk {
     fn call(&mut self, part: &str, node: &str, limit: f64) {
-        let now = self.clock.now();
+        let (now, others_out) = (self.clock.now(), !self.calls.of_part(part).is_empty());
         let Some(record) = self.queries.part(part) else { return self.counters.one("calls_of_parts_over") };
         let id = (record.id.clone(), record.calls);
         record.calls += 1;
-        self.counters.one(if id.1 == 0 { "leaf_calls_sent{first}" } else { "leaf_calls_sent{further}" });
+        self.counters.one(match (id.1, others_out) {
+            (0, _) => "leaf_calls_sent{first}",
+            (_, true) => "leaf_calls_sent{copy}",
+            (_, false) => "leaf_calls_sent{further}",
+        });
         self.calls.start(id.clone(), node, now, now + limit);
         match self.roster.nodes.get_mut(node) {
             Some(there) => there.fresh.push(id),
--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -485,6 +485,8 @@
     client.ask("r", &[0], 4000);
     nodes.serve();
     assert!(client.answer().1.contains("value of r.0"));
+    let figures = program.counters();
+    assert_eq!((figures["leaf_calls_sent{first}"], figures["leaf_calls_sent{copy}"]), (2, 1));
 }
 
 #[rstest]
