--- a/crates/router/src/drive/clients.rs
+++ b/crates/router/src/drive/clients.rs
@@ -2,12 +2,14 @@
 use super::{arrival, until};
 use crate::memory::Shared;
 use crate::memory::clients::Client;
+use crate::memory::clock::Clock;
 use crate::memory::descriptors::{Held, Share};
 use crate::requests;
 use crate::wire::answer;
 use crate::wire::buffer::Buffer;
-use crate::wire::http::{MESSAGE, Messages};
+use crate::wire::http::{MESSAGE, Messages, Refusal};
 use std::io::ErrorKind;
+use std::ops::ControlFlow;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -86,80 +88,131 @@
     desk.counters.one("clients{closed}");
 }
 
-/// Reads requests and writes answers; true when this side ends the connection after an answer.
-async fn converse(desk: &Shared, client: &Rc<Client>, stream: &TcpStream) -> bool {
-    let (clock, patience) = (desk.borrow().clock, desk.borrow().room.deadline);
-    let (mut buffer, mut messages) = (Buffer::new(MESSAGE), Messages::default());
-    let (mut written, mut lost, mut went_ahead) = (0, false, false);
-    // When the last byte came, and by when what is under way must be done.
-    let (mut read_at, mut bound) = (clock.now(), f64::INFINITY);
-    loop {
-        // One request at a time: the next one waits unread until the answer is out.
-        while !lost && client.query.get().is_none() && client.out.borrow().is_empty() {
-            match messages.find(&mut buffer) {
+/// What a connection is in the midst of.
+struct Talk<'a> {
+    desk: &'a Shared,
+    client: &'a Rc<Client>,
+    stream: &'a TcpStream,
+    buffer: Buffer,
+    messages: Messages,
+    /// Bytes of the present answer that are out.
+    written: usize,
+    /// No further request can be made out, or is waited for.
+    lost: bool,
+    /// The client has been told to send the body of the present request.
+    went_ahead: bool,
+    /// When the last byte came.
+    read_at: f64,
+}
+
+impl Talk<'_> {
+    /// Takes the requests that have come, one at a time: the next waits unread until the answer is out.
+    fn take_requests(&mut self) {
+        while !self.lost && self.client.query.get().is_none() && self.client.out.borrow().is_empty() {
+            match self.messages.find(&mut self.buffer) {
                 Ok(true) => {
-                    let (head, body) = messages.message(&buffer);
-                    requests::take(desk, client, head, body, read_at);
-                    messages.done(&mut buffer);
-                    client.used.set(true);
-                    (went_ahead, bound) = (false, f64::INFINITY);
+                    let (head, body) = self.messages.message(&self.buffer);
+                    requests::take(self.desk, self.client, head, body, self.read_at);
+                    self.messages.done(&mut self.buffer);
+                    self.client.used.set(true);
+                    self.went_ahead = false;
                 }
                 Ok(false) => {
-                    if !went_ahead && messages.awaits_go_ahead(&buffer) {
-                        went_ahead = true;
-                        client.out.borrow_mut().extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+                    if !self.went_ahead && self.messages.awaits_go_ahead(&self.buffer) {
+                        self.went_ahead = true;
+                        self.client.out.borrow_mut().extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
                     }
-                    break;
-                }
-                Err(refusal) => {
-                    desk.borrow_mut().counters.one("requests{unreadable}");
-                    answer::unreadable(&mut client.out.borrow_mut(), refusal);
-                    lost = true;
-                    client.closes.set(true);
+                    return;
                 }
+                Err(refusal) => self.lose("requests{unreadable}", refusal),
             }
         }
-        if !client.out.borrow().is_empty() {
-            match stream.try_write(&client.out.borrow()[written..]) {
-                Ok(count) => {
-                    written += count;
-                    desk.borrow_mut().counters.add("bytes_to_clients", count);
-                }
-                Err(why) if why.kind() == ErrorKind::WouldBlock => {}
-                Err(_) => return false,
+    }
+
+    /// The last answer on this connection, as nothing more can be made out on it.
+    fn lose(&mut self, counter: &str, refusal: Refusal) {
+        self.desk.borrow_mut().counters.one(counter);
+        answer::unreadable(&mut self.client.out.borrow_mut(), refusal);
+        self.lost = true;
+        self.client.closes.set(true);
+    }
+
+    /// Writes what the socket takes of an answer: goes on with whether all of it is out, or ends the
+    /// connection, with whether it ends after an answer.
+    fn write(&mut self) -> ControlFlow<bool, bool> {
+        let mut out = self.client.out.borrow_mut();
+        match self.stream.try_write(&out[self.written..]) {
+            Ok(count) => {
+                self.written += count;
+                self.desk.borrow_mut().counters.add("bytes_to_clients", count);
             }
-            if written == client.out.borrow().len() {
-                client.out.borrow_mut().clear();
-                (written, bound) = (0, f64::INFINITY);
-                if client.closes.get() && client.query.get().is_none() {
-                    return true;
+            Err(why) if why.kind() == ErrorKind::WouldBlock => {}
+            Err(_) => return ControlFlow::Break(false),
+        }
+        if self.written < out.len() {
+            return ControlFlow::Continue(false);
+        }
+        out.clear();
+        self.written = 0;
+        if self.client.closes.get() && self.client.query.get().is_none() {
+            return ControlFlow::Break(true);
+        }
+        ControlFlow::Continue(true)
+    }
+
+    /// Reads once what has come; false when the client has ended the connection.
+    fn read(&mut self, clock: Clock) -> bool {
+        match arrival::read(self.stream, self.buffer.space(), clock) {
+            Ok((0, _)) => return false,
+            Ok((count, at)) => {
+                self.buffer.filled(count);
+                self.read_at = at;
+                self.desk.borrow_mut().counters.add("bytes_from_clients", count);
+            }
+            Err(why) => return why.kind() == ErrorKind::WouldBlock,
+        }
+        true
+    }
+}
+
+/// Reads requests and writes answers; true when this side ends the connection after an answer.
+async fn converse(desk: &Shared, client: &Rc<Client>, stream: &TcpStream) -> bool {
+    let (clock, patience) = (desk.borrow().clock, desk.borrow().room.deadline);
+    let (buffer, messages, read_at) = (Buffer::new(MESSAGE), Messages::default(), clock.now());
+    let (written, lost, went_ahead) = (0, false, false);
+    let mut talk = Talk { desk, client, stream, buffer, messages, written, lost, went_ahead, read_at };
+    // By when what is under way must be done.
+    let mut bound = f64::INFINITY;
+    loop {
+        talk.take_requests();
+        if !client.out.borrow().is_empty() {
+            match talk.write() {
+                ControlFlow::Break(linger) => return linger,
+                ControlFlow::Continue(false) => {}
+                ControlFlow::Continue(true) => {
+                    bound = f64::INFINITY;
+                    continue;
                 }
-                continue;
             }
         }
         let (open, writing) = (client.query.get().is_some(), !client.out.borrow().is_empty());
         let waiting = !open && !writing;
-        client.idle.set(waiting.then_some(read_at));
-        client.half_sent.set(waiting && !buffer.is_empty());
+        client.idle.set(waiting.then_some(talk.read_at));
+        client.half_sent.set(waiting && !talk.buffer.is_empty());
         // A half-sent request or a half-read answer is waited for as long as any client may wait.
         if !writing && !client.half_sent.get() {
             bound = f64::INFINITY;
         } else if bound.is_infinite() {
             bound = clock.now() + patience;
         }
-        let room = !buffer.space().is_empty();
+        let room = !talk.buffer.space().is_empty();
         tokio::select! {
             biased;
-            _ = stream.readable(), if room => match arrival::read(stream, buffer.space(), clock) {
-                Ok((0, _)) => return false,
-                Ok((count, at)) => {
-                    buffer.filled(count);
-                    read_at = at;
-                    desk.borrow_mut().counters.add("bytes_from_clients", count);
+            _ = stream.readable(), if room => {
+                if !talk.read(clock) {
+                    return false;
                 }
-                Err(why) if why.kind() == ErrorKind::WouldBlock => {}
-                Err(_) => return false,
-            },
+            }
             _ = stream.writable(), if writing => {}
             () = client.wake.notified() => {}
             () = std::future::ready(()), if waiting && client.dismissed.get() => {
@@ -169,12 +222,11 @@
                 }
                 yield_now().await;
             }
-            () = until(clock, bound), if bound.is_finite() && writing => return false,
             () = until(clock, bound), if bound.is_finite() => {
-                desk.borrow_mut().counters.one("requests{half_sent}");
-                answer::unreadable(&mut client.out.borrow_mut(), (408, "the request did not come in time"));
-                lost = true;
-                client.closes.set(true);
+                if writing {
+                    return false;
+                }
+                talk.lose("requests{half_sent}", (408, "the request did not come in time"));
             }
         }
     }
--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -718,6 +718,19 @@
     assert_eq!((idle.status(), fresh.status()), ("200".to_string(), "200".to_string()));
 }
 
+#[rstest]
+fn a_half_sent_request_is_waited_for_no_longer_than_any_client_waits() {
+    let (nodes, agent) = (Nodes::new(1), Agent::new());
+    let brief = settings(200, 180).replace("5000000", "300000");
+    let program = Program::start(&nodes.addresses, agent.address, &brief, "{}");
+    let mut client = program.connect();
+    let request = post("q", "site-search", &[1], 300);
+    client.send(&request[..request.len() - 1]);
+    assert_eq!(client.status(), "408");
+    client.ended();
+    assert!(nodes.frames.try_recv().is_err());
+}
+
 #[rstest]
 fn counters_add_up() {
     let (program, nodes, _agent) = limited(1, 200, 3, "{}");
