--- a/crates/router/src/drive/discovery.rs
+++ b/crates/router/src/drive/discovery.rs
@@ -1,4 +1,4 @@
-//! The driver of discovery's watch: through losses and silences to a new watch, the old list holding meanwhile.
+//! The driver of discovery's watch: through losses and silences to a new watch, while the old list holds.
 use super::until;
 use crate::memory::Shared;
 use crate::wire::buffer::Buffer;
--- a/crates/router/src/drive/rounds.rs
+++ b/crates/router/src/drive/rounds.rs
@@ -39,8 +39,8 @@
     }
 }
 
-/// Plays rounds for as long as the program runs, the settings' tick apart at least. `module` makes the module, at
-/// the start and again if it has failed; returns only where that is impossible.
+/// Plays rounds for as long as the program runs, the settings' tick apart at least. `module` makes the module,
+/// at the start and again if it has failed; returns only where that is impossible.
 pub async fn run<E>(desk: Shared, module: impl Fn() -> Result<Router, E>, share: Rc<Share>) -> Result<(), E> {
     let mut router = module()?;
     let (clock, came, tick) = {
@@ -60,8 +60,8 @@
             Ok::<(), Infallible>(())
         };
         let round = AssertUnwindSafe(|| router.round(now, tell, &mut Pen(&desk)));
-        // Guards against a fault of the module that some rare query brings out: what is open is aborted, and the
-        // router goes on with a module that has yet to learn, as after a restart.
+        // Guards against a fault of the module that some rare query brings out: what is open is aborted, and
+        // the router goes on with a module that has yet to learn, as after a restart.
         if catch_unwind(round).is_err() {
             log::error!(target: "failure", "the module failed: open queries are aborted, it starts anew");
             router = module()?;
--- a/crates/router/src/life/stop.rs
+++ b/crates/router/src/life/stop.rs
@@ -22,7 +22,8 @@
         let mut desk = desk.borrow_mut();
         let began = desk.clock.now();
         desk.stopping = Some(began);
-        log::info!(target: "stop", "SIGTERM: {} queries open, {} clients", desk.queries.len(), desk.clients.len());
+        let (queries, clients) = (desk.queries.len(), desk.clients.len());
+        log::info!(target: "stop", "SIGTERM: {queries} queries open, {clients} clients");
         // Clients go on using the connections that they have for as long as these stay open.
         desk.clients.dismiss_idle(false);
         (desk.clock, began, desk.room.deadline.max(LEAST_DEADLINE) + LAST_REQUEST - AHEAD)
--- a/crates/router/src/memory/desk.rs
+++ b/crates/router/src/memory/desk.rs
@@ -161,8 +161,8 @@
         }
     }
 
-    /// Ends a call from this side. A frame that has not begun is taken back; one that has gone out is followed
-    /// by word that the part is given up; in the midst of one only closing the connection stops it.
+    /// Ends a call from this side. A frame that has not begun is taken back; one that has gone out is
+    /// followed by word that the part is given up; in the midst of one only closing the connection helps.
     fn give_up(&mut self, id: &CallId, ending: Ending) {
         let Some(call) = self.calls.get(id) else { return };
         let (node, line) = (call.node.clone(), call.line);
