Stories for dials short of descriptors, half-sent requests that hold places, frames that stick

They have theirs now: four data nodes over two descriptors, two half-sent requests over two places, and 32 MB to a peer that never reads.

--- a/crates/router/tests/desk.rs
+++ b/crates/router/tests/desk.rs
@@ -2,7 +2,7 @@
 //! descriptors given back; and of drivers that run in the test's own runtime, where an order of events is sure.
 use alderway::host::{Ending, Intake, NodeState, Writer};
 use alderway_deployment as deployment;
-use alderway_router::drive::{clients, rounds};
+use alderway_router::drive::{clients, nodes, rounds};
 use alderway_router::memory::clients::Client;
 use alderway_router::memory::clock::Clock;
 use alderway_router::memory::descriptors;
@@ -298,6 +298,30 @@
     });
 }
 
+#[rstest]
+fn a_frame_that_gets_no_further_ends_its_connection() {
+    let desk = Rc::new(std::cell::RefCell::new(desk()));
+    desk.borrow_mut().trunk.idle = 0.5;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let silent = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let port = silent.local_addr().expect("an address").port();
+        roster(&mut desk.borrow_mut(), "u", port, NodeState::Serving, None);
+        // More than the system takes on its own; nobody reads.
+        let client = Rc::new(Client::default());
+        let part = Part { id: "r.1".into(), shard: 1, weight: 1.0, value: None, calls: 0 };
+        let (not_after, text, parts) = (desk.borrow().clock.now() + 60.0, "x".repeat(1 << 25), vec![part]);
+        let query = Query { id: "r".into(), vertical: 0, not_after, text, parts, client: client.clone() };
+        desk.borrow_mut().take(&client, query);
+        let dial = send(&mut desk.borrow_mut(), "u", &["r.1"]).remove(0);
+        let share = descriptors::shares(64, usize::MAX).1;
+        let driver = tokio::task::spawn_local(nodes::run(desk.clone(), dial, share));
+        let _open = silent.accept().await.expect("a connection");
+        driver.await.expect("the driver ends by itself, long before the call's time-out");
+        assert!(told(&mut desk.borrow_mut()).iter().any(|t| t == "r.1 0 u Unreachable"));
+    });
+}
+
 #[rstest]
 fn descriptors_come_back_when_their_holder_is_dropped() {
     let (clients, nodes) = descriptors::shares(32, usize::MAX);
--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -515,6 +515,35 @@
     idle.remove(0).ended();
 }
 
+#[rstest]
+fn a_dial_waits_for_a_descriptor_instead_of_ending_its_parts() {
+    // Two connections to four data nodes: most calls need one that another has to give back first.
+    let (program, nodes, _agent) = limited(4, 4000, 180, r#"{"sockets":20}"#);
+    let mut client = program.connect();
+    for id in 0..8 {
+        client.ask(&format!("q{id}"), &[0], 4000);
+        assert_eq!(nodes.serve().0, [format!("q{id}.0")]);
+        assert_eq!(client.status(), "200");
+    }
+    let figures = program.counters();
+    assert!(figures["dials_short_of_descriptors"] > 0);
+    assert_eq!((sum(&figures, "leaf_calls_ended{"), figures["leaf_calls_ended{success}"]), (8, 8));
+}
+
+#[rstest]
+fn half_sent_requests_do_not_hold_all_places() {
+    let (program, nodes, _agent) = limited(1, 1000, 180, r#"{"sockets":20}"#);
+    let request = post("half", "site-search", &[1], 4000);
+    let mut half: Vec<Client> = (0..2).map(|_| program.connect()).collect();
+    half.iter_mut().for_each(|client| client.send(&request[..request.len() - 1]));
+    let (mut client, began) = (program.connect(), Instant::now());
+    client.ask("q", &[0], 4000);
+    assert_eq!(nodes.serve().0, ["q.0"]);
+    assert_eq!(client.status(), "200");
+    // Else it would have waited for the longest deadline of 5 s.
+    assert!(began.elapsed() < Duration::from_secs(4), "{:?}", began.elapsed());
+}
+
 #[rstest]
 fn a_slow_reader_holds_up_nobody() {
     let (program, nodes, _agent) = started(1);
