--- a/crates/router/tests/desk.rs
+++ b/crates/router/tests/desk.rs
@@ -317,7 +317,8 @@
         let share = descriptors::shares(64, usize::MAX).1;
         let driver = tokio::task::spawn_local(nodes::run(desk.clone(), dial, share));
         let _open = silent.accept().await.expect("a connection");
-        driver.await.expect("the driver ends by itself, long before the call's time-out");
+        let ended = tokio::time::timeout(std::time::Duration::from_secs(4), driver).await;
+        assert!(ended.is_ok(), "the driver ends by itself, before the call's time-out");
         assert!(told(&mut desk.borrow_mut()).iter().any(|t| t == "r.1 0 u Unreachable"));
     });
 }
