Calls beside a spoilt answer end as given up, one failure an answer

A connection carries up to 32 parts; Desk::line_lost told every one of them as Reset when the driver left the connection (drive/nodes.rs, run), and the module counts two failures for each, so that a single spoilt answer of a sound node left it out for up to 8 s. Ruled out: no node refused a dial, no call was answered `full` beyond the usual, the routers' own core was at 20% at most.

Now the call that the answer names (else the one out longest) ends as an error, those beside it as given up, which closing a connection is by the protocol, and frames not begun as never sent. A reply for a part that nobody asked for there ends the connection too (it had been passed over, and its call waited for its time-out); a second copy of the last answer, or the reply of a part given up, is passed over as before. An answer that does not end within a dial's time is spoilt.

--- a/crates/router/src/drive/nodes.rs
+++ b/crates/router/src/drive/nodes.rs
@@ -13,6 +13,9 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+/// Why an answer cannot be used, and the part that it names.
+type Spoilt = (Fault, Option<String>);
+
 /// Dials, speaks until the connection ends, and gives everything back.
 pub async fn run(desk: Shared, dial: Dial, share: Rc<Share>) {
     let Dial { node, line, address } = dial;
@@ -20,8 +23,9 @@
     match timeout(limit, connect(&desk, address, &share)).await {
         Ok(Ok((stream, _held))) => {
             desk.borrow_mut().counters.one("connections{opened}");
-            if let Err(why) = speak(&desk, &node, line, &stream).await {
+            if let Err((why, part)) = speak(&desk, &node, line, &stream).await {
                 log::warn!(target: "frame", "node {node}: {why}; its connection is closed");
+                desk.borrow_mut().spoilt(&node, line, part.as_deref());
             }
             desk.borrow_mut().counters.one("connections{closed}");
         }
@@ -52,17 +56,20 @@
 }
 
 /// Writes what waits and reads what comes; an error is a frame that cannot be read.
-async fn speak(desk: &Shared, node: &str, line: u64, stream: &TcpStream) -> Result<(), Fault> {
-    let (clock, wake, idle) = {
+async fn speak(desk: &Shared, node: &str, line: u64, stream: &TcpStream) -> Result<(), Spoilt> {
+    let (clock, wake, idle, patience) = {
         let mut desk = desk.borrow_mut();
+        let patience = desk.trunk.dial;
         // Idle connections close a dial's length before the node's machine would.
         let (clock, idle) = (desk.clock, (desk.trunk.idle - desk.trunk.dial).max(0.5 * desk.trunk.idle));
         let Some(line) = desk.roster.line(node, line) else { return Ok(()) };
         line.up = true;
-        (clock, line.wake.clone(), idle)
+        (clock, line.wake.clone(), idle, patience)
     };
     let mut buffer = Buffer::new(frames::LONGEST + 4);
     let (mut out, mut written, mut stuck) = (Vec::new(), 0, f64::INFINITY);
+    // By when a frame that has begun to come must be whole.
+    let mut whole_by = f64::INFINITY;
     loop {
         let before = written;
         if !write(desk, node, line, stream, &mut out, &mut written) {
@@ -86,12 +93,21 @@
         };
         tokio::select! {
             ready = stream.readable() => {
-                if ready.is_err() || !read(desk, node, line, stream, &mut buffer)? {
-                    return Ok(());
+                let came = if ready.is_ok() { read(desk, node, line, stream, &mut buffer)? } else { None };
+                let Some(frames) = came else { return Ok(()) };
+                // A data node writes an answer in one go. Guards against a length that says more than comes,
+                // which would hold the calls out here, and take the next answer for its rest.
+                if buffer.is_empty() {
+                    whole_by = f64::INFINITY;
+                } else if frames > 0 || whole_by.is_infinite() {
+                    whole_by = clock.now() + patience;
                 }
             }
             _ = stream.writable(), if written < out.len() => {}
             () = until(clock, stuck), if stuck.is_finite() => return Ok(()),
+            () = until(clock, whole_by), if whole_by.is_finite() => {
+                return Err(("an answer that does not end", None));
+            }
             () = wake.notified() => {}
             () = until(clock, idle_since.unwrap_or_default() + idle), if idle_since.is_some() => {}
         }
@@ -135,42 +151,50 @@
     }
 }
 
-/// Reads once what has come; false when the connection has ended. Whoever has more to say waits for its next
-/// turn, so that no data node can keep the core to itself.
+/// Reads once what has come and says how many frames that made; none when the connection has ended. Whoever has
+/// more to say waits for its next turn, so that no data node can keep the core to itself.
 fn read(
     desk: &Shared,
     node: &str,
     line: u64,
     stream: &TcpStream,
     buffer: &mut Buffer,
-) -> Result<bool, Fault> {
+) -> Result<Option<usize>, Spoilt> {
     match stream.try_read(buffer.space()) {
-        Ok(0) => return Ok(false),
+        Ok(0) => return Ok(None),
         Ok(count) => {
             buffer.filled(count);
             desk.borrow_mut().counters.add("bytes_from_nodes", count);
         }
-        Err(why) if why.kind() == ErrorKind::WouldBlock => return Ok(true),
-        Err(_) => return Ok(false),
+        Err(why) if why.kind() == ErrorKind::WouldBlock => return Ok(Some(0)),
+        Err(_) => return Ok(None),
     }
-    while let Some((letter, rest, used)) = frames::next(buffer.data())? {
+    let nameless = |why| (why, None);
+    let mut frames_read = 0;
+    while let Some((letter, rest, used)) = frames::next(buffer.data()).map_err(nameless)? {
         match letter {
             b'R' => {
-                let (part, word, value) = frames::reply(rest)?;
+                let (part, word, value) = frames::reply(rest).map_err(nameless)?;
                 let ending = match word {
                     "done" => Ending::Success,
                     "failed" => Ending::Error,
                     "full" => Ending::Full,
-                    _ => return Err("a reply with an unknown ending"),
+                    _ => return Err(("a reply with an unknown ending", Some(part.to_string()))),
                 };
-                desk.borrow_mut().replied(node, line, part, ending, value);
+                if !desk.borrow_mut().replied(node, line, part, ending, value) {
+                    return Err(nameless("a reply for a part not asked for"));
+                }
+            }
+            b'F' => {
+                log::warn!(target: "frame", "node {node}: it could not use a frame of ours");
+                return Ok(None);
             }
-            b'F' => return Err("it could not use a frame of ours"),
             // Answers to probes, which this router does not send.
             b'H' | b'M' => {}
-            _ => return Err("a frame with an unknown letter"),
+            _ => return Err(nameless("a frame with an unknown letter")),
         }
         buffer.used(used);
+        frames_read += 1;
     }
-    Ok(true)
+    Ok(Some(frames_read))
 }
--- a/crates/router/src/memory/desk.rs
+++ b/crates/router/src/memory/desk.rs
@@ -131,11 +131,15 @@
 
     // What data nodes do.
 
-    /// A part's reply has come on a connection. Replies for parts long over are passed over.
-    pub fn replied(&mut self, node: &str, line: u64, part: &str, ending: Ending, value: &str) {
+    /// A part's reply has come on a connection. Replies for parts long over are passed over; false for a part
+    /// that is not asked for there.
+    pub fn replied(&mut self, node: &str, line: u64, part: &str, ending: Ending, value: &str) -> bool {
         let now = self.clock.now();
-        let Some(hop) = self.roster.line(node, line).and_then(|l| l.replied(part, now)) else {
-            return self.counters.one("replies_for_parts_over");
+        let Some(line) = self.roster.line(node, line) else { return true };
+        let Some(hop) = line.replied(part, now) else { return false };
+        let Some(hop) = hop else {
+            self.counters.one("replies_for_parts_over");
+            return true;
         };
         let id: CallId = (part.into(), hop);
         self.end(&id, ending);
@@ -143,6 +147,26 @@
             part.value.get_or_insert_with(|| value.to_string());
             self.take_back(&id.0, Ending::Cancelled);
         }
+        true
+    }
+
+    /// An answer cannot be read, so nothing more can be made out on its connection, which this side leaves.
+    /// One call has failed: that of the part which the answer names, else the one out longest. Those beside it
+    /// are given up, which closing the connection is by the protocol. Guards against a spoilt answer being told
+    /// as a break for every call beside it, which would show a sound data node as one that is down.
+    pub fn spoilt(&mut self, node: &str, line: u64, part: Option<&str>) {
+        self.counters.one("answers_spoilt");
+        let record = self.roster.nodes.get_mut(node);
+        let Some(line) = record.and_then(|n| n.lines.remove(&line)) else { return };
+        let (unsent, mut out) = line.remains();
+        unsent.iter().for_each(|id| self.end(id, Ending::NeverSent));
+        let since = |id: &CallId| self.calls.get(id).map_or(f64::INFINITY, |c| c.at);
+        let named = out.iter().position(|id| Some(&*id.0) == part);
+        let longest = (0..out.len()).min_by(|&a, &b| since(&out[a]).total_cmp(&since(&out[b])));
+        if let Some(at) = named.or(longest) {
+            self.end(&out.swap_remove(at), Ending::Error);
+        }
+        out.iter().for_each(|id| self.end(id, Ending::Cancelled));
     }
 
     /// A connection has ended, or never came up. What had not gone out whole never ran.
@@ -169,11 +193,11 @@
         if let Some(record) = self.roster.nodes.get_mut(&node) {
             record.fresh.retain(|fresh| fresh != id);
         }
-        let (now, queries) = (self.clock.now(), &self.queries);
+        let (now, longest) = (self.clock.now(), self.room.deadline);
         if let Some(line) = line.and_then(|l| self.roster.line(&node, l)) {
             match line.place(id) {
                 Place::Waiting => line.take_back(id),
-                Place::Out => line.give_up(id, now, |part| queries.has_part(part)),
+                Place::Out => line.give_up(id, now, now + longest),
                 Place::Begun => {
                     line.cut = true;
                     line.wake.notify_one();
--- a/crates/router/src/memory/lines.rs
+++ b/crates/router/src/memory/lines.rs
@@ -1,7 +1,7 @@
 //! A connection to a data node as the rest of the program sees it: what waits to be written, what is being
 //! written, and what is out. Its driver owns the socket.
 use super::CallId;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 use tokio::sync::Notify;
 
@@ -31,8 +31,11 @@
     begun: Option<Frame>,
     /// Parts whose frame has gone out whole and that are unanswered, with the call's number.
     out: BTreeMap<Rc<str>, usize>,
-    /// Parts given up whose reply may still come: it must not be read as that of a later call.
-    given_up: BTreeSet<Rc<str>>,
+    /// Parts given up whose reply may still come, with the moment from which none can: it must not be read as
+    /// that of a later call, nor as a reply for a part that nobody sent.
+    given_up: BTreeMap<Rc<str>, f64>,
+    /// The part answered last, which some data nodes answer twice.
+    answered: Option<Rc<str>>,
     idle_since: f64,
 }
 
@@ -63,7 +66,7 @@
 
     /// Whether a call of these parts may go on this connection.
     pub fn takes(&self, parts: &[CallId], places: usize) -> bool {
-        let known = |id: &CallId| self.out.contains_key(&id.0) || self.given_up.contains(&id.0);
+        let known = |id: &CallId| self.out.contains_key(&id.0) || self.given_up.contains_key(&id.0);
         !self.retired && !self.cut && self.taken() + parts.len() <= places && !parts.iter().any(known)
     }
 
@@ -107,21 +110,26 @@
         self.frames.retain(|f| !matches!(f, Frame::Call(parts) if parts.is_empty()));
     }
 
-    /// Gives up a part that is out. `open` tells which parts may still be sent again.
-    pub fn give_up(&mut self, id: &CallId, now: f64, open: impl Fn(&str) -> bool) {
+    /// Gives up a part that is out; its reply may still come `until` then.
+    pub fn give_up(&mut self, id: &CallId, now: f64, until: f64) {
         if self.out.remove(&id.0).is_some() {
-            self.given_up.retain(|part| open(part));
-            self.given_up.insert(id.0.clone());
+            self.given_up.retain(|_, until| *until > now);
+            self.given_up.insert(id.0.clone(), until);
             self.idle_since = now;
             self.queue(Frame::GiveUp(id.0.clone()));
         }
     }
 
-    /// A reply has come; returns the number of the call that it ends, if one is out.
-    pub fn replied(&mut self, part: &str, now: f64) -> Option<usize> {
+    /// A reply has come; returns the number of the call that it ends, none where the part is over, or nothing
+    /// at all for a part that is not asked for here.
+    pub fn replied(&mut self, part: &str, now: f64) -> Option<Option<usize>> {
         self.idle_since = now;
-        self.given_up.remove(part);
-        self.out.remove(part)
+        if let Some((part, hop)) = self.out.remove_entry(part) {
+            self.answered = Some(part);
+            return Some(Some(hop));
+        }
+        let over = self.given_up.remove(part).is_some() || self.answered.as_deref() == Some(part);
+        over.then_some(None)
     }
 
     /// The parts that had not gone out whole when the connection ended, and those that had.
--- a/crates/router/src/memory/queries.rs
+++ b/crates/router/src/memory/queries.rs
@@ -92,10 +92,6 @@
         self.open.get_mut(&number)?.parts.get_mut(i)
     }
 
-    pub fn has_part(&self, id: &str) -> bool {
-        self.parts.contains_key(id)
-    }
-
     /// Shard, text and the client's last moment of an open part, for the frame that asks for it.
     pub fn asked(&self, id: &str) -> Option<(u32, &str, f64)> {
         let &(number, i) = self.parts.get(id)?;
--- a/crates/router/tests/desk.rs
+++ b/crates/router/tests/desk.rs
@@ -174,6 +174,27 @@
     assert_eq!(desk.calls.count_out(), 0);
 }
 
+#[rstest]
+#[case::named(Some("q.2"), ["q.2 0 s Error", "q.1 0 s Cancelled"])]
+#[case::of_nobody(Some("z.2"), ["q.1 0 s Error", "q.2 0 s Cancelled"])]
+#[case::nameless(None, ["q.1 0 s Error", "q.2 0 s Cancelled"])]
+fn a_spoilt_answer_is_one_failed_call_and_those_beside_it_are_given_up(
+    #[case] part: Option<&str>,
+    #[case] out: [&str; 2],
+) {
+    let mut desk = desk();
+    take(&mut desk, "q", &[1, 2, 3]);
+    let dial = send(&mut desk, "s", &["q.1", "q.2", "q.3"]).remove(0);
+    write(&mut desk, &dial);
+    desk.spoilt("s", dial.line, part);
+    desk.line_lost("s", dial.line);
+    let mut told = told(&mut desk);
+    told.sort();
+    let mut all = [out[0], out[1], "q.3 0 s NeverSent"];
+    all.sort();
+    assert_eq!(told, all);
+}
+
 #[rstest]
 fn a_part_given_up_in_the_midst_of_its_frame_ends_the_connection() {
     let mut desk = desk();
