SIGHUP reads the configuration anew: discovery moves, a faulty file changes nothing

Cause: no handler anywhere; main.rs registered SIGTERM alone, and that only after the listener was up.

Both signals are now registered before the listener. With each SIGHUP the file is read by life/start.rs as at the start; a faulty one is logged by its key and the old configuration holds; keys that hold to the end are named when they differ; discovery's address goes to its driver, which ends the old watch and follows at the new address from the version held. Until that tells something the old list holds.

--- a/crates/router/src/drive/discovery.rs
+++ b/crates/router/src/drive/discovery.rs
@@ -7,28 +7,40 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::sync::watch::Receiver;
+use tokio::time::timeout;
 
 /// PROTOCOL: an empty line comes every 2 s while nothing changes. A watch that misses one by half is lost.
 const SILENCE: f64 = 3.0;
 
-/// Watches for as long as the program runs.
-pub async fn run(desk: Shared, address: SocketAddr) {
+/// Watches for as long as the program runs, at the address that `agent` holds. Where that changes the old watch
+/// ends at once and the new one begins; until it tells something, the old list holds.
+pub async fn run(desk: Shared, mut agent: Receiver<SocketAddr>) {
     let (follow, asked, pause) = {
         let desk = desk.borrow();
         (desk.room.follow, desk.follow.clone(), Duration::from_secs_f64(desk.trunk.dial))
     };
+    let mut moved = false;
     loop {
-        if follow {
+        if follow && !moved {
             asked.notified().await;
         }
-        let why = watch(&desk, address).await;
+        let address = *agent.borrow_and_update();
+        let why = tokio::select! {
+            why = watch(&desk, address) => why,
+            Ok(()) = agent.changed() => {
+                moved = true;
+                desk.borrow_mut().counters.one("discovery_moves");
+                continue;
+            }
+        };
+        moved = false;
         log::warn!(target: "discovery", "the watch is lost: {why}; the old list holds");
         desk.borrow_mut().counters.one("discovery_watches_lost");
         if follow {
             desk.borrow_mut().roster_failed();
         }
-        sleep(pause).await;
+        let _ = timeout(pause, agent.changed()).await;
     }
 }
 
--- a/crates/router/src/life/mod.rs
+++ b/crates/router/src/life/mod.rs
@@ -1,4 +1,5 @@
-//! Start and stop: what is read at the start, the log, readiness, and the way out.
+//! Start, reload and stop: what is read at the start and again, the log, and the way out.
 pub mod logger;
+pub mod reload;
 pub mod start;
 pub mod stop;
--- a/crates/router/src/life/start.rs
+++ b/crates/router/src/life/start.rs
@@ -26,8 +26,12 @@
     pub verticals: Vec<String>,
     pub trunk: deployment::Trunk,
     pub room: deployment::Intake,
+    pub fixed: Fixed,
 }
 
+/// The keys that hold from the start to the end, with their values.
+pub type Fixed = [(&'static str, Value); 4];
+
 type Read<T> = Result<T, String>;
 
 /// Reads the file that `PROXY_CONFIG` names.
@@ -85,6 +89,7 @@
         verticals,
         trunk,
         room,
+        fixed: ["name", "listen", "limits", "settings"].map(|key| (key, all[key].clone())),
     })
 }
 
--- a/crates/router/src/life/stop.rs
+++ b/crates/router/src/life/stop.rs
@@ -2,7 +2,7 @@
 use crate::memory::Shared;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::Signal;
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
@@ -16,8 +16,8 @@
 const LOOK: Duration = Duration::from_millis(10);
 
 /// Waits for SIGTERM, then sees the stop through; returns when the program may end.
-pub async fn at_sigterm(desk: Shared, close_listener: Rc<Notify>) -> std::io::Result<()> {
-    signal(SignalKind::terminate())?.recv().await;
+pub async fn at_sigterm(mut terms: Signal, desk: Shared, close_listener: Rc<Notify>) {
+    terms.recv().await;
     let (clock, began, limit) = {
         let mut desk = desk.borrow_mut();
         let began = desk.clock.now();
@@ -40,5 +40,4 @@
     }
     let (took, open) = (clock.now() - began, desk.borrow().queries.len());
     log::info!(target: "stop", "ended after {took:.1} s: {open} queries open");
-    Ok(())
 }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,6 +1,7 @@
-//! Starts one query router: reads its configuration, listens, and runs until SIGTERM has been seen through.
+//! Starts one query router: reads its configuration, listens, reads it again with each SIGHUP, and runs until
+//! SIGTERM has been seen through.
 use alderway_router::drive::{arrival, clients, discovery, rounds};
-use alderway_router::life::{logger, start, stop};
+use alderway_router::life::{logger, reload, start, stop};
 use alderway_router::memory::clock::Clock;
 use alderway_router::memory::descriptors;
 use alderway_router::memory::desk::Desk;
@@ -8,6 +9,8 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
 
 fn main() -> ExitCode {
@@ -34,7 +37,9 @@
 }
 
 async fn run(station: start::Station, clock: Clock) -> std::io::Result<()> {
-    let start::Station { name, listen, discovery: agent, roster, module, .. } = station;
+    let start::Station { name, listen, discovery, roster, module, fixed, .. } = station;
+    // Before anybody can know that this program is up: unhandled, either of them would end it.
+    let (terms, hangups) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
     let (for_clients, for_nodes) = descriptors::shares(station.sockets, station.memory);
     let mut desk = Desk::new(clock, station.trunk, station.room, station.verticals);
     desk.roster = roster;
@@ -46,11 +51,13 @@
     let desk = Rc::new(RefCell::new(desk));
     let close = Rc::default();
     let rounds = spawn_local(rounds::run(desk.clone(), module, for_nodes));
-    spawn_local(discovery::run(desk.clone(), agent));
+    let (agent, at) = watch::channel(discovery);
+    spawn_local(discovery::run(desk.clone(), at));
+    spawn_local(reload::at_sighup(hangups, fixed, agent, clock));
     spawn_local(clients::listen(desk.clone(), listener, for_clients, Rc::clone(&close)));
     // A router whose module has failed must not go on as if it served.
     tokio::select! {
-        stopped = stop::at_sigterm(desk.clone(), close) => stopped?,
+        () = stop::at_sigterm(terms, desk.clone(), close) => {}
         failed = rounds => return Err(std::io::Error::other(format!("the rounds ended: {failed:?}"))),
     }
     logger::last_words(&desk.borrow().figures());
--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -646,6 +646,45 @@
     program.says("whole list 45: 0 entries");
 }
 
+#[rstest]
+fn a_new_configuration_moves_discovery_and_a_faulty_one_changes_nothing() {
+    let (program, nodes, old) = started(1);
+    let (_, mut watch) = old.watch();
+    let (good, new) = (std::fs::read_to_string(&program.config).expect("readable"), Agent::new());
+    let moved = good.replace(&old.address.to_string(), &new.address.to_string());
+    let seed = moved.replace("8c1f30d27a5be964", "no hex");
+    for (text, says) in [("", "not JSON"), (&moved[..moved.len() / 2], "not JSON"), (&seed, "key `seed`")] {
+        std::fs::write(&program.config, text).expect("written");
+        program.signal("HUP");
+        assert!(program.says("the old configuration holds").contains(says));
+    }
+    std::fs::remove_file(&program.config).expect("removed");
+    program.signal("HUP");
+    assert!(program.says("the old configuration holds").contains("`PROXY_CONFIG`"));
+    tell(&mut watch, &object(42, false, &[]));
+    program.says("change 42: 0 entries");
+    std::fs::write(&program.config, moved.replace("\"sockets\":256", "\"sockets\":300")).expect("written");
+    program.signal("HUP");
+    assert!(program.says("waits for a start").contains("key `limits`"));
+    let (asked, mut watch_there) = new.watch();
+    assert!(asked.contains("since=42 "), "{asked}");
+    assert_eq!(watch.read(&mut [0; 100]).unwrap_or_default(), 0, "the old watch has ended");
+    // Neither has told anything since: the old list holds.
+    let mut client = program.connect();
+    client.ask("a", &[0], 4000);
+    assert_eq!(nodes.serve().0, ["a.0"]);
+    assert_eq!(client.status(), "200");
+    let drains = entry("s-0", nodes.addresses[0], "DRAINING");
+    tell(&mut watch_there, &object(43, false, &[drains]));
+    program.says("change 43: 1 entries");
+    program.signal("HUP");
+    assert!(program.says("configuration read").contains("stays at"));
+    program.signal("TERM");
+    program.signal("HUP");
+    drop(client);
+    assert_eq!(program.ends().0.code(), Some(0));
+}
+
 #[rstest]
 fn sigterm_loses_nothing_that_was_taken() {
     let (program, nodes, _agent) = limited(1, 4000, 180, "{}");
