A stop serves kept connections on until shortly before SIGKILL; standing judged once a round

Cause: life/stop.rs dismissed idle connections with SIGTERM and closed each with its answer, so clients lost their places while the other router was away too.

Now clients keep their connections until a query that came might find no time before SIGKILL (the longest SLO time ahead of it); what is open at the end is aborted instead of lost.

Checked besides, with a profile: the core (0.2 of one) was full for 3 s after the restart, half of it in Node::standing, which walks all calls of a node and was called for each part in each round. It is judged once a round now; decisions are the same.

--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -150,7 +150,8 @@
     pub shards: u32,
     /// Least seconds between two rounds.
     pub tick: f64,
-    /// The longest deadline of any vertical, in seconds.
+    /// The longest SLO time and the longest deadline of any vertical, in seconds.
+    pub slo: f64,
     pub deadline: f64,
     /// Roster changes come only when the module asks to follow them.
     pub follow: bool,
@@ -165,8 +166,9 @@
         dial: span(limits, "DialTimeoutUs")?,
         idle: span(limits, "KeepaliveUs")?,
     };
-    let mut deadline = 0.0f64;
+    let (mut slo, mut deadline) = (0.0f64, 0.0f64);
     for (at, service) in list(all, "Services")?.iter().enumerate() {
+        slo = slo.max(span(service, "PromiseUs")?);
         deadline = deadline.max(span(service, "DeadlineUs")?);
         if of_each(extra, "ClassFetch", at, 0.0)? > 0.0 {
             return Err("only queries of one step on sockets, 0 in setting `ClassFetch`".into());
@@ -179,6 +181,7 @@
         room: above_zero(limits, "MaxOpen")?,
         shards: above_zero(extra, "Slices")? as u32,
         tick: span(all, "TickUs")?,
+        slo,
         deadline,
         follow: word(all, "Discovery")? == "subscribe",
     };
--- a/crates/router/src/memory/clients.rs
+++ b/crates/router/src/memory/clients.rs
@@ -68,10 +68,9 @@
         oldest.into_iter().for_each(|(.., client)| client.dismiss());
     }
 
-    /// Dismisses idle connections; those that have not sent a request yet only with `unused`.
-    pub fn dismiss_idle(&self, unused: bool) {
+    /// Dismisses idle connections.
+    pub fn dismiss_idle(&self) {
         let idle = self.all.values().filter(|c| c.idle.get().is_some() && !c.half_sent.get());
-        let idle = idle.filter(|c| unused || c.used.get());
         idle.for_each(|c| c.dismiss());
     }
 }
--- a/crates/router/src/memory/desk.rs
+++ b/crates/router/src/memory/desk.rs
@@ -35,8 +35,10 @@
     pub came: Rc<Notify>,
     /// The module asks to follow the roster.
     pub follow: Rc<Notify>,
-    /// When SIGTERM came.
-    pub stopping: Option<f64>,
+    /// SIGTERM has come: no new connection is wanted.
+    pub stopping: bool,
+    /// Every connection closes with its present answer.
+    pub closing: bool,
     /// Queries could be served once, and the log has said so.
     ready: bool,
     new: Vec<u64>,
@@ -59,7 +61,8 @@
             counters: Counters::default(),
             came: Rc::default(),
             follow: Rc::default(),
-            stopping: None,
+            stopping: false,
+            closing: false,
             ready: false,
             new: vec![],
             left: vec![],
@@ -70,7 +73,7 @@
 
     /// Whether queries can be served: any data node is known, from the start or from discovery.
     pub fn able(&self) -> bool {
-        self.roster.names_any() && self.stopping.is_none()
+        self.roster.names_any() && !self.stopping
     }
 
     /// All counters, and what is open now.
@@ -334,12 +337,17 @@
         self.roster.forget_gone();
     }
 
-    /// After a failure of the module: aborts what is open and tells the next round everything from the start.
-    pub fn start_over(&mut self) {
-        self.counters.one("module_failures");
+    /// Gives every open query its final answer.
+    pub fn abort_all(&mut self) {
         for query in self.queries.ids() {
             self.abort(&query);
         }
+    }
+
+    /// After a failure of the module: aborts what is open and tells the next round everything from the start.
+    pub fn start_over(&mut self) {
+        self.counters.one("module_failures");
+        self.abort_all();
         for id in self.calls.all() {
             self.give_up(&id, Ending::Cancelled);
         }
@@ -400,7 +408,7 @@
         for part in &query.parts {
             self.take_back(&part.id, Ending::NeverSent);
         }
-        let closes = query.client.closes.get() || self.stopping.is_some();
+        let closes = query.client.closes.get() || self.closing;
         query.client.closes.set(closes);
         query.client.wake.notify_one();
         Some((query, closes))
--- a/crates/router/src/requests.rs
+++ b/crates/router/src/requests.rs
@@ -11,7 +11,7 @@
 /// Takes a whole request whose last byte came at `at`; it is answered now, or it is an open query then.
 pub fn take(desk: &Shared, client: &Rc<Client>, head: Head, body: &[u8], at: f64) {
     // The answers here have a body, which an answer to HEAD must not: no further message could be told apart.
-    let closes = head.closes() || head.first().starts_with("HEAD ") || desk.borrow().stopping.is_some();
+    let closes = head.closes() || head.first().starts_with("HEAD ") || desk.borrow().closing;
     client.closes.set(client.closes.get() || closes);
     let mut words = head.first().split(' ');
     let (method, target) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -65,7 +65,8 @@
     cold_work: VecDeque<(f64, f64)>,
     /// Where in its turn this router is among those that send to the node while it is cold, from 0 to 1.
     phase: f64,
-    sick: bool,
+    /// As judged at the start of this round.
+    standing: u8,
 }
 
 #[derive(Default)]
@@ -177,7 +178,7 @@
     /// Sick is a node that refuses connections or fails again and again, or that has answered nothing at
     /// all since it was sent a part now long past its delay (guards against hung, silent and very slow
     /// nodes alike; it hurts where a long pause makes a sound node look silent, until its next answer).
-    fn standing(&self, now: f64, silent: f64) -> u8 {
+    fn judged(&self, now: f64, silent: f64) -> u8 {
         let age = |(at, delay): &(f64, f64)| (now - at) / delay;
         let oldest = self.calls.values().map(age).fold(0.0, f64::max);
         let unheard = self.calls.values().any(|c| age(c) > silent && self.heard < c.0);
@@ -438,15 +439,15 @@
 
     fn look_at_nodes(&mut self, out: &mut dyn Writer) {
         for (id, node) in &mut self.nodes {
-            let sick = node.standing(self.awake, SILENT) == 3;
-            if sick != node.sick {
-                node.sick = sick;
+            let standing = node.judged(self.awake, SILENT);
+            let sick = standing == 3;
+            if sick != (node.standing == 3) {
                 let (calls, failures, cap) = (node.calls.len(), node.failures, node.cap);
                 let word = if sick { "sick" } else { "back" };
-                out.remark(&format!(
-                    "node {id} {word}: {calls} calls out, {failures} failures, cap {cap:.1}"
-                ));
+                let figures = format!("{calls} calls out, {failures} failures, cap {cap:.1}");
+                out.remark(&format!("node {id} {word}: {figures}"));
             }
+            node.standing = standing;
         }
     }
 
@@ -565,9 +566,7 @@
             let share = 1.0 - 1.0 / (1.0 + q.parts.len() as f64);
             let slowest = self.usual[q.vertical].quantile(share, 16).unwrap_or(0.25 * v.slo);
             let usual = (slowest * self.work(q.vertical)).sqrt();
-            let sound = |p: &&Part| {
-                self.holders(p.shard).iter().any(|id| self.nodes[*id].standing(self.awake, SILENT) < 3)
-            };
+            let sound = |p: &&Part| self.holders(p.shard).iter().any(|id| self.nodes[*id].standing < 3);
             let reachable: f64 = q.parts.iter().filter(sound).map(|p| p.weight).sum();
             // Guards against all replicas of a shard being down: other parts would hold room for nothing.
             let pressure = if reachable < v.floor - SLACK { 1.0 } else { usual / left };
@@ -628,32 +627,25 @@
     /// The next holder in turn for a part, past late ones and those without room; a node tried before
     /// counts as late. Where calls cost work, the turn is taken per call: a node that can take more of
     /// the query's waiting parts goes first. Sick nodes are asked only where every holder is sick.
-    fn next_node(
-        &self,
-        number: u64,
-        i: usize,
-        group: &[u32],
-        bundle: usize,
-    ) -> Option<(String, usize, usize)> {
-        let q = &self.queries[&number];
+    fn next_node(&self, n: u64, i: usize, group: &[u32], bundle: usize) -> Option<(String, usize, usize)> {
+        let q = &self.queries[&n];
         let (part, work) = (&q.parts[i], self.bare_work(q.vertical));
         let (shard, holders) = (part.shard, self.holders(part.shard));
-        let sick = |id: &&str| self.nodes[*id].standing(self.awake, SILENT) == 3;
+        let sick = |id: &&str| self.nodes[*id].standing == 3;
         let all_sick = part.calls.is_empty() && holders.iter().all(sick);
         let turn = self.shards.get(&shard).map_or(0, |s| s.turn);
         let mut best: Option<((u8, usize, usize), usize, usize)> = None;
         for step in 0..holders.len() {
             let at = (turn + step) % holders.len();
             let node = &self.nodes[holders[at]];
-            let standing = node.standing(self.awake, SILENT);
             let room = node.room(self.now, work, self.peers, self.cold, bundle);
             let asked = part.calls.iter().any(|c| c.out && c.node == holders[at]);
-            if asked || room == 0 || (standing == 3 && !all_sick) {
+            if asked || room == 0 || (node.standing == 3 && !all_sick) {
                 continue;
             }
             let tried = part.calls.iter().any(|c| c.node == holders[at]);
             let covers = group.iter().filter(|&&s| self.placement.holds(node.cell, s)).count();
-            let key = (standing + u8::from(tried), usize::MAX - covers.min(room), step);
+            let key = (node.standing + u8::from(tried), usize::MAX - covers.min(room), step);
             if best.as_ref().is_none_or(|(k, ..)| key < *k) {
                 best = Some((key, at, room));
             }
@@ -703,15 +695,20 @@
             // has room. Age alone proves nothing: one part of many is heavy.
             let stuck = outs.iter().all(|&hop| {
                 let (call, node) = (&part.calls[hop], &self.nodes[&part.calls[hop].node]);
-                self.awake - call.since > SILENT * delay && node.standing(self.awake, SILENT) == 3
+                self.awake - call.since > SILENT * delay && node.standing == 3
             });
-            let copy = v.effect == Effect::Repeatable && allowed.parallel && part.copies < MAX_COPIES;
-            let other = self.next_node(number, i, &[shard], 1);
+            let more = v.effect == Effect::Repeatable && allowed.parallel && part.copies < MAX_COPIES;
+            let copy = more && self.purse.tokens >= 1.0;
             let useful = self.now + 0.5 * self.work(vertical) < self.queries[&number].slo_at;
-            if let (Some((node, _, turn)), true) = (&other, copy && self.purse.pay()) {
-                self.shards.entry(shard).or_default().turn = *turn;
-                self.send(number, i, node, out);
-            } else if useful && stuck && other.is_some() {
+            if !copy && !(useful && stuck) {
+                continue;
+            }
+            let Some((node, _, turn)) = self.next_node(number, i, &[shard], 1) else { continue };
+            if copy {
+                self.purse.pay();
+                self.shards.entry(shard).or_default().turn = turn;
+                self.send(number, i, &node, out);
+            } else {
                 outs.iter().for_each(|&hop| self.cancel(number, i, hop, out));
             }
         }
