--- a/src/choice.rs
+++ b/src/choice.rs
@@ -700,7 +700,7 @@
             let more = v.effect == Effect::Repeatable && allowed.parallel && part.copies < MAX_COPIES;
             let copy = more && self.purse.tokens >= 1.0;
             let useful = self.now + 0.5 * self.work(vertical) < self.queries[&number].slo_at;
-            if !copy && !(useful && stuck) {
+            if !(copy || useful && stuck) {
                 continue;
             }
             let Some((node, _, turn)) = self.next_node(number, i, &[shard], 1) else { continue };
