A connection silent since a call that is given up takes no further call

Checked: a probe of the time left that tries bring (fair, so it is not the guess at later tries); the log's pressure of 1.00, which is that of a shard without a sound holder. Desk::line_for gave a silent connection, which has the most places free, the next call again and again; each was lost until its copy came, and the module took the node for silent (Node::judged, cap 1).

A call given up with nothing heard on its connection since it was written whole now retires the connection, and the next call dials another (Line::give_up). It hurts where a node pauses: one dial more.

--- a/crates/router/src/drive/nodes.rs
+++ b/crates/router/src/drive/nodes.rs
@@ -130,8 +130,10 @@
         }
         if *written == out.len() {
             if !out.is_empty() {
-                if let Some(line) = desk.borrow_mut().roster.line(node, line) {
-                    line.written();
+                let mut desk = desk.borrow_mut();
+                let now = desk.clock.now();
+                if let Some(line) = desk.roster.line(node, line) {
+                    line.written(now);
                 }
                 out.clear();
                 *written = 0;
--- a/crates/router/tests/desk.rs
+++ b/crates/router/tests/desk.rs
@@ -92,7 +92,8 @@
 fn write(desk: &mut Desk, dial: &Dial) -> Option<String> {
     let mut out = vec![];
     let begun = desk.next_frame(&dial.node, dial.line, &mut out);
-    desk.roster.line(&dial.node, dial.line)?.written();
+    let now = desk.clock.now();
+    desk.roster.line(&dial.node, dial.line)?.written(now);
     begun.then(|| String::from_utf8_lossy(&out[4..]).to_string())
 }
 
@@ -222,6 +223,21 @@
     assert_eq!(told(&mut desk), ["q.1 0 s Cancelled"], "the second call is still out");
 }
 
+#[rstest]
+fn a_connection_that_fell_silent_gets_no_further_call() {
+    let mut desk = desk();
+    take(&mut desk, "q", &[1, 2, 3, 4]);
+    let silent = send(&mut desk, "s", &["q.1", "q.2"]).remove(0);
+    up(&mut desk, &silent);
+    write(&mut desk, &silent);
+    desk.replied("s", silent.line, "q.1", Ending::Success, "v");
+    desk.cancel("q.2", 0);
+    assert!(send(&mut desk, "s", &["q.3"]).is_empty(), "heard since `q.2` went out: a slow part, no more");
+    while write(&mut desk, &silent).is_some() {}
+    desk.cancel("q.3", 0);
+    assert_eq!(send(&mut desk, "s", &["q.4"]).len(), 1, "nothing heard since: another connection");
+}
+
 #[rstest]
 fn a_time_out_ends_the_call_and_tells_the_node() {
     let mut desk = desk();
