A broken connection is one failure of its node, a refused dial two

Node::ended counted two failures for each call that broke with a connection, and two in a row leave a node out for 1.3 to 8 s.

A break is one failure now however many calls it took along (Node::broke_at), so two breaks with nothing merged in between leave a node out; a dial that is refused counts two, as before. It should hold as well against crashes of middle boxes and against nodes that restart fast; a node that dies is left out by its first refused dial.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -60,6 +60,7 @@
     far_until: f64,
     rest: f64,
     failures: i32,
+    broke_at: f64,
     shun_until: f64,
     /// Work sent while cold, with its time.
     cold_work: VecDeque<(f64, f64)>,
@@ -205,7 +206,9 @@
             }
             Ending::Full => (self.heard, self.cap) = (now, (self.cap * 0.6).max(1.0)),
             Ending::Error | Ending::Unreachable | Ending::Reset => {
-                self.failures += if ending == Ending::Error { 1 } else { 2 };
+                // A connection breaks with all its calls: one failure, which only a refused dial makes two of.
+                let same = ending != Ending::Error && std::mem::replace(&mut self.broke_at, now) == now;
+                self.failures += if same { 0 } else { 1 + i32::from(ending == Ending::Unreachable) };
                 let shun = (1.6f64.powi(self.failures).min(16.0) * least.max(0.25)).min(30.0);
                 self.shun_until = if self.failures > 1 { now + shun } else { self.shun_until };
             }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -387,6 +387,23 @@
     assert_eq!(host.query(0, &[0, 1, 2]), ["call p0.0 n2", "call p0.1 n2", "call p0.2 n2"]);
 }
 
+#[rstest]
+#[case::broken(Ending::Reset, 0)]
+#[case::refused(Ending::Unreachable, 1)]
+fn a_connection_that_breaks_under_many_calls_is_one_failure(#[case] ending: Ending, #[case] sick: usize) {
+    let one = Placement { cells: 1, reach: 1, bundle: 8, call_work: 0.05 };
+    let mut host = with(|d| (d.placement, d.nodes) = (one, 1));
+    host.warm(9, 1, 0.1);
+    host.query(0, &[0, 1, 2]);
+    host.wait(0.1);
+    host.round(|r| ["p0.0", "p0.1", "p0.2"].iter().for_each(|p| r.call_ended(p, 0, "n0", ending, 0.1)));
+    host.wait(0.05);
+    assert_eq!(host.count("remark node n0 sick"), sick);
+    host.round(|r| r.call_ended("p0.0", 1, "n0", ending, 0.1));
+    host.wait(0.05);
+    assert_eq!(host.count("remark node n0 sick"), 1, "with two in a row it is left out");
+}
+
 #[rstest]
 fn a_warm_node_with_any_room_takes_a_whole_call_past_its_cap() {
     let one = Placement { cells: 1, reach: 1, bundle: 8, call_work: 0.05 };
