Admission counts how long a part may wait at the nodes that hold its shard

Seen (sockets, wide+reset+stale, after three of eleven nodes are gone): for 3 to 4 s merged queries fall to a third while 40% are refused; the work of half of the parts is thrown away with queries that end short of one. Checked with a probe of the module's beliefs, five times a second: one node, the only holder left of some shards, had up to 79 parts waiting while the others had room; queries that touched it were let in all the same, ran their other parts and were given up, and those that did not touch it were rejected by the latency of all. Ruled out: the router's core (0.1 of 0.2 used), descriptors, dials; and the node's cap, which follows its real capacity (22 answers in 0.2 s at each router).

Pressure now also takes the wait: a part waits at best as long as the oldest part that waits for the same node has; for a node that is silent or shunned, as long again as it was. This takes the place of `no sound holder`, of which it is the general case: a short pause of the only holder no longer turns everything away. It may hurt where the oldest waiting part is held up by something that the next one does not meet (a stated budget).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -68,6 +68,8 @@
     phase: f64,
     /// As judged at the start of this round.
     standing: u8,
+    /// How long a part may wait for it: as the oldest has; while it is silent, as long again as it was.
+    wait: f64,
 }
 
 #[derive(Default)]
@@ -82,6 +84,7 @@
     vertical: usize,
     over_share: bool,
     again: bool,
+    at: f64,
     not_after: f64,
     slo_at: f64,
     admitted: bool,
@@ -168,17 +171,10 @@
 }
 
 impl Node {
-    /// A node that is not fresh starts at `cap` parts in flight; a fresh one at a single part, and its
-    /// answers raise that (guards against sending a newcomer what its elders can bear).
-    fn new(cell: u32, state: NodeState, started: Option<f64>, cap: f64, phase: f64) -> Self {
-        Node { cell, state, started, cap, phase, ..Node::default() }
-    }
-
-    /// 0: in turn. 1: late, passed over while another holder is not. 2: far too late, behind
-    /// those. 3: sick, last resort only.
-    /// Sick is a node that refuses connections or fails again and again, or that has answered nothing at
-    /// all since it was sent a part now long past its delay (guards against hung, silent and very slow
-    /// nodes alike; it hurts where a long pause makes a sound node look silent, until its next answer).
+    /// 0: in turn. 1: late, passed over while another holder is not. 2: far too late, behind those. 3: sick,
+    /// last resort only: it refuses connections or fails again and again, or has answered nothing since it
+    /// was sent a part now long past its delay (guards against hung, silent and very slow nodes alike; it
+    /// hurts where a long pause makes a sound node look silent, until its next answer).
     fn judged(&self, now: f64, silent: f64) -> u8 {
         let age = |(at, delay): &(f64, f64)| (now - at) / delay;
         let oldest = self.calls.values().map(age).fold(0.0, f64::max);
@@ -206,7 +202,7 @@
             }
             Ending::Full => (self.heard, self.cap) = (now, (self.cap * 0.6).max(1.0)),
             Ending::Error | Ending::Unreachable | Ending::Reset => {
-                // A connection breaks with all its calls: one failure, which only a refused dial makes two of.
+                // A connection breaks with all its calls: one failure, only a refused dial makes two of it.
                 let same = ending != Ending::Error && std::mem::replace(&mut self.broke_at, now) == now;
                 self.failures += if same { 0 } else { 1 + i32::from(ending == Ending::Unreachable) };
                 let shun = (1.6f64.powi(self.failures).min(16.0) * least.max(0.25)).min(30.0);
@@ -279,15 +275,16 @@
     fn roster_entry(&mut self, id: &str, cell: u32, state: NodeState, started: Option<f64>) {
         self.serving.clear();
         let fresh = started.is_some_and(|s| self.cold.is_some_and(|c| self.now - s < c.warm_up));
-        let cap = if fresh { 1.0 } else { 4.0 };
-        let phase = if fresh { self.chance.draw() } else { 0.0 };
+        // Guards against sending a newcomer what its elders can bear: its answers raise its cap.
+        let (cap, phase) = if fresh { (1.0, self.chance.draw()) } else { (4.0, 0.0) };
+        let new = Node { cell, state, started, cap, phase, ..Node::default() };
         match self.nodes.get_mut(id) {
             Some(node) if node.started == started => (node.cell, node.state) = (cell, state),
             Some(node) => {
                 let calls = std::mem::take(&mut node.calls);
-                *node = Node { calls, ..Node::new(cell, state, started, cap, phase) };
+                *node = Node { calls, ..new };
             }
-            None => drop(self.nodes.insert(id.into(), Node::new(cell, state, started, cap, phase))),
+            None => drop(self.nodes.insert(id.into(), new)),
         }
     }
 
@@ -313,7 +310,8 @@
             over_share = *tokens < 1.0;
             *tokens -= if over_share { 0.0 } else { 1.0 };
         }
-        let q = Query { id: id.into(), vertical, over_share, not_after, slo_at, again, ..Query::default() };
+        let (id, at) = (id.into(), self.now);
+        let q = Query { id, vertical, over_share, at, not_after, slo_at, again, ..Query::default() };
         self.queries.insert(number, q);
     }
 
@@ -445,12 +443,12 @@
             let standing = node.judged(self.awake, SILENT);
             let sick = standing == 3;
             if sick != (node.standing == 3) {
-                let (calls, failures, cap) = (node.calls.len(), node.failures, node.cap);
+                let (n, f, cap) = (node.calls.len(), node.failures, node.cap);
                 let word = if sick { "sick" } else { "back" };
-                let figures = format!("{calls} calls out, {failures} failures, cap {cap:.1}");
-                out.remark(&format!("node {id} {word}: {figures}"));
+                out.remark(&format!("node {id} {word}: {n} calls out, {f} failures, cap {cap:.1}"));
             }
-            node.standing = standing;
+            let away = (node.shun_until - self.awake).max(self.awake - node.heard);
+            (node.standing, node.wait) = (standing, if sick { away } else { 0.0 });
         }
     }
 
@@ -538,22 +536,15 @@
     fn stop(&mut self, parts: &[Part], out: &mut dyn Writer) {
         for part in parts {
             self.parts.remove(&part.id);
-            for (hop, call) in part.calls.iter().enumerate() {
-                if call.out && !call.cancelled && self.allowance.cancel {
-                    out.cancel(&part.id, hop);
-                }
-            }
+            let live = part.calls.iter().enumerate().filter(|(_, c)| c.out && !c.cancelled);
+            live.filter(|_| self.allowance.cancel).for_each(|(hop, _)| out.cancel(&part.id, hop));
         }
     }
 
     /// Nodes that hold a shard and serve, in the order in which they take turns.
     fn holders(&self, shard: u32) -> Vec<&str> {
-        self.placement
-            .holding(shard)
-            .filter_map(|c| self.serving.get(&c))
-            .flatten()
-            .map(String::as_str)
-            .collect()
+        let holding = self.placement.holding(shard).filter_map(|c| self.serving.get(&c)).flatten();
+        holding.map(String::as_str).collect()
     }
 
     /// Turns away by chance under overload, the cheaper more often. Pressure is the expected latency over
@@ -562,17 +553,28 @@
     /// nodes, which copies and rests meet. Some are always let in, or no answer would show a jam's end.
     fn admit(&mut self, out: &mut dyn Writer) {
         let new: Vec<u64> = self.queries.iter().filter(|(_, q)| !q.admitted).map(|(n, _)| *n).collect();
+        for q in self.queries.values().filter(|q| q.admitted) {
+            for p in q.parts.iter().filter(|p| p.calls.is_empty()) {
+                for id in self.placement.holding(p.shard).filter_map(|c| self.serving.get(&c)).flatten() {
+                    self.nodes.get_mut(id).into_iter().for_each(|n| n.wait = n.wait.max(self.now - q.at));
+                }
+            }
+        }
         for number in new {
             let q = &self.queries[&number];
             let v = &self.verticals[q.vertical];
             let left = (q.slo_at.min(q.not_after) - self.now).max(0.001);
             let share = 1.0 - 1.0 / (1.0 + q.parts.len() as f64);
             let slowest = self.usual[q.vertical].quantile(share, 16).unwrap_or(0.25 * v.slo);
+            // Guards against parts that hold room for nothing while one of their query waits in vain.
+            let wait =
+                |p: &Part| self.holders(p.shard).iter().map(|id| self.nodes[*id].wait).fold(9e9, f64::min);
+            let near = q.parts.iter().map(|p| (wait(p), p.weight)).filter(|n| n.0 < left);
+            let near: Vec<(f64, f64)> = near.collect();
+            let wait = near.iter().map(|n| n.0).fold(0.0, f64::max);
             let usual = (slowest * self.work(q.vertical)).sqrt();
-            let sound = |p: &&Part| self.holders(p.shard).iter().any(|id| self.nodes[*id].standing < 3);
-            let reachable: f64 = q.parts.iter().filter(sound).map(|p| p.weight).sum();
-            // Guards against all replicas of a shard being down: other parts would hold room for nothing.
-            let pressure = if reachable < v.floor - SLACK { 1.0 } else { usual / left };
+            let likely = (usual / left).max((usual + wait) / left - 0.2);
+            let pressure = if near.iter().map(|n| n.1).sum::<f64>() < v.floor - SLACK { 1.0 } else { likely };
             let utility = v.utility * if q.over_share { self.allowance.over_share } else { 1.0 };
             let value = utility / (q.parts.len().max(1) as f64 * self.bare_work(q.vertical));
             self.dearest = (self.dearest * 0.99).max(value);
@@ -605,16 +607,15 @@
             let q = &self.queries[&number];
             // A node that holds this shard may hold others of the query's too: those ride along.
             let along = if bundle > 1 { waiting.len() } else { 1 };
-            let group: Vec<(usize, u32)> =
-                waiting.iter().take(along).map(|&i| (i, q.parts[i].shard)).collect();
-            let shards: Vec<u32> = group.iter().map(|g| g.1).collect();
+            let group: Vec<usize> = waiting.iter().take(along).copied().collect();
+            let shards: Vec<u32> = group.iter().map(|&i| q.parts[i].shard).collect();
             let Some((node, room, turn)) = self.next_node(number, first, &shards, bundle) else {
                 waiting.pop_front();
                 continue;
             };
             self.shards.entry(shards[0]).or_default().turn = turn;
             let (cell, mut taken) = (self.nodes[&node].cell, BTreeSet::new());
-            for (i, shard) in group {
+            for (i, &shard) in group.into_iter().zip(&shards) {
                 if taken.len() < room && self.placement.holds(cell, shard) {
                     taken.insert(i);
                     let further = !self.queries[&number].parts[i].calls.is_empty();
@@ -634,8 +635,7 @@
         let q = &self.queries[&n];
         let (part, work) = (&q.parts[i], self.bare_work(q.vertical));
         let (shard, holders) = (part.shard, self.holders(part.shard));
-        let sick = |id: &&str| self.nodes[*id].standing == 3;
-        let all_sick = part.calls.is_empty() && holders.iter().all(sick);
+        let all_sick = part.calls.is_empty() && holders.iter().all(|id| self.nodes[*id].standing == 3);
         let turn = self.shards.get(&shard).map_or(0, |s| s.turn);
         let mut best: Option<((u8, usize, usize), usize, usize)> = None;
         for step in 0..holders.len() {
@@ -678,7 +678,6 @@
     fn rescue(&mut self, number: u64, out: &mut dyn Writer) {
         let Some(q) = self.queries.get(&number) else { return };
         let (v, vertical) = (self.verticals[q.vertical].clone(), q.vertical);
-        let allowed = self.allowance;
         for i in 0..q.parts.len() {
             let part = &self.queries[&number].parts[i];
             let (shard, merged) = (part.shard, part.merged);
@@ -690,7 +689,7 @@
                 continue;
             }
             let (age, delay) = (self.awake - part.calls[newest].since, self.delay(shard, v.slo));
-            let may = part.may_call(self.now, v.effect, allowed.calls);
+            let may = part.may_call(self.now, v.effect, self.allowance.calls);
             if age <= delay || !may || (self.purse.stated && self.purse.tokens < 1.0) {
                 continue;
             }
@@ -700,7 +699,7 @@
                 let (call, node) = (&part.calls[hop], &self.nodes[&part.calls[hop].node]);
                 self.awake - call.since > SILENT * delay && node.standing == 3
             });
-            let more = v.effect == Effect::Repeatable && allowed.parallel && part.copies < MAX_COPIES;
+            let more = v.effect == Effect::Repeatable && self.allowance.parallel && part.copies < MAX_COPIES;
             let copy = more && self.purse.tokens >= 1.0;
             let useful = self.now + 0.5 * self.work(vertical) < self.queries[&number].slo_at;
             if !(copy || useful && stuck) {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -432,6 +432,31 @@
     assert!(0 < rejected[0] && rejected[0] < rejected[1], "{rejected:?}");
 }
 
+#[rstest]
+fn queries_that_would_wait_at_their_only_holder_are_rejected_and_others_are_not() {
+    let apart = Placement { cells: 2, reach: 1, bundle: 1, call_work: 0.0 };
+    let mut host = with(|d| (d.placement, d.nodes, d.allowance.parallel) = (apart, 2, false));
+    host.warm(1000, 16, 0.1);
+    for n in 0..30 {
+        host.query(n, &[0]);
+    }
+    // The node answers all along, so it is neither silent nor late: only the parts that wait tell.
+    for n in 0..11 {
+        host.wait(0.15);
+        host.ends(&format!("p{n}.0"), 0, "n0", Ending::Success, 0.1);
+    }
+    let rejected = host.count("reject");
+    for n in 100..120 {
+        host.query(n, &[1]);
+        host.ends(&format!("p{n}.0"), 0, "n1", Ending::Success, 0.1);
+    }
+    assert_eq!(host.count("reject"), rejected, "the other node has room");
+    for n in 200..220 {
+        host.query(n, &[0, 1]);
+    }
+    assert!(host.count("reject q2") >= 10, "{}", host.count("reject q2"));
+}
+
 #[rstest]
 fn a_query_without_sound_holders_is_rejected_on_arrival() {
     let mut host = with(|d| d.nodes = 0);
