Idle, silent, half-sent and half-read connections end by the clock; shares are checked

Clients had half of the descriptors.

Now a connection with nothing open ends after 2 s, a first request must be whole a dial's time short of 3 s after its connection came, a later one within 2 s, and an answer that gets no further for 2 s ends its connection. Under pressure those that never sent a request go first, then half-sent ones, then kept ones. Clients hold a third of the descriptors. What follows an unreadable request is read up to the length of the longest request, no more.

--- a/crates/router/src/drive/clients.rs
+++ b/crates/router/src/drive/clients.rs
@@ -20,6 +20,10 @@
 
 /// Between two tries where the system gives no descriptor, or all connections are busy.
 const PAUSE: Duration = Duration::from_millis(10);
+/// LATER: a connection with no open request on it may be closed after 2 s; whoever sends no request is owed an
+/// error or a close within 3 s of connecting.
+const IDLE: f64 = 2.0;
+const OWED: f64 = 3.0;
 /// How long a connection that this side ends waits for the client to end it too, so that what the client
 /// still sends does not reset the answer on its way.
 const LINGER: Duration = Duration::from_millis(500);
@@ -69,13 +73,15 @@
     }
     client.idle.set(None);
     if linger && stream.shutdown().await.is_ok() {
-        let mut rest = [0; 1024];
+        // As much as the longest request, so that nobody's endless body takes the core.
+        let (mut rest, mut left) = ([0; 4096], MESSAGE);
         let _ = timeout(LINGER, async {
-            while stream.readable().await.is_ok() {
+            while left > 0 && stream.readable().await.is_ok() {
                 match stream.try_read(&mut rest) {
                     Ok(0) => break,
+                    Ok(count) => left = left.saturating_sub(count),
                     Err(why) if why.kind() != ErrorKind::WouldBlock => break,
-                    _ => {}
+                    Err(_) => {}
                 }
             }
         })
@@ -177,35 +183,45 @@
 
 /// Reads requests and writes answers; true when this side ends the connection after an answer.
 async fn converse(desk: &Shared, client: &Rc<Client>, stream: &TcpStream) -> bool {
-    let (clock, patience) = (desk.borrow().clock, desk.borrow().room.deadline);
-    let (buffer, messages, read_at) = (Buffer::new(MESSAGE), Messages::default(), clock.now());
+    let (clock, dial) = (desk.borrow().clock, desk.borrow().trunk.dial);
+    let (buffer, messages, accepted) = (Buffer::new(MESSAGE), Messages::default(), clock.now());
     let (written, lost, went_ahead) = (0, false, false);
-    let mut talk = Talk { desk, client, stream, buffer, messages, written, lost, went_ahead, read_at };
-    // By when what is under way must be done.
-    let mut bound = f64::INFINITY;
+    let mut talk =
+        Talk { desk, client, stream, buffer, messages, written, lost, went_ahead, read_at: accepted };
+    // Since when nothing is open here, a request is coming, and an answer has got no further.
+    let (mut quiet, mut begun, mut stuck) = (None, None, None);
     loop {
         talk.take_requests();
         if !client.out.borrow().is_empty() {
+            let before = talk.written;
             match talk.write() {
                 ControlFlow::Break(linger) => return linger,
+                ControlFlow::Continue(true) => continue,
+                ControlFlow::Continue(false) if talk.written > before => stuck = None,
                 ControlFlow::Continue(false) => {}
-                ControlFlow::Continue(true) => {
-                    bound = f64::INFINITY;
-                    continue;
-                }
             }
         }
         let (open, writing) = (client.query.get().is_some(), !client.out.borrow().is_empty());
         let waiting = !open && !writing;
-        client.idle.set(waiting.then_some(talk.read_at));
-        client.half_sent.set(waiting && !talk.buffer.is_empty());
-        // A half-sent request or a half-read answer is waited for as long as any client may wait.
-        if !writing && !client.half_sent.get() {
-            bound = f64::INFINITY;
-        } else if bound.is_infinite() {
-            bound = clock.now() + patience;
-        }
+        let half_sent = waiting && !talk.buffer.is_empty();
+        let now = clock.now();
+        let since = |mark: &mut Option<f64>, holds: bool| {
+            *mark = holds.then(|| mark.unwrap_or(now));
+            *mark
+        };
+        let (quiet, begun, stuck) =
+            (since(&mut quiet, waiting), since(&mut begun, half_sent), since(&mut stuck, writing));
+        client.idle.set(quiet);
+        client.half_sent.set(half_sent);
+        // Guards against connections that say nothing, send half a request, or read half an answer.
+        let first = (accepted + OWED - dial).max(accepted + IDLE);
+        let by = match begun {
+            Some(_) if !client.used.get() => first,
+            Some(_) => begun.map_or(f64::INFINITY, |at| at + IDLE),
+            None => quiet.or(stuck).map_or(f64::INFINITY, |at| at + IDLE),
+        };
         let room = !talk.buffer.space().is_empty();
+        let dismissed = client.dismissed.get() || (by <= now && begun.is_none());
         tokio::select! {
             biased;
             _ = stream.readable(), if room => {
@@ -215,18 +231,20 @@
             }
             _ = stream.writable(), if writing => {}
             () = client.wake.notified() => {}
-            () = std::future::ready(()), if waiting && client.dismissed.get() => {
+            () = std::future::ready(()), if waiting && dismissed => {
                 // Guards against closing on a request that has come and is not read yet: it counts as taken.
                 if !room || !arrival::waits(stream) {
                     return false;
                 }
                 yield_now().await;
             }
-            () = until(clock, bound), if bound.is_finite() => {
+            () = until(clock, by), if by.is_finite() && !(waiting && dismissed) => {
                 if writing {
                     return false;
                 }
-                talk.lose("requests{half_sent}", (408, "the request did not come in time"));
+                if half_sent {
+                    talk.lose("requests{half_sent}", (408, "the request did not come in time"));
+                }
             }
         }
     }
--- a/crates/router/src/memory/clients.rs
+++ b/crates/router/src/memory/clients.rs
@@ -58,13 +58,14 @@
         self.all.len()
     }
 
-    /// Dismisses the connection that has been idle longest, to make room for a new one; where none is idle,
-    /// one of which only part of a request has come for `patience` or longer.
+    /// Dismisses a connection to make room for a new one: the longest idle of those that have never sent a request,
+    /// else one of which only part of a request has come for `patience` or longer, else one that was of use.
     pub fn dismiss_oldest(&self, now: f64, patience: f64) {
         let idle = self.all.values().filter(|c| !c.dismissed.get());
-        let idle = idle.filter_map(|c| Some((c.half_sent.get(), c.idle.get()?, c)));
-        let idle = idle.filter(|(half, since, _)| !half || since + patience <= now);
-        let oldest = idle.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        let idle = idle.filter_map(|c| Some((c.used.get(), c.half_sent.get(), c.idle.get()?, c)));
+        let idle = idle.filter(|(_, half, since, _)| !half || since + patience <= now);
+        let rank = |used, half| if half { 1 } else { 2 * i32::from(used) };
+        let oldest = idle.min_by(|a, b| rank(a.0, a.1).cmp(&rank(b.0, b.1)).then(a.2.total_cmp(&b.2)));
         oldest.into_iter().for_each(|(.., client)| client.dismiss());
     }
 
--- a/crates/router/src/memory/descriptors.rs
+++ b/crates/router/src/memory/descriptors.rs
@@ -35,10 +35,11 @@
     }
 }
 
-/// The shares of clients and of data nodes, out of so many descriptors and so many bytes of memory. What all
-/// clients may make this program keep of half-sent requests is held to a quarter of the memory.
+/// The shares of clients and of data nodes, out of so many descriptors and so many bytes of memory. Clients get
+/// a third, which is what usual ones hold at most (LATER); what all of them may make this program keep of
+/// half-sent requests is held to a quarter of the memory.
 pub fn shares(limit: usize, memory: usize) -> (Rc<Share>, Rc<Share>) {
     let rest = limit.saturating_sub(APART).max(2);
-    let clients = (rest - rest / 2).min(memory / 4 / MESSAGE).max(1);
-    (Share::new(clients), Share::new(rest / 2))
+    let clients = (limit / 3).min(rest - rest / 2);
+    (Share::new(clients.min(memory / 4 / MESSAGE).max(1)), Share::new(rest - clients))
 }
--- a/crates/router/src/requests.rs
+++ b/crates/router/src/requests.rs
@@ -47,7 +47,9 @@
     }
     let class = field("X-Service-Class", "X-Service-Class is missing")?;
     let left = field("X-Time-Left-Ms", "X-Time-Left-Ms is missing")?;
-    let left: u32 = left.parse().map_err(|_| (400, "X-Time-Left-Ms is not a whole number"))?;
+    let digits = left.bytes().all(|b| b.is_ascii_digit());
+    let left =
+        left.parse::<u32>().ok().filter(|_| digits).ok_or((400, "X-Time-Left-Ms is not a whole number"))?;
     let mut desk = desk.borrow_mut();
     let vertical = desk.verticals.iter().position(|v| v == class).ok_or((400, "an unknown vertical"))?;
     if desk.queries.is_open(id) {
--- a/crates/router/tests/desk.rs
+++ b/crates/router/tests/desk.rs
@@ -3,7 +3,7 @@
 use alderway::host::{Ending, Intake, NodeState, Writer};
 use alderway_deployment as deployment;
 use alderway_router::drive::{clients, nodes, rounds};
-use alderway_router::memory::clients::Client;
+use alderway_router::memory::clients::{Client, Clients};
 use alderway_router::memory::clock::Clock;
 use alderway_router::memory::descriptors;
 use alderway_router::memory::desk::{Desk, Dial};
@@ -361,6 +361,22 @@
     });
 }
 
+#[rstest]
+fn who_never_sent_a_request_makes_room_before_who_did() {
+    let mut all = Clients::default();
+    let [kept, silent, half, busy] = [0.0, 1.0, 0.5, 0.0].map(|at| all.arrive(at).1);
+    kept.used.set(true);
+    busy.idle.set(None);
+    half.half_sent.set(true);
+    for goes in [&silent, &half, &kept] {
+        assert!(!goes.dismissed.get());
+        all.dismiss_oldest(2.0, 0.25);
+        assert!(goes.dismissed.get());
+    }
+    all.dismiss_oldest(2.0, 0.25);
+    assert!(!busy.dismissed.get());
+}
+
 #[rstest]
 fn descriptors_come_back_when_their_holder_is_dropped() {
     let (clients, nodes) = descriptors::shares(32, usize::MAX);
@@ -372,4 +388,6 @@
     let (few, _) = descriptors::shares(1024, 4 * 1024 * 1024);
     let held: Vec<_> = std::iter::from_fn(|| few.take()).collect();
     assert!(held.len() < 20, "memory bounds half-sent requests too");
+    let most = descriptors::shares(384, usize::MAX).0;
+    assert_eq!(std::iter::from_fn(|| most.take()).collect::<Vec<_>>().len(), 128, "a third");
 }
--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -360,6 +360,13 @@
 #[case::unplaced_shard(&post("q", "site-search", &[40], 400), "400")]
 #[case::no_parts(&post("q", "site-search", &[], 400), "400")]
 #[case::no_time(&post("q", "site-search", &[1], 400).replace("X-Time-Left-Ms", "X"), "400")]
+#[case::time_in_words(&post("q", "site-search", &[1], 400).replace("Ms: 400", "Ms: soon"), "400")]
+#[case::time_with_sign(&post("q", "site-search", &[1], 400).replace("Ms: 400", "Ms: +400"), "400")]
+#[case::time_below_0(&post("q", "site-search", &[1], 400).replace("Ms: 400", "Ms: -400"), "400")]
+#[case::no_id(&post("", "site-search", &[1], 400), "400")]
+#[case::shares_short_of_1(&post("q", "site-search", &[1, 2], 400).replace("0.5", "0.4"), "400")]
+#[case::shares_past_1(&post("q", "site-search", &[1, 2], 400).replace("0.5", "0.6"), "400")]
+#[case::share_past_1(&post("q", "site-search", &[1], 400).replace(":1,\"est", ":3,\"est"), "400")]
 #[case::id_in_words(&post("a b", "site-search", &[1], 400), "400")]
 #[case::not_json(&post("q", "site-search", &[1], 400).replace("\"query\"", "'query'"), "400")]
 fn a_request_out_of_form_is_told_so_and_the_connection_kept(#[case] request: &str, #[case] status: &str) {
@@ -376,15 +383,26 @@
 #[case::too_large("POST /api HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", "413")]
 #[case::no_framing("POST /api HTTP/1.1\r\nContent-Length: x\r\n\r\n", "400")]
 #[case::no_request("hello\r\n\r\n", "505")]
+#[case::length_and_chunks(
+    &(post("a", "site-search", &[1], 400).replace("Host", "Transfer-Encoding: chunked\r\nHost")
+        + "0\r\n\r\n" + &post("b", "site-search", &[1], 400)),
+    "400"
+)]
+#[case::endless_head(&format!("POST /api HTTP/1.1\r\nX: {}", "x".repeat(20_000)), "431")]
+#[case::endless_body(
+    &format!("POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n11170\r\n{}", "x".repeat(70_000)),
+    "413"
+)]
 fn where_the_framing_is_lost_the_connection_closes_after_the_answer(
     #[case] request: &str,
     #[case] status: &str,
 ) {
-    let (program, _nodes, _agent) = started(1);
+    let (program, nodes, _agent) = started(1);
     let mut client = program.connect();
     client.send(request);
     assert_eq!(client.status(), status);
     client.ended();
+    assert!(nodes.frames.try_recv().is_err(), "nothing behind it is read as a request");
 }
 
 #[rstest]
@@ -562,6 +580,14 @@
     client.ask("q", &[0], 4000);
     assert_eq!(nodes.serve().0, ["q.0"]);
     assert_eq!(client.status(), "200");
+    // Nor does it keep its place: an answer that gets no further ends its connection.
+    let began = Instant::now();
+    while program.counters()["clients_open"] > 2 {
+        assert!(began.elapsed() < Duration::from_millis(4500));
+        thread::sleep(Duration::from_millis(50));
+        client.send("GET /up HTTP/1.1\r\n\r\n");
+        assert_eq!(client.status(), "200");
+    }
 }
 
 #[rstest]
@@ -804,16 +830,25 @@
 }
 
 #[rstest]
-fn a_half_sent_request_is_waited_for_no_longer_than_any_client_waits() {
-    let (nodes, agent) = (Nodes::new(1), Agent::new());
-    let brief = settings(200, 180).replace("5000000", "300000");
-    let program = Program::start(&nodes.addresses, agent.address, &brief, "{}");
-    let mut client = program.connect();
-    let request = post("q", "site-search", &[1], 300);
-    client.send(&request[..request.len() - 1]);
-    assert_eq!(client.status(), "408");
-    client.ended();
-    assert!(nodes.frames.try_recv().is_err());
+fn silent_and_half_sent_connections_end_within_three_seconds() {
+    let (program, nodes, _agent) = started(1);
+    let (began, request) = (Instant::now(), post("q", "site-search", &[1], 4000));
+    let (silent, mut half, mut kept, mut open) =
+        (program.connect(), program.connect(), program.connect(), program.connect());
+    half.send(&request[..request.len() - 1]);
+    kept.send("GET /up HTTP/1.1\r\n\r\n");
+    assert_eq!(kept.status(), "200");
+    open.ask("a", &[0], 4000);
+    let mut held = nodes.next('S');
+    silent.ended();
+    kept.ended();
+    assert_eq!(half.status(), "408");
+    half.ended();
+    let took = began.elapsed();
+    // The longest deadline is 5 s.
+    assert!((2.0..4.5).contains(&took.as_secs_f64()), "{took:?}");
+    reply(&mut held.stream, "a.0 done 1 -\nv");
+    assert_eq!(open.status(), "200", "a query is waited for");
 }
 
 #[rstest]
