--- a/crates/router/src/memory/desk.rs
+++ b/crates/router/src/memory/desk.rs
@@ -196,11 +196,11 @@
         if let Some(record) = self.roster.nodes.get_mut(&node) {
             record.fresh.retain(|fresh| fresh != id);
         }
-        let (now, longest) = (self.clock.now(), self.room.deadline);
+        let (now, longest, dial) = (self.clock.now(), self.room.deadline, self.trunk.dial);
         if let Some(line) = line.and_then(|l| self.roster.line(&node, l)) {
             match line.place(id) {
                 Place::Waiting => line.take_back(id),
-                Place::Out => line.give_up(id, now, now + longest),
+                Place::Out => line.give_up(id, now, now + longest, dial),
                 Place::Begun => {
                     line.cut = true;
                     line.wake.notify_one();
--- a/crates/router/src/memory/lines.rs
+++ b/crates/router/src/memory/lines.rs
@@ -29,10 +29,10 @@
     pub cut: bool,
     frames: VecDeque<Frame>,
     begun: Option<Frame>,
-    /// Parts whose frame has gone out whole and that are unanswered, with the call's number and when it went.
-    out: BTreeMap<Rc<str>, (usize, f64)>,
-    /// When anything came last.
-    heard: f64,
+    /// Parts whose frame has gone out whole and that are unanswered, with the call's number.
+    out: BTreeMap<Rc<str>, usize>,
+    /// Since when calls have gone out and nothing has come.
+    unheard: Option<f64>,
     /// Parts given up whose reply may still come, with the moment from which none can: it must not be read as
     /// that of a later call, nor as a reply for a part that nobody sent.
     given_up: BTreeMap<Rc<str>, f64>,
@@ -88,14 +88,15 @@
     /// The last byte of the frame that had begun is written.
     pub fn written(&mut self, now: f64) {
         if let Some(Frame::Call(parts)) = self.begun.take() {
-            self.out.extend(parts.into_iter().map(|(part, hop)| (part, (hop, now))));
+            self.out.extend(parts);
+            self.unheard.get_or_insert(now);
         }
     }
 
     pub fn place(&self, id: &CallId) -> Place {
         let holds = |f: &Frame| matches!(f, Frame::Call(parts) if parts.contains(id));
         match () {
-            _ if self.out.get(&id.0).is_some_and(|call| call.0 == id.1) => Place::Out,
+            _ if self.out.get(&id.0) == Some(&id.1) => Place::Out,
             _ if self.begun.as_ref().is_some_and(holds) => Place::Begun,
             _ if self.frames.iter().any(holds) => Place::Waiting,
             _ => Place::Nowhere,
@@ -112,13 +113,13 @@
         self.frames.retain(|f| !matches!(f, Frame::Call(parts) if parts.is_empty()));
     }
 
-    /// Gives up a part that is out; its reply may still come `until` then.
-    pub fn give_up(&mut self, id: &CallId, now: f64, until: f64) {
-        if let Some((_, written)) = self.out.remove(&id.0) {
-            // Guards against a connection that has fallen silent while its data node goes on: calls that took
-            // its places one after the other would make the node look silent. It hurts a paused node's: one
-            // more dial.
-            self.retired |= self.heard < written;
+    /// Gives up a part that is out; its reply may still come `until` then. Guards against a connection that has
+    /// fallen silent while its data node goes on: it has the most places free, and calls that took them one
+    /// after the other would make the node look silent. After `patience` it takes no new call, which costs a
+    /// node that only paused one more dial.
+    pub fn give_up(&mut self, id: &CallId, now: f64, until: f64, patience: f64) {
+        if self.out.remove(&id.0).is_some() {
+            self.retired |= self.unheard.is_some_and(|since| since + patience <= now);
             self.given_up.retain(|_, until| *until > now);
             self.given_up.insert(id.0.clone(), until);
             self.idle_since = now;
@@ -129,8 +130,8 @@
     /// A reply has come; returns the number of the call that it ends, none where the part is over, or nothing
     /// at all for a part that is not asked for here.
     pub fn replied(&mut self, part: &str, now: f64) -> Option<Option<usize>> {
-        (self.idle_since, self.heard) = (now, now);
-        if let Some((part, (hop, _))) = self.out.remove_entry(part) {
+        (self.idle_since, self.unheard) = (now, None);
+        if let Some((part, hop)) = self.out.remove_entry(part) {
             self.answered = Some(part);
             return Some(Some(hop));
         }
@@ -141,6 +142,6 @@
     /// The parts that had not gone out whole when the connection ended, and those that had.
     pub fn remains(self) -> (Vec<CallId>, Vec<CallId>) {
         let unsent = self.in_frames().cloned().collect();
-        (unsent, self.out.into_iter().map(|(part, (hop, _))| (part, hop)).collect())
+        (unsent, self.out.into_iter().collect())
     }
 }
--- a/crates/router/tests/desk.rs
+++ b/crates/router/tests/desk.rs
@@ -226,14 +226,18 @@
 #[rstest]
 fn a_connection_that_fell_silent_gets_no_further_call() {
     let mut desk = desk();
+    desk.trunk.dial = 0.05;
     take(&mut desk, "q", &[1, 2, 3, 4]);
     let silent = send(&mut desk, "s", &["q.1", "q.2"]).remove(0);
     up(&mut desk, &silent);
     write(&mut desk, &silent);
+    let pause = || std::thread::sleep(std::time::Duration::from_millis(60));
+    pause();
     desk.replied("s", silent.line, "q.1", Ending::Success, "v");
     desk.cancel("q.2", 0);
     assert!(send(&mut desk, "s", &["q.3"]).is_empty(), "heard since `q.2` went out: a slow part, no more");
     while write(&mut desk, &silent).is_some() {}
+    pause();
     desk.cancel("q.3", 0);
     assert_eq!(send(&mut desk, "s", &["q.4"]).len(), 1, "nothing heard since: another connection");
 }
