--- /dev/null
+++ b/crates/alderway/src/main.rs
@@ -0,0 +1,133 @@
+//! The command line: `alderway serve` runs a query router, `alderway check` reads what it would run by and says so.
+use alderway_operator::{self as operator, Count, LogForm, Operator};
+use alderway_router::life::logger::{self, Form};
+use alderway_router::life::{serve, start};
+use alderway_router::memory::clock::Clock;
+use alderway_router::memory::descriptors;
+use alderway_router::memory::house::Sharing;
+use clap::{Args, Parser, Subcommand};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+
+/// Reads many shards for one request.
+#[derive(Parser)]
+#[command(name = "alderway", version)]
+struct Line {
+    #[command(subcommand)]
+    verb: Verb,
+}
+
+#[derive(Subcommand)]
+enum Verb {
+    /// Runs a query router until SIGTERM
+    Serve(Files),
+    /// Reads and checks the files, and prints what would run
+    Check(Files),
+}
+
+#[derive(Args)]
+struct Files {
+    /// The operator's file; without it the router runs as on the platform
+    #[arg(long, value_name = "FILE")]
+    operator: Option<PathBuf>,
+    /// The configuration in JSON
+    #[arg(long, value_name = "FILE", env = "PROXY_CONFIG")]
+    config: PathBuf,
+}
+
+/// What a router runs by.
+struct Plan {
+    station: start::Station,
+    sharing: Sharing,
+    form: Form,
+    operator: Operator,
+}
+
+/// What the operator's file says, and its text.
+fn operator_at(path: Option<&Path>) -> Result<(Operator, String), String> {
+    let Some(path) = path else { return Ok(Default::default()) };
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|why| format!("{name}: {why}"))?;
+    Ok((operator::read(&name, &text)?, text))
+}
+
+/// At a reload: whether the file now says something else. One that has not changed is not evaluated again.
+fn says_else(path: &Path, held: &Operator, held_text: &str) -> Result<bool, String> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|why| format!("{name}: {why}"))?;
+    Ok(text != held_text && operator::read(&name, &text)? != *held)
+}
+
+fn plan(files: &Files, clock: Clock) -> Result<Plan, String> {
+    let (operator, text) = operator_at(files.operator.as_deref())?;
+    let mut station = start::read_at(&files.config, clock)?;
+    if let Some(path) = files.operator.clone() {
+        let held = operator.clone();
+        station.beside = Some(Arc::new(move || says_else(&path, &held, &text)));
+    }
+    let cores = match operator.cores.count {
+        Count::Cores(cores) => cores,
+        Count::All => std::thread::available_parallelism().map_or(1, usize::from).min(operator::MOST_CORES),
+    };
+    let least = descriptors::least(cores);
+    if station.sockets < least {
+        return Err(format!("key `limits.sockets`: {cores} cores need {least} at least"));
+    }
+    let (node_connections, evidence) = (operator.cores.node_connections, operator.cores.evidence);
+    if node_connections.is_some_and(|most| most < cores) {
+        return Err(format!("`cores`: `node_connections` leaves some of {cores} cores without any"));
+    }
+    let form = match operator.log {
+        LogForm::Text => Form::Text,
+        LogForm::Json => Form::Json,
+    };
+    Ok(Plan { station, sharing: Sharing { cores, node_connections, evidence }, form, operator })
+}
+
+fn show(plan: &Plan) -> String {
+    let Plan { station, sharing, operator, .. } = plan;
+    let most = sharing.node_connections.map_or("as calls need".to_string(), |most| most.to_string());
+    let told = if sharing.cores > 1 && sharing.evidence { "told between cores" } else { "each core's own" };
+    [
+        ("name", station.name.clone()),
+        ("listens at", station.listen.to_string()),
+        ("discovery", station.discovery.to_string()),
+        ("data nodes known", station.roster.nodes.len().to_string()),
+        ("verticals", station.verticals.join(", ")),
+        ("queries and parts held", station.room.room.to_string()),
+        ("descriptors", station.sockets.to_string()),
+        ("memory", format!("{} MiB", station.memory / 1024 / 1024)),
+        ("cores", sharing.cores.to_string()),
+        ("connections to a data node", most),
+        ("evidence of data nodes", told.to_string()),
+        ("log", format!("{:?}", operator.log).to_lowercase()),
+    ]
+    .map(|(what, value)| format!("{what}: {value}\n"))
+    .concat()
+}
+
+fn main() -> ExitCode {
+    let clock = Clock::default();
+    let verb = Line::parse().verb;
+    let (Verb::Serve(files) | Verb::Check(files)) = &verb;
+    let plan = match plan(files, clock) {
+        Ok(plan) => plan,
+        Err(why) => {
+            eprintln!("alderway: {why}");
+            return ExitCode::from(2);
+        }
+    };
+    if let Verb::Check(_) = verb {
+        print!("{}", show(&plan));
+        return ExitCode::SUCCESS;
+    }
+    logger::start(plan.form);
+    match serve::serve(plan.station, plan.sharing, clock) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("alderway: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/cores/src/board.rs
@@ -0,0 +1,45 @@
+//! The newest evidence of each data node, kept by the lead for cores that start anew. Evidence that has run out is
+//! given back, as is that of nodes that the roster no longer names.
+use alderway::host::Evidence;
+use std::collections::BTreeMap;
+
+#[derive(Default)]
+pub struct Board(BTreeMap<String, Evidence>);
+
+fn ends(word: &Evidence) -> f64 {
+    word.seen + word.late.max(word.far).max(word.sick)
+}
+
+impl Board {
+    /// Takes in what a core told; older word than is held says nothing.
+    pub fn note(&mut self, node: &str, word: Evidence) {
+        if self.0.get(node).is_some_and(|held| held.started == word.started && held.seen >= word.seen) {
+            return;
+        }
+        // Word that a node is sound ends what was held against it, and is no more than that.
+        if ends(&word) <= word.seen {
+            self.0.remove(node);
+        } else {
+            self.0.insert(node.into(), word);
+        }
+    }
+
+    /// Keeps nodes that are named, and what has not run out.
+    pub fn sweep(&mut self, now: f64, named: impl Fn(&str) -> bool) {
+        self.0.retain(|node, word| named(node) && ends(word) > now);
+    }
+
+    /// What a core that starts now should hear.
+    pub fn tell(&self, now: f64) -> Vec<(String, Evidence)> {
+        let holds = self.0.iter().filter(|(_, word)| ends(word) > now);
+        holds.map(|(node, word)| (node.clone(), *word)).collect()
+    }
+
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/cores/src/lib.rs
@@ -0,0 +1,19 @@
+//! What the cores of one query router share, and what is decided about them. A program that serves on several
+//! cores has one thread a core, each with its own clients, connections to data nodes and decision module, and one
+//! thread more, the lead, which follows discovery, accepts connections and watches over the cores. This package
+//! holds their common ground, free of I/O and clocks: times are passed in, seconds of one clock that all threads
+//! read. It never opens a socket, starts a thread, waits or takes a lock; what several threads touch is a single
+//! atomic each.
+//!
+//! - `ids`: which query ids are open on any core.
+//! - `pool`: stated amounts (room, descriptors) that hold for the whole program at every instant.
+//! - `fence`: whether a core knows all that it must know before it sends something new.
+//! - `board`: the newest evidence of each data node, for a core that starts anew.
+//! - `crew`: which cores serve, hang or have failed, who gets the next connection, when one is given up.
+//! - `balance`: which connections move from a busy core to one with time.
+pub mod balance;
+pub mod board;
+pub mod crew;
+pub mod fence;
+pub mod ids;
+pub mod pool;
--- /dev/null
+++ b/crates/lab/src/fleet.rs
@@ -0,0 +1,302 @@
+//! Data nodes on sockets: each listens on a port of its own, many share a thread. They count what came to each, and
+//! when a call last did.
+use crate::model::{Fault, Job, Make, Node, Verdict};
+use crate::{Clock, value};
+use alderway_router::wire::buffer::Buffer;
+use alderway_router::wire::frames;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::sync::mpsc;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, mpsc as orders};
+use tokio::task::{LocalSet, spawn_local};
+
+/// What a node has met, for whoever watches from another thread.
+#[derive(Default)]
+pub struct Met {
+    pub parts: AtomicU64,
+    pub given_up: AtomicU64,
+    pub connections: AtomicU64,
+    pub open: AtomicU64,
+    /// Microseconds of the laboratory's clock at which a call last came.
+    pub last_call: AtomicU64,
+    /// Parts that came a second time, of which each was to run once.
+    pub again: AtomicU64,
+}
+
+/// One node as the trial holds it.
+pub struct Handle {
+    pub name: String,
+    pub address: SocketAddr,
+    pub met: Arc<Met>,
+    faults: orders::UnboundedSender<Fault>,
+}
+
+impl Handle {
+    pub fn set(&self, fault: Fault) {
+        let _ = self.faults.send(fault);
+    }
+
+    pub fn last_call(&self) -> f64 {
+        self.met.last_call.load(Relaxed) as f64 / 1e6
+    }
+}
+
+/// Nodes that run until this is dropped.
+pub struct Fleet {
+    pub nodes: Vec<Handle>,
+    stop: Arc<AtomicBool>,
+    wakes: Vec<orders::UnboundedSender<()>>,
+    threads: Vec<std::thread::JoinHandle<()>>,
+}
+
+impl Fleet {
+    /// So many nodes on so many threads; `once` counts parts that come again.
+    pub fn start(
+        count: usize,
+        threads: usize,
+        make: &Make,
+        seed: u64,
+        clock: Clock,
+        once: bool,
+    ) -> std::io::Result<Fleet> {
+        let (stop, threads) = (Arc::new(AtomicBool::new(false)), threads.clamp(1, count.max(1)));
+        let mut fleet = Fleet { nodes: vec![], stop, wakes: vec![], threads: vec![] };
+        let (sender, ready) = mpsc::channel();
+        for thread in 0..threads {
+            let (wake, mut woken) = orders::unbounded_channel();
+            fleet.wakes.push(wake);
+            let (sender, make, stop) = (sender.clone(), make.clone(), fleet.stop.clone());
+            let mine: Vec<usize> = (0..count).filter(|n| n % threads == thread).collect();
+            fleet.threads.push(std::thread::spawn(move || {
+                let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+                let Ok(runtime) = runtime else { return };
+                LocalSet::new().block_on(&runtime, async {
+                    for n in mine {
+                        let made = listen(n, make.clone(), seed ^ (n as u64) << 32, clock, once).await;
+                        if sender.send((n, made)).is_err() {
+                            return;
+                        }
+                    }
+                    drop(sender);
+                    while !stop.load(Relaxed) && woken.recv().await.is_some() {}
+                });
+            }));
+        }
+        drop(sender);
+        let mut made: BTreeMap<usize, Handle> = BTreeMap::new();
+        for (n, handle) in ready.iter().take(count) {
+            made.insert(n, handle?);
+        }
+        fleet.nodes = made.into_values().collect();
+        Ok(fleet)
+    }
+
+    pub fn parts(&self) -> Vec<u64> {
+        self.nodes.iter().map(|n| n.met.parts.load(Relaxed)).collect()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.stop.store(true, Relaxed);
+        for wake in &self.wakes {
+            let _ = wake.send(());
+        }
+        self.threads.drain(..).for_each(|t| drop(t.join()));
+    }
+}
+
+/// A part that is taken: where its reply goes, its id, its shard and the query's text.
+type Part = (Rc<Line>, Rc<str>, u32, Rc<str>);
+
+/// A node and who waits for its replies.
+struct Stand {
+    node: Node,
+    jobs: HashMap<Job, Part>,
+    wake: Rc<Notify>,
+    seen: std::collections::HashSet<String>,
+}
+
+/// One connection: what is to be written, and parts out on it.
+#[derive(Default)]
+struct Line {
+    out: RefCell<Vec<u8>>,
+    jobs: RefCell<HashMap<Rc<str>, Job>>,
+    wake: Notify,
+}
+
+async fn listen(n: usize, make: Make, seed: u64, clock: Clock, once: bool) -> std::io::Result<Handle> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let (address, met) = (listener.local_addr()?, Arc::new(Met::default()));
+    let (faults, mut set) = orders::unbounded_channel();
+    let stand = Rc::new(RefCell::new(Stand {
+        node: Node::new(make, seed, f64::NEG_INFINITY),
+        jobs: HashMap::new(),
+        wake: Rc::default(),
+        seen: Default::default(),
+    }));
+    let handle = Handle { name: format!("s-{n}"), address, met: met.clone(), faults };
+    let (faulty, replies) = (stand.clone(), stand.clone());
+    spawn_local(async move {
+        while let Some(fault) = set.recv().await {
+            faulty.borrow_mut().node.set(fault, clock.now());
+            faulty.borrow().wake.notify_one();
+        }
+    });
+    spawn_local(reply(replies, clock));
+    spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let _ = stream.set_nodelay(true);
+            met.connections.fetch_add(1, Relaxed);
+            met.open.fetch_add(1, Relaxed);
+            let (stand, met) = (stand.clone(), met.clone());
+            spawn_local(async move {
+                speak(&stand, &met, stream, clock, once).await;
+                met.open.fetch_sub(1, Relaxed);
+            });
+        }
+    });
+    Ok(handle)
+}
+
+/// Sends what falls due.
+async fn reply(stand: Rc<RefCell<Stand>>, clock: Clock) {
+    let wake = stand.borrow().wake.clone();
+    loop {
+        let due = {
+            let mut stand = stand.borrow_mut();
+            for job in stand.node.due(clock.now()) {
+                let Some((line, id, shard, text)) = stand.jobs.remove(&job) else { continue };
+                line.jobs.borrow_mut().remove(&id);
+                answer(&line, &id, "done", &value(&text, shard));
+            }
+            stand.node.next()
+        };
+        match due {
+            Some(at) => tokio::select! {
+                () = wake.notified() => {}
+                () = tokio::time::sleep_until(clock.at(at)) => {}
+            },
+            None => wake.notified().await,
+        }
+    }
+}
+
+fn answer(line: &Line, id: &str, end: &str, value: &str) {
+    let text = format!("{id} {end} 17 -\n{value}");
+    let mut out = line.out.borrow_mut();
+    out.extend_from_slice(&(text.len() as u32 + 1).to_be_bytes());
+    out.push(b'R');
+    out.extend_from_slice(text.as_bytes());
+    line.wake.notify_one();
+}
+
+async fn speak(stand: &Rc<RefCell<Stand>>, met: &Met, stream: TcpStream, clock: Clock, once: bool) {
+    let (line, mut buffer, mut written) = (Rc::new(Line::default()), Buffer::new(1 << 20), 0);
+    loop {
+        {
+            let mut out = line.out.borrow_mut();
+            if written < out.len() {
+                match stream.try_write(&out[written..]) {
+                    Ok(count) => written += count,
+                    Err(why) if why.kind() == ErrorKind::WouldBlock => {}
+                    Err(_) => break,
+                }
+            }
+            if written == out.len() {
+                out.clear();
+                written = 0;
+            }
+        }
+        let writing = !line.out.borrow().is_empty();
+        tokio::select! {
+            ready = stream.readable() => if ready.is_err() { break },
+            _ = stream.writable(), if writing => continue,
+            () = line.wake.notified() => continue,
+        }
+        match stream.try_read(buffer.space()) {
+            Ok(0) => break,
+            Ok(count) => buffer.filled(count),
+            Err(why) if why.kind() == ErrorKind::WouldBlock => continue,
+            Err(_) => break,
+        }
+        let mut reset = false;
+        loop {
+            let used = match frames::next(buffer.data()) {
+                Ok(Some((letter, rest, used))) => {
+                    reset |= !take(stand, met, &line, letter, rest, clock.now(), once);
+                    used
+                }
+                Ok(None) => break,
+                Err(_) => {
+                    reset = true;
+                    break;
+                }
+            };
+            buffer.used(used);
+        }
+        if reset {
+            let _ = stream.set_zero_linger();
+            break;
+        }
+    }
+    let mut stand = stand.borrow_mut();
+    for (_, job) in line.jobs.borrow_mut().drain() {
+        stand.node.give_up(job);
+        stand.jobs.remove(&job);
+    }
+}
+
+/// One frame; false where the connection is to be reset.
+fn take(
+    stand: &Rc<RefCell<Stand>>,
+    met: &Met,
+    line: &Rc<Line>,
+    letter: u8,
+    rest: &[u8],
+    now: f64,
+    once: bool,
+) -> bool {
+    let mut stand = stand.borrow_mut();
+    let Ok(mut rest) = std::str::from_utf8(rest) else { return false };
+    if letter == b'C' {
+        met.given_up.fetch_add(1, Relaxed);
+        if let Some(job) = line.jobs.borrow_mut().remove(rest) {
+            stand.node.give_up(job);
+            stand.jobs.remove(&job);
+        }
+        return true;
+    }
+    while let Some((head, tail)) = rest.split_once('\n') {
+        let mut words = head.split(' ');
+        let (id, shard) = (words.next().unwrap_or_default(), words.next().and_then(|s| s.parse().ok()));
+        let length = words.nth(1).and_then(|l| l.parse().ok()).filter(|&l| l <= tail.len());
+        let (Some(shard), Some(length)) = (shard, length) else { return false };
+        let (text, next) = tail.split_at(length);
+        rest = next;
+        met.parts.fetch_add(1, Relaxed);
+        met.last_call.store((now * 1e6) as u64, Relaxed);
+        if once && !stand.seen.insert(id.to_string()) {
+            met.again.fetch_add(1, Relaxed);
+        }
+        let (job, verdict) = stand.node.call(now);
+        match verdict {
+            Verdict::Taken => {
+                let id: Rc<str> = id.into();
+                line.jobs.borrow_mut().insert(id.clone(), job);
+                stand.jobs.insert(job, (line.clone(), id, shard, text.into()));
+            }
+            Verdict::Full => answer(line, id, "full", ""),
+            Verdict::Reset => return false,
+            Verdict::Never => {}
+        }
+    }
+    stand.wake.notify_one();
+    true
+}
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,229 @@
+//! The operator's file: one Starlark script that says how an installation departs from what the platform runs. It is
+//! evaluated once, with bounded steps, memory and depth, into plain values; it can read nothing, reach nothing and
+//! load no other file. `read` takes its text and gives the values, or one line that names the file, the line and what
+//! is at fault. Whatever the file does not say is as without a file.
+//!
+//! Each subject is a call, made once: `cores(count = 4)`, `log(form = "json")`. A name that is not known, a value of
+//! another type, a subject said twice and statements that contradict each other are refused.
+use starlark::any::ProvidesStaticType;
+use starlark::environment::{Globals, GlobalsBuilder, Module};
+use starlark::eval::Evaluator;
+use starlark::starlark_module;
+use starlark::syntax::{AstModule, Dialect};
+use starlark::values::Value;
+use starlark::values::none::NoneType;
+use std::cell::RefCell;
+use std::panic::{set_hook, take_hook};
+use std::sync::Once;
+use std::sync::mpsc::{RecvTimeoutError, channel};
+use std::thread::Builder;
+use std::time::Duration;
+
+/// Bounds of an evaluation: far beyond what any list of values needs, and over within a fraction of a second.
+const TICKS: u64 = 200_000;
+const HEAP: usize = 16 * 1024 * 1024;
+const DEPTH: usize = 32;
+const PATIENCE: Duration = Duration::from_secs(3);
+const THREAD: &str = "operator's file";
+/// A longer file is no list of values.
+const LONGEST: usize = 256 * 1024;
+/// A core is told apart by eight bits.
+pub const MOST_CORES: usize = 128;
+
+/// How many cores serve.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Count {
+    Cores(usize),
+    /// As many as the machine gives this program.
+    All,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cores {
+    pub count: Count,
+    /// Most connections to one data node, of all cores together; none: as many as their calls need.
+    pub node_connections: Option<usize>,
+    /// Whether cores tell each other what they saw of data nodes.
+    pub evidence: bool,
+}
+
+impl Default for Cores {
+    fn default() -> Self {
+        Cores { count: Count::Cores(1), node_connections: None, evidence: true }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum LogForm {
+    #[default]
+    Text,
+    Json,
+}
+
+/// All that an operator's file may say.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Operator {
+    pub cores: Cores,
+    pub log: LogForm,
+}
+
+/// What has been said so far.
+#[derive(Debug, Default, ProvidesStaticType)]
+struct Said {
+    cores: RefCell<Option<Cores>>,
+    log: RefCell<Option<LogForm>>,
+}
+
+fn said<'a>(eval: &Evaluator<'_, 'a, '_>) -> anyhow::Result<&'a Said> {
+    eval.extra
+        .and_then(|e| e.downcast_ref::<Said>())
+        .ok_or_else(|| anyhow::anyhow!("not evaluated as a file"))
+}
+
+/// Keeps what a subject says; each is said once, so that no line of the file undoes another unseen.
+fn once<T>(slot: &RefCell<Option<T>>, subject: &str, value: T) -> anyhow::Result<NoneType> {
+    match slot.borrow_mut().replace(value) {
+        None => Ok(NoneType),
+        Some(_) => Err(anyhow::anyhow!("`{subject}`: said twice")),
+    }
+}
+
+fn whole(subject: &str, name: &str, value: Value, least: usize, most: usize) -> anyhow::Result<usize> {
+    let given =
+        value.unpack_i32().and_then(|v| usize::try_from(v).ok()).filter(|v| (least..=most).contains(v));
+    given.ok_or_else(|| {
+        anyhow::anyhow!(
+            "`{subject}`: `{name}` is a whole number from {least} to {most}, found {}",
+            value.to_repr()
+        )
+    })
+}
+
+fn flag(subject: &str, name: &str, value: Value) -> anyhow::Result<bool> {
+    let given = value.unpack_bool();
+    given.ok_or_else(|| anyhow::anyhow!("`{subject}`: `{name}` is True or False, found {}", value.to_repr()))
+}
+
+#[starlark_module]
+fn subjects(globals: &mut GlobalsBuilder) {
+    /// How many cores serve and how they share.
+    fn cores<'v>(
+        #[starlark(require = named)] count: Value<'v>,
+        #[starlark(require = named)] node_connections: Option<Value<'v>>,
+        #[starlark(require = named)] evidence: Option<Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        let count = match count.unpack_str() {
+            Some("all") => Count::All,
+            Some(word) => {
+                return Err(anyhow::anyhow!("`cores`: `count` is a number or \"all\", found \"{word}\""));
+            }
+            None => Count::Cores(whole("cores", "count", count, 1, MOST_CORES)?),
+        };
+        let node_connections = node_connections.filter(|v| !v.is_none());
+        let node_connections =
+            node_connections.map(|v| whole("cores", "node_connections", v, 1, 65_536)).transpose()?;
+        if let (Count::Cores(cores), Some(most)) = (count, node_connections)
+            && most < cores
+        {
+            return Err(anyhow::anyhow!(
+                "`cores`: `node_connections` of {most} leaves some of {cores} cores without any"
+            ));
+        }
+        let evidence = evidence.map_or(Ok(true), |v| flag("cores", "evidence", v))?;
+        once(&said(eval)?.cores, "cores", Cores { count, node_connections, evidence })
+    }
+
+    /// How the log is written.
+    fn log<'v>(
+        #[starlark(require = named)] form: Value<'v>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        let form = match form.unpack_str() {
+            Some("text") => LogForm::Text,
+            Some("json") => LogForm::Json,
+            _ => {
+                return Err(anyhow::anyhow!(
+                    "`log`: `form` is \"text\" or \"json\", found {}",
+                    form.to_repr()
+                ));
+            }
+        };
+        once(&said(eval)?.log, "log", form)
+    }
+}
+
+/// Reads a file's text; `name` is how errors call it.
+///
+/// Steps and memory are counted between steps only. Guards against one step that asks for gigabytes, as a text
+/// multiplied by a million times a million does: the script runs on a thread of its own, whose panic is an error and
+/// whose end is not waited for beyond a bound.
+pub fn read(name: &str, text: &str) -> Result<Operator, String> {
+    if text.len() > LONGEST {
+        return Err(format!("{name}: longer than {LONGEST} bytes"));
+    }
+    quiet();
+    let (sender, result) = channel();
+    let (owned_name, owned_text) = (name.to_string(), text.to_string());
+    let thread = Builder::new().name(THREAD.into());
+    thread
+        .spawn(move || sender.send(evaluate(&owned_name, &owned_text)))
+        .map_err(|why| format!("{name}: no thread to evaluate it on ({why})"))?;
+    result.recv_timeout(PATIENCE).unwrap_or_else(|why| {
+        Err(match why {
+            RecvTimeoutError::Timeout => format!("{name}: not evaluated within {} s", PATIENCE.as_secs()),
+            RecvTimeoutError::Disconnected => format!("{name}: asks for more memory than a file may"),
+        })
+    })
+}
+
+/// A script's panic is told as an error, not as a trace.
+fn quiet() {
+    static ONCE: Once = Once::new();
+    ONCE.call_once(|| {
+        let usual = take_hook();
+        set_hook(Box::new(move |about| {
+            if std::thread::current().name() != Some(THREAD) {
+                usual(about);
+            }
+        }));
+    });
+}
+
+fn evaluate(name: &str, text: &str) -> Result<Operator, String> {
+    let dialect = Dialect { enable_load: false, enable_top_level_stmt: true, ..Dialect::Standard };
+    let ast = AstModule::parse(name, text.to_string(), &dialect).map_err(|why| line(name, &why))?;
+    let globals: Globals = GlobalsBuilder::standard().with(subjects).build();
+    let said = Said::default();
+    Module::with_temp_heap(|module| {
+        let mut eval = Evaluator::new(&module);
+        let bounded = (|| {
+            eval.set_max_tick_count(TICKS)?;
+            eval.set_max_heap_size(HEAP)?;
+            eval.set_max_callstack_size(DEPTH)
+        })();
+        bounded.map_err(|why| format!("{name}: {why}"))?;
+        // What a file prints is nobody's.
+        eval.set_print_handler(&Silent);
+        eval.extra = Some(&said);
+        eval.eval_module(ast, &globals).map(drop).map_err(|why| line(name, &why))
+    })?;
+    let (cores, log) = (said.cores.take().unwrap_or_default(), said.log.take().unwrap_or_default());
+    Ok(Operator { cores, log })
+}
+
+struct Silent;
+
+impl starlark::PrintHandler for Silent {
+    fn println(&self, _: &str) -> starlark::Result<()> {
+        Ok(())
+    }
+}
+
+/// One line: the file, the line where there is one, and what is at fault.
+fn line(name: &str, why: &starlark::Error) -> String {
+    let at = why.span().map(|span| format!(":{}", span.resolve_span().begin.line + 1));
+    let text = why.without_diagnostic().to_string();
+    let text: Vec<&str> = text.split_whitespace().collect();
+    format!("{name}{}: {}", at.unwrap_or_default(), text.join(" "))
+}
--- a/crates/router/src/drive/clients.rs
+++ b/crates/router/src/drive/clients.rs
@@ -4,6 +4,7 @@
 use crate::memory::clients::Client;
 use crate::memory::clock::Clock;
 use crate::memory::descriptors::{Held, Share};
+use crate::memory::house::{Order, Passenger};
 use crate::requests;
 use crate::wire::answer;
 use crate::wire::buffer::Buffer;
@@ -11,6 +12,7 @@
 use std::io::ErrorKind;
 use std::ops::ControlFlow;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -28,14 +30,32 @@
 /// still sends does not reset the answer on its way.
 const LINGER: Duration = Duration::from_millis(500);
 
+/// Where accepted connections go.
+pub trait Door {
+    /// Closes an idle connection, so that a descriptor comes free.
+    fn make_room(&self);
+    fn take(&self, stream: TcpStream, held: Held) -> impl Future<Output = ()>;
+}
+
+/// The door of a program on one core.
+impl Door for Shared {
+    fn make_room(&self) {
+        let (now, patience) = (self.borrow().clock.now(), self.borrow().trunk.dial);
+        self.borrow().clients.dismiss_oldest(now, patience);
+    }
+
+    async fn take(&self, stream: TcpStream, held: Held) {
+        drop(spawn_local(serve(self.clone(), stream, held, false)));
+    }
+}
+
 /// Accepts for as long as descriptors are left; idle connections make room. Ends with `close`, after taking
 /// in what the system had accepted by then.
-pub async fn listen(desk: Shared, listener: TcpListener, share: Rc<Share>, close: Rc<Notify>) {
+pub async fn listen(door: impl Door, listener: TcpListener, share: Arc<Share>, close: Rc<Notify>) {
     let mut closing = false;
     loop {
         let Some(held) = share.take() else {
-            let (now, patience) = (desk.borrow().clock.now(), desk.borrow().trunk.dial);
-            desk.borrow().clients.dismiss_oldest(now, patience);
+            door.make_room();
             let _ = timeout(PAUSE, share.released.notified()).await;
             continue;
         };
@@ -49,29 +69,70 @@
             () = std::future::ready(()), if closing => return,
         };
         match came {
-            Ok((stream, _)) => drop(spawn_local(serve(desk.clone(), stream, held))),
+            Ok((stream, _)) => door.take(stream, held).await,
             Err(why) => {
-                log::warn!(target: "accept", "no connection accepted: {why}");
+                tracing::warn!(target: "accept", "no connection accepted: {why}");
                 sleep(PAUSE).await;
             }
         }
     }
 }
 
+/// A connection that comes from the lead, or from another core between two of its requests.
+pub fn board(desk: &Shared, passenger: Passenger) {
+    let Passenger { stream, held, used } = passenger;
+    match TcpStream::from_std(stream) {
+        Ok(stream) => drop(spawn_local(serve(desk.clone(), stream, held, used))),
+        Err(why) => tracing::warn!(target: "accept", "a connection could not be taken over: {why}"),
+    }
+}
+
+/// How this side's part in a connection ends.
+enum End {
+    /// The client has ended it, or it is broken or idle.
+    Gone,
+    /// After an answer: what the client still sends must not reset it on its way.
+    Answered,
+    /// Another core goes on with it.
+    Moves(usize),
+}
+
 /// One connection from its first byte to its last.
-async fn serve(desk: Shared, mut stream: TcpStream, held: Held) {
+async fn serve(desk: Shared, mut stream: TcpStream, mut held: Held, used: bool) {
     let _ = stream.set_nodelay(true);
-    let (id, client) = {
+    let arrive = || {
         let mut desk = desk.borrow_mut();
-        desk.counters.one("clients{accepted}");
         let now = desk.clock.now();
         desk.clients.arrive(now)
     };
-    let linger = converse(&desk, &client, &stream).await;
+    if !used {
+        desk.borrow_mut().counters.one("clients{accepted}");
+    }
+    let (mut id, mut client) = arrive();
+    client.used.set(used);
+    let end = loop {
+        let to = match converse(&desk, &client, &stream).await {
+            End::Moves(to) => to,
+            end => break end,
+        };
+        // Nothing of it is open or read here: what the client sends next waits in the system for the new core.
+        desk.borrow_mut().clients.depart(id);
+        let Ok(socket) = stream.into_std() else { return };
+        let back = desk.borrow().house.send(to, Order::Serve(Passenger { stream: socket, held, used: true }));
+        let Err(Order::Serve(passenger)) = back else {
+            return desk.borrow_mut().counters.one("clients{moved}");
+        };
+        let Ok(again) = TcpStream::from_std(passenger.stream) else { return };
+        (stream, held) = (again, passenger.held);
+        (id, client) = arrive();
+        client.used.set(true);
+        desk.borrow_mut().giving = None;
+    };
     if let Some(number) = client.query.get() {
         desk.borrow_mut().client_left(number);
     }
     client.idle.set(None);
+    let linger = matches!(end, End::Answered);
     if linger && stream.shutdown().await.is_ok() {
         // As much as the longest request, so that nobody's endless body takes the core.
         let (mut rest, mut left) = ([0; 4096], MESSAGE);
@@ -144,8 +205,8 @@
     }
 
     /// Writes what the socket takes of an answer: goes on with whether all of it is out, or ends the
-    /// connection, with whether it ends after an answer.
-    fn write(&mut self) -> ControlFlow<bool, bool> {
+    /// connection.
+    fn write(&mut self) -> ControlFlow<End, bool> {
         let mut out = self.client.out.borrow_mut();
         match self.stream.try_write(&out[self.written..]) {
             Ok(count) => {
@@ -153,7 +214,7 @@
                 self.desk.borrow_mut().counters.add("bytes_to_clients", count);
             }
             Err(why) if why.kind() == ErrorKind::WouldBlock => {}
-            Err(_) => return ControlFlow::Break(false),
+            Err(_) => return ControlFlow::Break(End::Gone),
         }
         if self.written < out.len() {
             return ControlFlow::Continue(false);
@@ -161,7 +222,7 @@
         out.clear();
         self.written = 0;
         if self.client.closes.get() && self.client.query.get().is_none() {
-            return ControlFlow::Break(true);
+            return ControlFlow::Break(End::Answered);
         }
         ControlFlow::Continue(true)
     }
@@ -181,8 +242,8 @@
     }
 }
 
-/// Reads requests and writes answers; true when this side ends the connection after an answer.
-async fn converse(desk: &Shared, client: &Rc<Client>, stream: &TcpStream) -> bool {
+/// Reads requests and writes answers.
+async fn converse(desk: &Shared, client: &Rc<Client>, stream: &TcpStream) -> End {
     let (clock, dial) = (desk.borrow().clock, desk.borrow().trunk.dial);
     let (buffer, messages, accepted) = (Buffer::new(MESSAGE), Messages::default(), clock.now());
     let (written, lost, went_ahead) = (0, false, false);
@@ -194,8 +255,9 @@
         talk.take_requests();
         if !client.out.borrow().is_empty() {
             let before = talk.written;
+            client.served.set(true);
             match talk.write() {
-                ControlFlow::Break(linger) => return linger,
+                ControlFlow::Break(end) => return end,
                 ControlFlow::Continue(true) => continue,
                 ControlFlow::Continue(false) if talk.written > before => stuck = None,
                 ControlFlow::Continue(false) => {}
@@ -204,6 +266,13 @@
         let (open, writing) = (client.query.get().is_some(), !client.out.borrow().is_empty());
         let waiting = !open && !writing;
         let half_sent = waiting && !talk.buffer.is_empty();
+        if waiting && !talk.lost && talk.buffer.is_empty() && client.used.get() {
+            let giving = &mut desk.borrow_mut().giving;
+            if let Some((to, left)) = giving.filter(|(_, left)| *left > 0) {
+                *giving = Some((to, left - 1));
+                return End::Moves(to);
+            }
+        }
         let now = clock.now();
         let since = |mark: &mut Option<f64>, holds: bool| {
             *mark = holds.then(|| mark.unwrap_or(now));
@@ -226,7 +295,7 @@
             biased;
             _ = stream.readable(), if room => {
                 if !talk.read(clock) {
-                    return false;
+                    return End::Gone;
                 }
             }
             _ = stream.writable(), if writing => {}
@@ -234,13 +303,13 @@
             () = std::future::ready(()), if waiting && dismissed => {
                 // Guards against closing on a request that has come and is not read yet: it counts as taken.
                 if !room || !arrival::waits(stream) {
-                    return false;
+                    return End::Gone;
                 }
                 yield_now().await;
             }
             () = until(clock, by), if by.is_finite() && !(waiting && dismissed) => {
                 if writing {
-                    return false;
+                    return End::Gone;
                 }
                 if half_sent {
                     talk.lose("requests{half_sent}", (408, "the request did not come in time"));
--- /dev/null
+++ b/crates/router/src/drive/core.rs
@@ -0,0 +1,293 @@
+//! One core among several: a thread with a runtime, a desk, a module and clients of its own. It tends what the
+//! lead and the other cores send it; where its module or a driver of it fails, what is open is aborted and it
+//! tells the lead, which has it start anew.
+use super::{clients, rounds};
+use crate::life::start::Recipe;
+use crate::life::{logger, stop};
+use crate::memory::Shared;
+use crate::memory::clock::Clock;
+use crate::memory::descriptors::Share;
+use crate::memory::desk::Desk;
+use crate::memory::house::{House, Order, Word};
+use crate::memory::roster::Entry;
+use alderway_cores::board::Board;
+use alderway_deployment::{Intake, Trunk};
+use nix::time::{ClockId, clock_gettime};
+use std::cell::RefCell;
+use std::ops::ControlFlow;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
+use std::time::Duration;
+use tokio::runtime::{Builder, Runtime};
+use tokio::sync::broadcast::{Receiver as Gossip, error::RecvError};
+use tokio::sync::{mpsc, watch};
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+/// How often a core says how it is.
+pub const BEAT: Duration = Duration::from_millis(50);
+/// How long the last answers of a core that failed may take to go out.
+const FAREWELL: Duration = Duration::from_millis(200);
+
+/// The roster as the lead tells it to the cores.
+#[derive(Clone, Default)]
+pub struct Told {
+    pub number: u64,
+    pub entries: Arc<Vec<Entry>>,
+    /// How often following has failed.
+    pub failures: u64,
+}
+
+/// How far the program is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Phase {
+    Serving,
+    Stopping,
+    /// No new client comes any more.
+    Closed,
+}
+
+/// What a core tells the lead.
+pub enum Report {
+    Failed(usize, String),
+    Ended(usize),
+}
+
+/// What a core starts with, and again after a failure.
+pub struct Berth {
+    pub core: usize,
+    pub house: Arc<House>,
+    pub clock: Clock,
+    pub trunk: Trunk,
+    pub room: Intake,
+    pub verticals: Vec<String>,
+    pub module: Recipe,
+    pub for_nodes: Arc<Share>,
+    pub orders: mpsc::Receiver<Order>,
+    pub roster: watch::Receiver<Told>,
+    pub phase: watch::Receiver<Phase>,
+    pub reports: mpsc::UnboundedSender<Report>,
+    /// The lead's leave to start again.
+    pub again: mpsc::Receiver<()>,
+}
+
+/// Runs until the program stops, through failures.
+pub fn run(mut berth: Berth) {
+    logger::on_core(berth.core);
+    let mut gossip = berth.house.listen();
+    let mut board = Board::default();
+    loop {
+        let why = match Builder::new_current_thread().enable_all().build() {
+            Ok(runtime) => match life(&runtime, &mut berth, &mut gossip, &mut board) {
+                Ok(()) => break,
+                Err(why) => why,
+            },
+            Err(why) => format!("no runtime ({why})"),
+        };
+        if berth.reports.send(Report::Failed(berth.core, why)).is_err()
+            || berth.again.blocking_recv().is_none()
+        {
+            return;
+        }
+    }
+    let _ = berth.reports.send(Report::Ended(berth.core));
+}
+
+/// One life: from an empty desk to the end of the program, or to a failure and its last answers. What it counted
+/// and what others had told it outlive it.
+fn life(
+    runtime: &Runtime,
+    berth: &mut Berth,
+    gossip: &mut Option<Gossip<Word>>,
+    board: &mut Board,
+) -> Result<(), String> {
+    let local = LocalSet::new();
+    let (house, core) = (berth.house.clone(), berth.core);
+    let mut desk = Desk::on(house, core, berth.clock, berth.trunk, berth.room, berth.verticals.clone());
+    desk.counters = berth.house.seats[core].figures.borrow().counters.clone();
+    desk.board = std::mem::take(board);
+    let desk = Rc::new(RefCell::new(desk));
+    let lived = catch_unwind(AssertUnwindSafe(|| local.block_on(runtime, tend(&desk, berth, gossip))));
+    let why = match lived {
+        Ok(Ok(())) => return Ok(()),
+        Ok(Err(why)) => why,
+        Err(_) => "a driver panicked".into(),
+    };
+    // Guards against clients that would learn nothing: what is open here gets its final answer, as far as the
+    // desk is still whole.
+    let last = catch_unwind(AssertUnwindSafe(|| {
+        desk.borrow_mut().counters.one("core_failures");
+        desk.borrow_mut().closing = true;
+        desk.borrow_mut().abort_all();
+        desk.borrow().clients.dismiss_idle();
+        local.block_on(runtime, async {
+            let _ = tokio::time::timeout(FAREWELL, async {
+                while !desk.borrow().clients.is_empty() {
+                    sleep(Duration::from_millis(5)).await;
+                }
+            })
+            .await;
+        });
+        say(&desk, berth, None);
+        *board = std::mem::take(&mut desk.borrow_mut().board);
+    }));
+    // Connections and queries that are left go with their tasks, and what they held of the house with them.
+    let _ = catch_unwind(AssertUnwindSafe(|| drop(local)));
+    Err(if last.is_ok() { why } else { format!("{why}; its last answers could not be given") })
+}
+
+/// The share of its time that this thread has worked, smoothed over some beats.
+struct Work {
+    at: f64,
+    cpu: f64,
+    busy: f64,
+}
+
+impl Work {
+    fn cpu() -> f64 {
+        let time = clock_gettime(ClockId::CLOCK_THREAD_CPUTIME_ID).map(Duration::from);
+        time.unwrap_or_default().as_secs_f64()
+    }
+
+    fn look(&mut self, now: f64) -> f64 {
+        let cpu = Work::cpu();
+        if now > self.at {
+            self.busy += 0.2 * ((cpu - self.cpu) / (now - self.at) - self.busy);
+        }
+        (self.at, self.cpu) = (now, cpu);
+        self.busy
+    }
+}
+
+/// Says how this core is, for the lead and for whoever asks another core for the counters.
+fn say(desk: &Shared, berth: &Berth, work: Option<&mut Work>) {
+    let (now, seat, desk) = (berth.clock.now(), &berth.house.seats[berth.core], desk.borrow());
+    seat.clients.store(desk.clients.len(), Relaxed);
+    if let Some(work) = work {
+        seat.active.store(desk.clients.take_active(), Relaxed);
+        seat.busy.store((work.look(now) * 1e3) as u64, Relaxed);
+    }
+    seat.figures.send_replace(Arc::new(desk.own_figures()));
+    seat.beat.store((now * 1e3) as u64, Relaxed);
+}
+
+/// Tends a core until the stop is seen through, or something of it has failed.
+async fn tend(desk: &Shared, berth: &mut Berth, gossip: &mut Option<Gossip<Word>>) -> Result<(), String> {
+    adopt(desk, &berth.roster.borrow_and_update().clone());
+    desk.borrow_mut().roster.whole = true;
+    desk.borrow_mut().hear_board();
+    let module = berth.module.clone();
+    let mut rounds = spawn_local(rounds::run(desk.clone(), move || module(), berth.for_nodes.clone()));
+    let mut failures = berth.roster.borrow().failures;
+    let mut stopping: Option<JoinHandle<()>> = None;
+    if *berth.phase.borrow_and_update() != Phase::Serving {
+        stopping = Some(spawn_local(stop::see_through(desk.clone(), closed(berth.phase.clone()))));
+    }
+    let mut beats = interval(BEAT);
+    beats.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut work = Work { at: berth.clock.now(), cpu: Work::cpu(), busy: 0.0 };
+    loop {
+        tokio::select! {
+            biased;
+            // First of all the roster: after a pause nothing new goes out before it (the fence sees to that).
+            changed = berth.roster.changed() => {
+                if changed.is_err() {
+                    return Err("the lead is gone".into());
+                }
+                let told = berth.roster.borrow_and_update().clone();
+                adopt(desk, &told);
+                if std::mem::replace(&mut failures, told.failures) != told.failures {
+                    desk.borrow_mut().roster_failed();
+                }
+            }
+            ended = &mut rounds => return Err(match ended {
+                Ok(Err(why)) => format!("its module: {why}"),
+                _ => "its rounds panicked".into(),
+            }),
+            changed = berth.phase.changed(), if stopping.is_none() => {
+                if changed.is_ok() && *berth.phase.borrow_and_update() != Phase::Serving {
+                    let closed = closed(berth.phase.clone());
+                    stopping = Some(spawn_local(stop::see_through(desk.clone(), closed)));
+                }
+            }
+            seen = ended_of(&mut stopping) => {
+                say(desk, berth, None);
+                return seen.map_err(|_| "its stop panicked".into());
+            }
+            Some(order) = berth.orders.recv() => carry_out(desk, order),
+            word = heard(gossip) => {
+                if let ControlFlow::Continue(word) = word {
+                    if word.core != berth.core {
+                        desk.borrow_mut().hear(word);
+                    }
+                } else {
+                    desk.borrow_mut().counters.one("evidence_lost");
+                }
+            }
+            _ = beats.tick() => {
+                let mut held = desk.borrow_mut();
+                held.pass_fence();
+                let now = berth.clock.now();
+                let Desk { board, roster, .. } = &mut *held;
+                board.sweep(now, |node| roster.nodes.contains_key(node));
+                if berth.for_nodes.pool.is_short() {
+                    roster.retire_oldest();
+                }
+                drop(held);
+                say(desk, berth, Some(&mut work));
+                #[cfg(feature = "faults")]
+                play(desk.borrow_mut().fault.take());
+            }
+        }
+    }
+}
+
+/// Plays a fault that a test asks for: `hang MILLISECONDS` blocks the thread, `fail` panics.
+#[cfg(feature = "faults")]
+fn play(fault: Option<String>) {
+    match fault.as_deref().and_then(|f| f.strip_prefix("hang ")?.parse().ok()) {
+        Some(span) => std::thread::sleep(Duration::from_millis(span)),
+        None => assert!(fault.is_none(), "a test asked for it: {fault:?}"),
+    }
+}
+
+async fn ended_of(stopping: &mut Option<JoinHandle<()>>) -> Result<(), tokio::task::JoinError> {
+    match stopping {
+        Some(handle) => handle.await,
+        None => std::future::pending().await,
+    }
+}
+
+/// The next word of another core, or a break where words were lost.
+async fn heard(gossip: &mut Option<Gossip<Word>>) -> ControlFlow<(), Word> {
+    let Some(gossip) = gossip else { return std::future::pending().await };
+    match gossip.recv().await {
+        Ok(word) => ControlFlow::Continue(word),
+        Err(RecvError::Lagged(_)) => ControlFlow::Break(()),
+        Err(RecvError::Closed) => std::future::pending().await,
+    }
+}
+
+async fn closed(mut phase: watch::Receiver<Phase>) {
+    let _ = phase.wait_for(|phase| *phase == Phase::Closed).await;
+}
+
+fn adopt(desk: &Shared, told: &Told) {
+    let mut desk = desk.borrow_mut();
+    if told.number > desk.known {
+        desk.roster.adopt(&told.entries);
+        desk.known = told.number;
+        desk.roster_changed();
+        desk.pass_fence();
+    }
+}
+
+fn carry_out(desk: &Shared, order: Order) {
+    match order {
+        Order::Serve(passenger) => clients::board(desk, passenger),
+        Order::GiveAway { to, connections } => desk.borrow_mut().giving = Some((to, connections)),
+        Order::MakeRoom => clients::Door::make_room(desk),
+    }
+}
--- a/crates/router/src/drive/discovery.rs
+++ b/crates/router/src/drive/discovery.rs
@@ -1,61 +1,136 @@
 //! The driver of discovery's watch: through losses and silences to a new watch, while the old list holds.
+use super::arrival;
 use super::until;
-use crate::memory::Shared;
+use crate::memory::clock::Clock;
+use crate::memory::desk::Desk;
+use crate::memory::roster::Roster;
 use crate::wire::buffer::Buffer;
 use crate::wire::discovery::{self, Watch};
+use std::cell::RefCell;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::sync::watch::Receiver;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// PROTOCOL: an empty line comes every 2 s while nothing changes. A watch that misses one by half is lost.
 const SILENCE: f64 = 3.0;
 
+/// Whoever keeps the list: a core's desk, or the lead of several.
+pub trait Follower {
+    fn clock(&self) -> Clock;
+    /// Seconds that a dial may take, and whether the module asks to follow the list.
+    fn dial(&self) -> f64;
+    fn follows(&self) -> bool;
+    fn asked(&self) -> Arc<Notify>;
+    fn roster(&mut self) -> &mut Roster;
+    fn changed(&mut self);
+    fn watch_lost(&mut self);
+    fn moved(&mut self);
+    /// Whether `looked` is waited for: by other cores, which must not send by a list that may be out of date.
+    fn leads(&self) -> bool {
+        false
+    }
+    /// Nothing that discovery had sent by then is unread, or there is no watch.
+    fn looked(&mut self, _at: f64) {}
+}
+
+impl Follower for Desk {
+    fn clock(&self) -> Clock {
+        self.clock
+    }
+    fn dial(&self) -> f64 {
+        self.trunk.dial
+    }
+    fn follows(&self) -> bool {
+        self.room.follow
+    }
+    fn asked(&self) -> Arc<Notify> {
+        self.follow.clone()
+    }
+    fn roster(&mut self) -> &mut Roster {
+        &mut self.roster
+    }
+    fn changed(&mut self) {
+        self.roster_changed();
+    }
+    fn watch_lost(&mut self) {
+        self.counters.one("discovery_watches_lost");
+        if self.room.follow {
+            self.roster_failed();
+        }
+    }
+    fn moved(&mut self) {
+        self.counters.one("discovery_moves");
+    }
+}
+
+pub type Following = Rc<RefCell<dyn Follower>>;
+
+/// How often a follower hears that nothing is unread.
+const LOOKS: Duration = Duration::from_millis(100);
+
+/// Waits for something while there is no watch that could tell anything: the old list holds.
+async fn unwatched<T>(list: &Following, what: impl Future<Output = T>) -> T {
+    if !list.borrow().leads() {
+        return what.await;
+    }
+    let mut what = pin!(what);
+    loop {
+        let now = list.borrow().clock().now();
+        list.borrow_mut().looked(now);
+        if let Ok(done) = timeout(LOOKS, what.as_mut()).await {
+            return done;
+        }
+    }
+}
+
 /// Watches for as long as the program runs, at the address that `agent` holds. Where that changes the old watch
 /// ends at once and the new one begins; until it tells something, the old list holds.
-pub async fn run(desk: Shared, mut agent: Receiver<SocketAddr>) {
+pub async fn run(list: Following, mut agent: Receiver<SocketAddr>) {
     let (follow, asked, pause) = {
-        let desk = desk.borrow();
-        (desk.room.follow, desk.follow.clone(), Duration::from_secs_f64(desk.trunk.dial))
+        let list = list.borrow();
+        (list.follows(), list.asked(), Duration::from_secs_f64(list.dial()))
     };
     let mut moved = false;
     loop {
         if follow && !moved {
-            asked.notified().await;
+            unwatched(&list, asked.notified()).await;
         }
         let address = *agent.borrow_and_update();
         let why = tokio::select! {
-            why = watch(&desk, address) => why,
+            why = watch(&list, address) => why,
             Ok(()) = agent.changed() => {
                 moved = true;
-                desk.borrow_mut().counters.one("discovery_moves");
+                list.borrow_mut().moved();
                 continue;
             }
         };
         moved = false;
-        log::warn!(target: "discovery", "the watch is lost: {why}; the old list holds");
-        desk.borrow_mut().counters.one("discovery_watches_lost");
-        if follow {
-            desk.borrow_mut().roster_failed();
-        }
-        let _ = timeout(pause, agent.changed()).await;
+        tracing::warn!(target: "discovery", "the watch is lost: {why}; the old list holds");
+        list.borrow_mut().watch_lost();
+        let _ = unwatched(&list, timeout(pause, agent.changed())).await;
     }
 }
 
 /// One watch; returns why it ended.
-async fn watch(desk: &Shared, address: SocketAddr) -> String {
+async fn watch(list: &Following, address: SocketAddr) -> String {
     let (clock, limit, since) = {
-        let desk = desk.borrow();
-        (desk.clock, Duration::from_secs_f64(desk.trunk.dial), desk.roster.index)
+        let mut list = list.borrow_mut();
+        (list.clock(), Duration::from_secs_f64(list.dial()), list.roster().index)
     };
-    let stream = match timeout(limit, TcpStream::connect(address)).await {
+    let stream = match unwatched(list, timeout(limit, TcpStream::connect(address))).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(why)) => return format!("no connection ({why})"),
         Err(_) => return "no connection in time".into(),
     };
     let _ = stream.set_nodelay(true);
+    let leads = list.borrow().leads();
     let mut out = Vec::new();
     discovery::follow(&mut out, &address.to_string(), since);
     let (mut written, mut heard) = (0, clock.now());
@@ -69,9 +144,18 @@
             }
         }
         tokio::select! {
+            biased;
             _ = stream.readable() => {}
             _ = stream.writable(), if written < out.len() => {}
             () = until(clock, heard + SILENCE) => return "silence".into(),
+            () = sleep(LOOKS), if leads => {
+                // The time is read first: what comes after it may be missed by this look.
+                let now = clock.now();
+                if !arrival::waits(&stream) {
+                    list.borrow_mut().looked(now);
+                }
+                continue;
+            }
         }
         match stream.try_read(buffer.space()) {
             Ok(0) => return "it ended".into(),
@@ -87,7 +171,7 @@
                 Err(why) => return why.into(),
                 Ok(None) => break,
                 Ok(Some(end)) => {
-                    if let Err(why) = take(desk, &buffer.data()[..end]) {
+                    if let Err(why) = take(list, &buffer.data()[..end]) {
                         return why.into();
                     }
                     watch.done(&mut buffer);
@@ -98,26 +182,26 @@
 }
 
 /// One line of the watch: blank while nothing changes, else a list or a change.
-fn take(desk: &Shared, line: &[u8]) -> Result<(), &'static str> {
+fn take(list: &Following, line: &[u8]) -> Result<(), &'static str> {
     if line.trim_ascii().is_empty() {
         return Ok(());
     }
     let (index, whole) = discovery::version(line)?;
-    let mut desk = desk.borrow_mut();
-    if !whole && desk.roster.index.is_none_or(|held| index < held) {
+    let mut list = list.borrow_mut();
+    let (clock, roster) = (list.clock(), list.roster());
+    if !whole && roster.index.is_none_or(|held| index < held) {
         // Not a change to the list held: the next watch asks for the whole one.
-        desk.roster.index = None;
+        roster.index = None;
         return Err("a change to an older list");
     }
-    let clock = desk.clock;
-    desk.roster.begin(index, whole);
+    roster.begin(index, whole);
     let mut entries = 0;
     discovery::entries(line, |name, address, cell, state, since| {
         entries += 1;
-        desk.roster.entry(name, address, cell, state, clock.from_unix(since));
+        roster.entry(name, address, cell, state, clock.from_unix(since));
     })?;
-    desk.roster_changed();
+    list.changed();
     let kind = if whole { "whole list" } else { "change" };
-    log::info!(target: "roster", "{kind} {index}: {entries} entries");
+    tracing::info!(target: "roster", "{kind} {index}: {entries} entries");
     Ok(())
 }
--- /dev/null
+++ b/crates/router/src/drive/lead.rs
@@ -0,0 +1,297 @@
+//! The lead of several cores: follows discovery for all of them, accepts connections and deals them out, watches
+//! over the cores, and sees a reload or a stop through as a program on one core does. It serves no query itself.
+use super::clients::{self, Door};
+use super::core::{self, BEAT, Berth, Phase, Report, Told};
+use super::{arrival, discovery};
+use crate::life::reload::Was;
+use crate::life::start::Station;
+use crate::life::{logger, reload, stop};
+use crate::memory::clock::Clock;
+use crate::memory::counters::Counters;
+use crate::memory::descriptors::{self, Held};
+use crate::memory::house::{Figures, House, Order, Passenger, Sharing};
+use crate::memory::roster::Roster;
+use alderway_cores::balance::{Balance, Load};
+use alderway_cores::crew::{Change, Crew, State};
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::task::spawn_local;
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
+
+/// Between two tries to deal out a connection while no core takes any.
+const PAUSE: Duration = Duration::from_millis(10);
+/// Half the grace: a lead that has not looked for so long may have missed a drain that is due.
+pub const PATIENCE: f64 = 1.0;
+
+/// The list as the lead keeps it for the cores.
+struct List {
+    clock: Clock,
+    dial: f64,
+    follows: bool,
+    roster: Roster,
+    house: Arc<House>,
+    counters: Counters,
+    told: watch::Sender<Told>,
+}
+
+impl List {
+    /// Shuts the fence first: whoever has not taken in the new list sends nothing new from here on.
+    fn publish(&mut self) {
+        let number = self.house.fence.publish();
+        let entries = Arc::new(self.roster.entries());
+        self.told.send_modify(|told| (told.number, told.entries) = (number, entries));
+        self.roster.forget_gone();
+    }
+}
+
+impl discovery::Follower for List {
+    fn clock(&self) -> Clock {
+        self.clock
+    }
+    fn dial(&self) -> f64 {
+        self.dial
+    }
+    fn follows(&self) -> bool {
+        self.follows
+    }
+    fn asked(&self) -> Arc<Notify> {
+        self.house.follow.clone()
+    }
+    fn roster(&mut self) -> &mut Roster {
+        &mut self.roster
+    }
+    fn changed(&mut self) {
+        self.counters.one("roster_lists");
+        self.publish();
+    }
+    fn watch_lost(&mut self) {
+        self.counters.one("discovery_watches_lost");
+        if self.follows {
+            self.told.send_modify(|told| told.failures += 1);
+        }
+    }
+    fn moved(&mut self) {
+        self.counters.one("discovery_moves");
+    }
+    fn leads(&self) -> bool {
+        true
+    }
+    fn looked(&mut self, at: f64) {
+        self.house.fence.looked(at);
+    }
+}
+
+/// Deals connections out to the cores.
+struct Dealer {
+    house: Arc<House>,
+    crew: Rc<RefCell<Crew>>,
+    /// Whom the next word to make room goes to.
+    next: RefCell<usize>,
+}
+
+impl Door for Rc<Dealer> {
+    fn make_room(&self) {
+        let mut next = self.next.borrow_mut();
+        *next = (*next + 1) % self.house.seats.len();
+        let _ = self.house.send(*next, Order::MakeRoom);
+    }
+
+    async fn take(&self, stream: TcpStream, held: Held) {
+        let Ok(stream) = stream.into_std() else { return };
+        let mut order = Order::Serve(Passenger { stream, held, used: false });
+        loop {
+            let core = self.crew.borrow_mut().deal();
+            match core.map(|core| self.house.send(core, order)) {
+                Some(Ok(())) => return,
+                Some(Err(back)) => order = back,
+                None => return,
+            }
+            // All that serve are full; what comes meanwhile waits in the system's queue.
+            sleep(PAUSE).await;
+        }
+    }
+}
+
+fn log_change(change: &Change) {
+    let Change { core, state, serving } = change;
+    match state {
+        State::Serving => tracing::info!(target: "cores", "core {core} serves; {serving} serve"),
+        State::Starting => tracing::info!(target: "cores", "core {core} starts; {serving} serve"),
+        State::Hung(since) => {
+            tracing::error!(target: "cores", "core {core} hangs since {since:.3}; {serving} serve")
+        }
+        State::Failed(_) => tracing::error!(target: "cores", "core {core} failed; {serving} serve"),
+        State::Lost => {
+            tracing::error!(target: "cores", "core {core} failed too often and stays out; {serving} serve");
+        }
+    }
+}
+
+/// Runs a router on several cores until SIGTERM has been seen through.
+pub async fn run(station: Station, sharing: Sharing, clock: Clock) -> io::Result<()> {
+    let Station { path, beside, name, listen, discovery, roster, module, fixed, .. } = station;
+    let (trunk, room, verticals) = (station.trunk, station.room, station.verticals);
+    let was = Was { path, beside, fixed };
+    let (terms, hangups) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
+    let (for_clients, for_nodes) = descriptors::shares(station.sockets, station.memory, sharing.cores);
+    let (house, inboxes) = House::new(room.room, sharing, PATIENCE);
+    let (told, roster_told) = watch::channel(Told::default());
+    let (phase, phase_told) = watch::channel(Phase::Serving);
+    let (reports, mut came) = mpsc::unbounded_channel();
+    let (dial, follows) = (trunk.dial, room.follow);
+    let mut list =
+        List { clock, dial, follows, roster, house: house.clone(), counters: Counters::default(), told };
+    list.publish();
+    list.house.fence.looked(clock.now());
+    let known = list.roster.nodes.len();
+    let list = Rc::new(RefCell::new(list));
+    let mut leaves = vec![];
+    for (core, orders) in inboxes.into_iter().enumerate() {
+        let (leave, again) = mpsc::channel(1);
+        let berth = Berth {
+            core,
+            house: house.clone(),
+            clock,
+            trunk,
+            room,
+            verticals: verticals.clone(),
+            module: module.clone(),
+            for_nodes: for_nodes.clone(),
+            orders,
+            roster: roster_told.clone(),
+            phase: phase_told.clone(),
+            reports: reports.clone(),
+            again,
+        };
+        leaves.push(leave);
+        let thread = std::thread::Builder::new().name(format!("core {core}"));
+        thread.spawn(move || core::run(berth))?;
+    }
+    let listener = TcpListener::bind(listen).await?;
+    arrival::stamp(&listener)?;
+    let (at, cores) = (listener.local_addr()?, sharing.cores);
+    tracing::info!(target: "start", "{name} listens at {at}: {known} data nodes known, {cores} cores");
+    spawn_local(discovery::run(list.clone(), agent_of(discovery, hangups, was, clock)));
+    let crew = Rc::new(RefCell::new(Crew::new(cores, clock.now())));
+    let dealer = Rc::new(Dealer { house: house.clone(), crew: crew.clone(), next: RefCell::new(0) });
+    let close = Rc::new(Notify::new());
+    let listening = spawn_local(clients::listen(dealer, listener, for_clients, close.clone()));
+    let balance = Balance::new(cores);
+    let mut guard = Guard { house: &house, clock, list: &list, crew: &crew, balance };
+    let watched = guard.watch(&mut came, &leaves, terms).await;
+    // Whether a core is still there or not, the stop takes no longer than on one core.
+    if watched.is_ok() {
+        let _ = phase.send(Phase::Stopping);
+        let over = clock.now() + stop::limit(room.deadline) + 0.3;
+        sleep(stop::LISTEN).await;
+        close.notify_one();
+        let _ = timeout(stop::LISTEN, listening).await;
+        let _ = phase.send(Phase::Closed);
+        let mut left = crew.borrow().count(|state| !matches!(state, State::Failed(_) | State::Lost));
+        while left > 0 && clock.now() < over {
+            match timeout(Duration::from_secs_f64((over - clock.now()).max(0.0)), came.recv()).await {
+                Ok(Some(Report::Ended(_) | Report::Failed(..))) => left -= 1,
+                _ => break,
+            }
+        }
+        if left > 0 {
+            tracing::error!(target: "stop", "{left} cores did not end in time");
+        }
+    }
+    let mut figures = Figures::default();
+    house.add_others(None, &mut figures);
+    logger::last_words(&figures.text());
+    watched
+}
+
+/// Discovery's address, which moves with each SIGHUP.
+fn agent_of(at: SocketAddr, hangups: Signal, was: Was, clock: Clock) -> watch::Receiver<SocketAddr> {
+    let (agent, moves) = watch::channel(at);
+    spawn_local(async move { reload::at_sighup(hangups, was, agent, clock).await });
+    moves
+}
+
+/// Watches over the cores.
+struct Guard<'a> {
+    house: &'a Arc<House>,
+    clock: Clock,
+    list: &'a Rc<RefCell<List>>,
+    crew: &'a Rc<RefCell<Crew>>,
+    balance: Balance,
+}
+
+impl Guard<'_> {
+    /// Until SIGTERM, or until no core is left that will ever serve.
+    async fn watch(
+        &mut self,
+        came: &mut mpsc::UnboundedReceiver<Report>,
+        leaves: &[mpsc::Sender<()>],
+        mut terms: Signal,
+    ) -> io::Result<()> {
+        let mut looks = interval(BEAT);
+        looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                biased;
+                _ = terms.recv() => return Ok(()),
+                Some(report) = came.recv() => {
+                    if let Report::Failed(core, why) = report {
+                        tracing::error!(target: "failure", "core {core}: {why}");
+                        let change = self.crew.borrow_mut().failed(core, self.clock.now());
+                        change.iter().for_each(log_change);
+                    }
+                }
+                _ = looks.tick() => {
+                    let starts = self.crew.borrow_mut().starts(self.clock.now());
+                    for core in starts {
+                        let _ = leaves[core].try_send(());
+                    }
+                    self.look();
+                }
+            }
+            if self.crew.borrow().is_lost() {
+                return Err(io::Error::other("every core has failed too often"));
+            }
+        }
+    }
+
+    fn look(&mut self) {
+        let (now, mut crew) = (self.clock.now(), self.crew.borrow_mut());
+        let counters = self.list.borrow().counters.clone();
+        self.house.lead.send_replace(Arc::new(Figures { counters, open: vec![] }));
+        let mut changes = vec![];
+        for (core, seat) in self.house.seats.iter().enumerate() {
+            let at = seat.beat.load(Relaxed) as f64 / 1e3;
+            changes.extend(crew.beat(core, at, seat.clients.load(Relaxed)));
+        }
+        changes.extend(crew.look(now));
+        changes.iter().for_each(log_change);
+        self.house.serving.store(crew.serving(), Relaxed);
+        self.house.hung.store(crew.count(|s| matches!(s, State::Hung(_))), Relaxed);
+        self.house.lost.store(crew.count(|s| matches!(s, State::Failed(_) | State::Lost)), Relaxed);
+        let load = |(core, seat): (usize, &crate::memory::house::Seat)| Load {
+            busy: seat.busy.load(Relaxed) as f64 / 1e3,
+            active: seat.active.load(Relaxed),
+            serving: crew.state(core) == State::Serving,
+        };
+        let loads: Vec<Load> = self.house.seats.iter().enumerate().map(load).collect();
+        if let Some(going) = self.balance.next(now, &loads) {
+            let (from, to, connections) = (going.from, going.to, going.connections);
+            tracing::info!(
+                target: "balance",
+                "core {from} ({:.2} busy) gives {connections} connections to core {to} ({:.2} busy)",
+                loads[from].busy,
+                loads[to].busy
+            );
+            let _ = self.house.send(from, Order::GiveAway { to, connections });
+        }
+    }
+}
--- a/crates/router/src/drive/mod.rs
+++ b/crates/router/src/drive/mod.rs
@@ -1,7 +1,9 @@
 //! The drivers: they read and write sockets and keep time, and leave all else to `wire` and `memory`.
 pub mod arrival;
 pub mod clients;
+pub mod core;
 pub mod discovery;
+pub mod lead;
 pub mod nodes;
 pub mod rounds;
 
--- a/crates/router/src/drive/nodes.rs
+++ b/crates/router/src/drive/nodes.rs
@@ -8,7 +8,7 @@
 use alderway::host::Ending;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -17,14 +17,14 @@
 type Spoilt = (Fault, Option<String>);
 
 /// Dials, speaks until the connection ends, and gives everything back.
-pub async fn run(desk: Shared, dial: Dial, share: Rc<Share>) {
+pub async fn run(desk: Shared, dial: Dial, share: Arc<Share>) {
     let Dial { node, line, address } = dial;
     let limit = Duration::from_secs_f64(desk.borrow().trunk.dial);
     match timeout(limit, connect(&desk, address, &share)).await {
         Ok(Ok((stream, _held))) => {
             desk.borrow_mut().counters.one("connections{opened}");
             if let Err((why, part)) = speak(&desk, &node, line, &stream).await {
-                log::warn!(target: "frame", "node {node}: {why}; its connection is closed");
+                tracing::warn!(target: "frame", "node {node}: {why}; its connection is closed");
                 desk.borrow_mut().spoilt(&node, line, part.as_deref());
             }
             desk.borrow_mut().counters.one("connections{closed}");
@@ -39,16 +39,20 @@
 async fn connect(
     desk: &Shared,
     address: SocketAddr,
-    share: &Rc<Share>,
+    share: &Arc<Share>,
 ) -> std::io::Result<(TcpStream, Held)> {
+    let mut waits = None;
     let held = loop {
         if let Some(held) = share.take() {
             break held;
         }
         desk.borrow_mut().counters.one("dials_short_of_descriptors");
         desk.borrow_mut().roster.retire_oldest();
+        // Guards against idle connections of other cores that hold what this one lacks: they let some go.
+        waits.get_or_insert_with(|| share.pool.waits());
         share.released.notified().await;
     };
+    drop(waits);
     let stream = TcpStream::connect(address).await?;
     // Without it small frames would wait for the acknowledgement of those before.
     stream.set_nodelay(true)?;
@@ -188,7 +192,7 @@
                 }
             }
             b'F' => {
-                log::warn!(target: "frame", "node {node}: it could not use a frame of ours");
+                tracing::warn!(target: "frame", "node {node}: it could not use a frame of ours");
                 return Ok(None);
             }
             // Answers to probes, which this router does not send.
--- a/crates/router/src/drive/rounds.rs
+++ b/crates/router/src/drive/rounds.rs
@@ -3,10 +3,10 @@
 use crate::memory::Shared;
 use crate::memory::descriptors::Share;
 use alderway::choice::Router;
-use alderway::host::{Intake, Writer};
+use alderway::host::{Evidence, Intake, Writer};
 use std::convert::Infallible;
 use std::panic::{AssertUnwindSafe, catch_unwind};
-use std::rc::Rc;
+use std::sync::Arc;
 use tokio::task::spawn_local;
 
 /// The desk as the module writes to it.
@@ -28,6 +28,9 @@
     fn abort(&mut self, query: &str) {
         self.0.borrow_mut().abort(query);
     }
+    fn evidence(&mut self, node: &str, seen: Evidence) {
+        self.0.borrow_mut().evidence(node, seen);
+    }
     fn alarm(&mut self, span: f64, tag: u64) {
         self.0.borrow_mut().alarm(span, tag);
     }
@@ -41,12 +44,22 @@
 
 /// Plays rounds for as long as the program runs, the settings' tick apart at least. `module` makes the module,
 /// at the start and again if it has failed; returns only where that is impossible.
-pub async fn run<E>(desk: Shared, module: impl Fn() -> Result<Router, E>, share: Rc<Share>) -> Result<(), E> {
-    let mut router = module()?;
-    let (clock, came, tick) = {
+pub async fn run<E>(
+    desk: Shared,
+    module: impl Fn() -> Result<Router, E>,
+    share: Arc<Share>,
+) -> Result<(), E> {
+    let (clock, came, tick, common) = {
         let desk = desk.borrow();
-        (desk.clock, desk.came.clone(), desk.room.tick)
+        let common = desk.house.common.of(desk.core as u8);
+        (desk.clock, desk.came.clone(), desk.room.tick, common)
     };
+    let module = || {
+        let mut router = module()?;
+        router.join(common.clone());
+        Ok(router)
+    };
+    let mut router = module()?;
     loop {
         let due = desk.borrow().next_due();
         tokio::select! {
@@ -63,7 +76,7 @@
         // Guards against a fault of the module that some rare query brings out: what is open is aborted, and
         // the router goes on with a module that has yet to learn, as after a restart.
         if catch_unwind(round).is_err() {
-            log::error!(target: "failure", "the module failed: open queries are aborted, it starts anew");
+            tracing::error!(target: "failure", "the module failed: open queries are aborted, it starts anew");
             router = module()?;
             desk.borrow_mut().start_over();
         }
--- a/crates/router/src/life/logger.rs
+++ b/crates/router/src/life/logger.rs
@@ -1,11 +1,14 @@
 //! The log: one line a record on standard error, never waited for. A flood of one kind is held down, and the
 //! next line of that kind tells how many were left out.
-use log::{LevelFilter, Log, Metadata, Record};
 use nix::poll::{PollFd, PollFlags, PollTimeout, poll};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::fmt::{Debug, Write};
 use std::os::fd::AsFd;
 use std::time::Instant;
+use tracing::field::{Field, Visit};
+use tracing::{Event, Subscriber};
+use tracing_subscriber::layer::{Context, Layer, SubscriberExt};
 
 /// A pipe that polls as writable takes this much at once without waiting.
 const LINE: usize = 1024;
@@ -13,6 +16,16 @@
 const BURST: f64 = 20.0;
 const RATE: f64 = 2.0;
 
+/// How a line is written.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Form {
+    /// `SECONDS LEVEL KIND: TEXT`
+    #[default]
+    Text,
+    /// One JSON object a line: `at`, `level`, `kind`, `text`, and where there are any `core` and `left_out`.
+    Json,
+}
+
 /// How much of each kind (a record's target) may be written still.
 #[derive(Default)]
 struct Flood(BTreeMap<String, (f64, f64, u64)>);
@@ -40,39 +53,98 @@
 
 thread_local! {
     static FLOOD: RefCell<Flood> = RefCell::default();
+    static CORE: Cell<Option<usize>> = const { Cell::new(None) };
+}
+
+/// From here on this thread's lines name its core.
+pub fn on_core(core: usize) {
+    CORE.set(Some(core));
 }
 
-struct Logger {
+struct Lines {
     start: Instant,
+    form: Form,
+}
+
+/// The words of a record; fields beside its message follow as `name=value`.
+#[derive(Default)]
+struct Words(String);
+
+impl Visit for Words {
+    fn record_debug(&mut self, field: &Field, value: &dyn Debug) {
+        let space = if self.0.is_empty() { "" } else { " " };
+        let _ = match field.name() {
+            "message" => write!(self.0, "{space}{value:?}"),
+            name => write!(self.0, "{space}{name}={value:?}"),
+        };
+    }
 }
 
 /// Writes a line if that can be done at once.
 fn write(line: &str) -> bool {
-    let end = (0..=line.len().min(LINE - 1)).rev().find(|&i| line.is_char_boundary(i)).unwrap_or_default();
-    let text = [&line.as_bytes()[..end], b"\n"].concat();
+    let text = [short(line, LINE - 1).as_bytes(), b"\n"].concat();
     let out = std::io::stderr();
     let mut ready = [PollFd::new(out.as_fd(), PollFlags::POLLOUT)];
     matches!(poll(&mut ready, PollTimeout::ZERO), Ok(1)) && nix::unistd::write(&out, &text).is_ok()
 }
 
-impl Log for Logger {
-    fn enabled(&self, _: &Metadata) -> bool {
-        true
+/// As much of a text as `most` bytes hold.
+fn short(text: &str, most: usize) -> &str {
+    let end = (0..=text.len().min(most)).rev().find(|&i| text.is_char_boundary(i));
+    &text[..end.unwrap_or_default()]
+}
+
+impl Form {
+    fn line(
+        self,
+        now: f64,
+        level: &str,
+        kind: &str,
+        core: Option<usize>,
+        text: &str,
+        left_out: u64,
+    ) -> String {
+        if self == Form::Text {
+            let core = core.map_or(String::new(), |core| format!("core {core}: "));
+            let left_out = if left_out > 0 { format!(" ({left_out} more left out)") } else { String::new() };
+            return format!("{now:.3} {level} {kind}: {core}{text}{left_out}");
+        }
+        let object = |text: &str| {
+            let at = (now * 1e3).round() / 1e3;
+            let mut all = serde_json::json!({"at": at, "level": level, "kind": kind, "text": text});
+            if let Some(core) = core {
+                all["core"] = core.into();
+            }
+            if left_out > 0 {
+                all["left_out"] = left_out.into();
+            }
+            all.to_string()
+        };
+        // Guards against a line cut short, which would be no object: the text is cut instead.
+        let (mut text, mut line) = (text, object(text));
+        while line.len() >= LINE && !text.is_empty() {
+            // One character takes six bytes at most.
+            text = short(text, text.len() - (line.len() - LINE + 1).div_ceil(6).min(text.len()));
+            line = object(text);
+        }
+        line
     }
+}
 
-    fn log(&self, record: &Record) {
-        let (kind, now) = (record.target(), self.start.elapsed().as_secs_f64());
+impl<S: Subscriber> Layer<S> for Lines {
+    fn on_event(&self, event: &Event<'_>, _: Context<'_, S>) {
+        let (about, now) = (event.metadata(), self.start.elapsed().as_secs_f64());
+        let kind = about.target();
         FLOOD.with_borrow_mut(|flood| {
             let Some(before) = flood.pass(kind, now) else { return };
-            let left_out = if before > 0 { format!(" ({before} more left out)") } else { String::new() };
-            let level = record.level();
-            if !write(&format!("{now:.3} {level} {kind}: {}{left_out}", record.args())) {
+            let mut words = Words::default();
+            event.record(&mut words);
+            let line = self.form.line(now, about.level().as_str(), kind, CORE.get(), &words.0, before);
+            if !write(&line) {
                 flood.lost(kind, before + 1);
             }
         });
     }
-
-    fn flush(&self) {}
 }
 
 /// Writes lines as they are, with no flood held down: the counters at exit.
@@ -82,11 +154,10 @@
     }
 }
 
-pub fn start() {
-    let logger = Box::new(Logger { start: Instant::now() });
-    if log::set_boxed_logger(logger).is_ok() {
-        log::set_max_level(LevelFilter::Info);
-    }
+pub fn start(form: Form) {
+    let lines = Lines { start: Instant::now(), form };
+    // Where tests have set another one, that holds.
+    let _ = tracing::subscriber::set_global_default(tracing_subscriber::registry().with(lines));
 }
 
 #[cfg(test)]
@@ -100,4 +171,16 @@
         assert_eq!((written, flood.pass("other", 1.0)), (20, Some(0)));
         assert_eq!((flood.pass("frame", 1.5), flood.pass("frame", 1.5)), (Some(80), None));
     }
+
+    #[rstest::rstest]
+    fn a_line_in_json_stays_an_object_however_long_its_text_is() {
+        let text = "\"quoted\" \u{e9}".repeat(400);
+        let line = Form::Json.line(1.5, "WARN", "frame", Some(2), &text, 7);
+        let object: serde_json::Value = serde_json::from_str(&line).expect("an object");
+        assert!(line.len() < LINE && line.len() > LINE - 20, "{}", line.len());
+        assert_eq!(
+            (&object["core"], &object["left_out"], &object["at"]),
+            (&2.into(), &7.into(), &1.5.into())
+        );
+    }
 }
--- a/crates/router/src/life/mod.rs
+++ b/crates/router/src/life/mod.rs
@@ -1,5 +1,6 @@
 //! Start, reload and stop: what is read at the start and again, the log, and the way out.
 pub mod logger;
 pub mod reload;
+pub mod serve;
 pub mod start;
 pub mod stop;
--- a/crates/router/src/life/reload.rs
+++ b/crates/router/src/life/reload.rs
@@ -2,31 +2,42 @@
 use super::start::{self, Station};
 use crate::memory::clock::Clock;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use tokio::signal::unix::Signal;
 use tokio::sync::watch::Sender;
 
 /// Reads the configuration anew with every SIGHUP, by the code that read it at the start; discovery's address
 /// goes to `agent`. Guards against a file that is missing, half written or faulty: the old one holds.
-pub async fn at_sighup(mut hangups: Signal, fixed: start::Fixed, agent: Sender<SocketAddr>, clock: Clock) {
+pub async fn at_sighup(mut hangups: Signal, was: Was, agent: Sender<SocketAddr>, clock: Clock) {
     while hangups.recv().await.is_some() {
-        let station = match start::read(clock) {
-            Ok(station) => station,
-            Err(why) => {
-                log::warn!(target: "reload", "{why}; the old configuration holds");
-                continue;
+        let beside = was.beside.as_ref().map_or(Ok(false), |read| read());
+        let read = start::read_at(&was.path, clock).and_then(|station| Ok((station, beside?)));
+        match read {
+            Ok((station, changed)) => {
+                if changed {
+                    tracing::warn!(target: "reload", "operator's file: its change waits for a start");
+                }
+                take(&station, &was.fixed, &agent);
             }
-        };
-        take(&station, &fixed, &agent);
+            Err(why) => tracing::warn!(target: "reload", "{why}; the old configuration holds"),
+        }
     }
 }
 
+/// What the program was started by.
+pub struct Was {
+    pub path: PathBuf,
+    pub beside: Option<start::Beside>,
+    pub fixed: start::Fixed,
+}
+
 fn take(station: &Station, fixed: &start::Fixed, agent: &Sender<SocketAddr>) {
     for ((key, new), (_, held)) in station.fixed.iter().zip(fixed) {
         if new != held {
-            log::warn!(target: "reload", "key `{key}`: its change waits for a start");
+            tracing::warn!(target: "reload", "key `{key}`: its change waits for a start");
         }
     }
     let moved = agent.send_if_modified(|at| std::mem::replace(at, station.discovery) != station.discovery);
     let what = if moved { "moves to" } else { "stays at" };
-    log::info!(target: "reload", "configuration read: discovery {what} {}", station.discovery);
+    tracing::info!(target: "reload", "configuration read: discovery {what} {}", station.discovery);
 }
--- /dev/null
+++ b/crates/router/src/life/serve.rs
@@ -0,0 +1,57 @@
+//! Runs a query router as it was started: on one core in this thread, or on several with this thread as their lead.
+use super::reload::Was;
+use super::start::Station;
+use super::{logger, reload, stop};
+use crate::drive::{arrival, clients, discovery, lead, rounds};
+use crate::memory::clock::Clock;
+use crate::memory::descriptors;
+use crate::memory::desk::Desk;
+use crate::memory::house::{House, Sharing};
+use std::cell::RefCell;
+use std::io;
+use std::rc::Rc;
+use tokio::net::TcpListener;
+use tokio::runtime::Builder;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::task::{LocalSet, spawn_local};
+
+/// Serves until SIGTERM has been seen through.
+pub fn serve(station: Station, sharing: Sharing, clock: Clock) -> io::Result<()> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let local = LocalSet::new();
+    if sharing.cores > 1 {
+        local.block_on(&runtime, lead::run(station, sharing, clock))
+    } else {
+        local.block_on(&runtime, alone(station, sharing, clock))
+    }
+}
+
+async fn alone(station: Station, sharing: Sharing, clock: Clock) -> io::Result<()> {
+    let Station { path, beside, name, listen, discovery, roster, module, fixed, .. } = station;
+    // Before anybody can know that this program is up: unhandled, either of them would end it.
+    let (terms, hangups) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
+    let (for_clients, for_nodes) = descriptors::shares(station.sockets, station.memory, 1);
+    let house = House::new(station.room.room, sharing, f64::INFINITY).0;
+    let mut desk = Desk::on(house, 0, clock, station.trunk, station.room, station.verticals);
+    desk.roster = roster;
+    desk.came.notify_one();
+    let listener = TcpListener::bind(listen).await?;
+    arrival::stamp(&listener)?;
+    let (at, known) = (listener.local_addr()?, desk.roster.nodes.len());
+    tracing::info!(target: "start", "{name} listens at {at}: {known} data nodes known");
+    let desk = Rc::new(RefCell::new(desk));
+    let close = Rc::default();
+    let rounds = spawn_local(rounds::run(desk.clone(), move || module(), for_nodes));
+    let (agent, at) = watch::channel(discovery);
+    spawn_local(discovery::run(desk.clone(), at));
+    spawn_local(reload::at_sighup(hangups, Was { path, beside, fixed }, agent, clock));
+    spawn_local(clients::listen(desk.clone(), listener, for_clients, Rc::clone(&close)));
+    // A router whose module has failed must not go on as if it served.
+    tokio::select! {
+        () = stop::at_sigterm(terms, desk.clone(), close) => {}
+        failed = rounds => return Err(io::Error::other(format!("the rounds ended: {failed:?}"))),
+    }
+    logger::last_words(&desk.borrow().figures());
+    Ok(())
+}
--- a/crates/router/src/life/start.rs
+++ b/crates/router/src/life/start.rs
@@ -6,6 +6,8 @@
 use alderway_deployment as deployment;
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
 /// Descriptors and memory where no limit is stated: those of the usual small machine.
 const SOCKETS: u64 = 1024;
@@ -15,6 +17,10 @@
 
 /// Where a router stands and what it starts with.
 pub struct Station {
+    /// Where it was read, and is read again at SIGHUP.
+    pub path: PathBuf,
+    /// Reads again, at SIGHUP, what else the program was started by; says what has changed in it.
+    pub beside: Option<Beside>,
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
@@ -22,24 +28,38 @@
     pub memory: usize,
     pub roster: Roster,
     /// Makes the decision module, which its settings have proved to allow.
-    pub module: Box<dyn Fn() -> Read<Router>>,
+    pub module: Recipe,
     pub verticals: Vec<String>,
     pub trunk: deployment::Trunk,
     pub room: deployment::Intake,
     pub fixed: Fixed,
 }
 
+/// A second reading of other files: an error, or whether anything that it was started by has changed.
+pub type Beside = Arc<dyn Fn() -> Read<bool> + Send + Sync>;
+
+/// Makes a decision module.
+pub type Recipe = Arc<dyn Fn() -> Read<Router> + Send + Sync>;
+
 /// The keys that hold from the start to the end, with their values.
 pub type Fixed = [(&'static str, Value); 4];
 
-type Read<T> = Result<T, String>;
+pub type Read<T> = Result<T, String>;
 
 /// Reads the file that `PROXY_CONFIG` names.
 pub fn read(clock: Clock) -> Read<Station> {
     let path =
         std::env::var("PROXY_CONFIG").map_err(|_| "environment `PROXY_CONFIG`: not set".to_string())?;
-    let text = std::fs::read_to_string(&path).map_err(|why| format!("`PROXY_CONFIG` {path}: {why}"))?;
-    station(&text, |key| std::env::var(key).ok(), clock)
+    read_at(Path::new(&path), clock)
+}
+
+/// Reads one file.
+pub fn read_at(path: &Path, clock: Clock) -> Read<Station> {
+    let text =
+        std::fs::read_to_string(path).map_err(|why| format!("`PROXY_CONFIG` {}: {why}", path.display()))?;
+    let mut station = station(&text, |key| std::env::var(key).ok(), clock)?;
+    station.path = path.to_path_buf();
+    Ok(station)
 }
 
 /// A station as the configuration's text describes it; `told` gives the variables of the environment.
@@ -76,13 +96,15 @@
     let (_, verticals) = deployment::router(seed, settings).map_err(wrong)?;
     let (trunk, room) = deployment::sockets(settings).map_err(wrong)?;
     Ok(Station {
+        path: PathBuf::new(),
+        beside: None,
         name: word("name", "PROXY_NAME")?,
         listen: address("listen", "PROXY_LISTEN")?,
         discovery: address("discovery", "PROXY_DISCOVERY")?,
         sockets: limit("sockets", SOCKETS, LEAST_SOCKETS)? as usize,
         memory: limit("memory_mb", MEMORY_MB, 1)? as usize * 1024 * 1024,
         roster: known(all.get("known"), clock).map_err(|why| format!("key `known`: {why}"))?,
-        module: Box::new({
+        module: Arc::new({
             let settings = settings.clone();
             move || deployment::router(seed, &settings).map(|made| made.0)
         }),
--- a/crates/router/src/life/stop.rs
+++ b/crates/router/src/life/stop.rs
@@ -8,28 +8,41 @@
 
 /// PROTOCOL: new connections keep coming for 0.4 s after SIGTERM; SIGKILL comes no sooner than the longest
 /// deadline, counted as 3 s where it is longer, and 0.7 s.
-const LISTEN: f64 = 0.5;
+pub const LISTEN: Duration = Duration::from_millis(500);
 const KILL: f64 = 0.7;
 const LONGEST_DEADLINE: f64 = 3.0;
 /// How far ahead of SIGKILL this program ends.
 const AHEAD: f64 = 0.2;
 const LOOK: Duration = Duration::from_millis(10);
 
-/// Waits for SIGTERM, then sees the stop through; returns when the program may end. Clients go on using the
-/// connections that they have, and may have nowhere else to go while another router is away: they are served
-/// until a query that came now might find no time for its answer, which is when the connections close.
+/// How long a stop may take in all, by the longest deadline.
+pub fn limit(deadline: f64) -> f64 {
+    deadline.min(LONGEST_DEADLINE) + KILL - AHEAD
+}
+
+/// Waits for SIGTERM and sees the stop through on one core.
 pub async fn at_sigterm(mut terms: Signal, desk: Shared, close_listener: Rc<Notify>) {
     terms.recv().await;
+    see_through(desk, async {
+        sleep(LISTEN).await;
+        close_listener.notify_one();
+    })
+    .await;
+}
+
+/// Sees a stop through; returns when the program may end. Clients go on using the connections that they have, and
+/// may have nowhere else to go while another router is away: they are served until a query that came now might
+/// find no time for its answer, which is when the connections close. `closed` ends when no new client comes.
+pub async fn see_through(desk: Shared, closed: impl Future<Output = ()>) {
     let (clock, began, limit, slo) = {
         let mut desk = desk.borrow_mut();
         let began = desk.clock.now();
         desk.stopping = true;
         let (queries, clients) = (desk.queries.len(), desk.clients.len());
-        log::info!(target: "stop", "SIGTERM: {queries} queries open, {clients} clients");
-        (desk.clock, began, desk.room.deadline.min(LONGEST_DEADLINE) + KILL - AHEAD, desk.room.slo)
+        tracing::info!(target: "stop", "SIGTERM: {queries} queries open, {clients} clients");
+        (desk.clock, began, limit(desk.room.deadline), desk.room.slo)
     };
-    sleep(Duration::from_secs_f64(LISTEN)).await;
-    close_listener.notify_one();
+    closed.await;
     while clock.now() < began + limit && !desk.borrow().clients.is_empty() {
         if clock.now() >= began + limit - slo {
             desk.borrow_mut().closing = true;
@@ -43,5 +56,5 @@
     while clock.now() < began + limit + 0.5 * AHEAD && !desk.borrow().clients.is_empty() {
         sleep(LOOK).await;
     }
-    log::info!(target: "stop", "ended after {:.1} s: {open} queries aborted", clock.now() - began);
+    tracing::info!(target: "stop", "ended after {:.1} s: {open} queries aborted", clock.now() - began);
 }
--- a/crates/router/src/memory/clients.rs
+++ b/crates/router/src/memory/clients.rs
@@ -22,6 +22,8 @@
     pub idle: Cell<Option<f64>>,
     /// Part of a request has come.
     pub half_sent: Cell<bool>,
+    /// Has had bytes of an answer since this was last looked at.
+    pub served: Cell<bool>,
 }
 
 impl Client {
@@ -58,6 +60,11 @@
         self.all.len()
     }
 
+    /// How many have had an answer since this was last asked.
+    pub fn take_active(&self) -> usize {
+        self.all.values().filter(|c| c.served.take()).count()
+    }
+
     /// Dismisses a connection to make room for a new one: the longest idle of those that have never sent a request,
     /// else one of which only part of a request has come for `patience` or longer, else one that was of use.
     pub fn dismiss_oldest(&self, now: f64, patience: f64) {
--- a/crates/router/src/memory/counters.rs
+++ b/crates/router/src/memory/counters.rs
@@ -4,7 +4,7 @@
 use std::fmt::Write;
 
 /// One figure a name; a name may end in the vertical or the ending that it is counted by.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Counters(BTreeMap<String, u64>);
 
 impl Counters {
@@ -19,6 +19,11 @@
         self.add(name, 1);
     }
 
+    /// Adds what another core counted.
+    pub fn join(&mut self, other: &Counters) {
+        other.0.iter().for_each(|(name, figure)| self.add(name, *figure as usize));
+    }
+
     pub fn ended(&mut self, ending: Ending) {
         self.one(match ending {
             Ending::Success => "leaf_calls_ended{success}",
--- a/crates/router/src/memory/descriptors.rs
+++ b/crates/router/src/memory/descriptors.rs
@@ -1,45 +1,54 @@
 //! The descriptors that this program may hold, dealt out in two shares so that neither clients nor data nodes
 //! can take the other's, nor those of the listener and discovery.
 use crate::wire::http::MESSAGE;
-use std::cell::Cell;
-use std::rc::Rc;
+use alderway_cores::pool::{Pool, Taken};
+use std::sync::Arc;
 use tokio::sync::Notify;
 
-/// Kept apart: standard streams, the runtime's own, the listener, discovery's connection and one in passing.
+/// Kept apart: standard streams, the runtime's own, the listener, discovery's connection and one in passing; and
+/// for each core beyond the first its runtime's own.
 const APART: usize = 16;
+const APART_A_CORE: usize = 4;
 
-/// One share. What is taken is given back when its holder is dropped, and nowhere else.
+/// One share, of all cores. What is taken is given back when its holder is dropped, and nowhere else.
 pub struct Share {
-    free: Cell<usize>,
+    pub pool: Arc<Pool>,
     pub released: Notify,
 }
 
-pub struct Held(Rc<Share>);
+pub struct Held {
+    taken: Option<Taken>,
+    share: Arc<Share>,
+}
 
 impl Share {
-    fn new(count: usize) -> Rc<Self> {
-        Rc::new(Share { free: Cell::new(count), released: Notify::new() })
+    fn new(count: usize) -> Arc<Self> {
+        Arc::new(Share { pool: Pool::new(count), released: Notify::new() })
     }
 
-    pub fn take(self: &Rc<Self>) -> Option<Held> {
-        let free = self.free.get().checked_sub(1)?;
-        self.free.set(free);
-        Some(Held(self.clone()))
+    pub fn take(self: &Arc<Self>) -> Option<Held> {
+        Some(Held { taken: Some(self.pool.take(1)?), share: self.clone() })
     }
 }
 
 impl Drop for Held {
     fn drop(&mut self) {
-        self.0.free.set(self.0.free.get() + 1);
-        self.0.released.notify_one();
+        self.taken.take();
+        self.share.released.notify_one();
     }
 }
 
+/// The fewest descriptors that so many cores can run with: beside what is kept apart a few for clients and nodes.
+pub fn least(cores: usize) -> usize {
+    20 + (APART_A_CORE + 4) * (cores.max(1) - 1)
+}
+
 /// The shares of clients and of data nodes, out of so many descriptors and so many bytes of memory. Clients get
 /// a third, which is what usual ones hold at most (LATER); what all of them may make this program keep of
 /// half-sent requests is held to a quarter of the memory.
-pub fn shares(limit: usize, memory: usize) -> (Rc<Share>, Rc<Share>) {
-    let rest = limit.saturating_sub(APART).max(2);
+pub fn shares(limit: usize, memory: usize, cores: usize) -> (Arc<Share>, Arc<Share>) {
+    let apart = APART + APART_A_CORE * (cores.max(1) - 1);
+    let rest = limit.saturating_sub(apart).max(2);
     let clients = (limit / 3).min(rest - rest / 2);
     (Share::new(clients.min(memory / 4 / MESSAGE).max(1)), Share::new(rest - clients))
 }
--- a/crates/router/src/memory/desk.rs
+++ b/crates/router/src/memory/desk.rs
@@ -4,14 +4,21 @@
 use super::clients::{Client, Clients};
 use super::clock::Clock;
 use super::counters::Counters;
+use super::house::{Figures, House, Word};
 use super::lines::{Frame, Line, Place};
-use super::queries::{Queries, Query};
+use super::queries::{self, Queries, Query};
 use super::roster::Roster;
+use crate::wire::http::Refusal;
 use crate::wire::{answer, frames};
-use alderway::host::{Ending, Intake, NodeState, Writer};
+use alderway::host::{Ending, Evidence, Intake, NodeState, Writer};
+use alderway_cores::board::Board;
+use alderway_cores::fence;
+use alderway_cores::ids::Refused;
 use alderway_deployment::{Intake as Room, Trunk};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use tokio::sync::Notify;
 
 /// A connection that a driver has to bring up.
@@ -31,10 +38,25 @@
     pub roster: Roster,
     pub clients: Clients,
     pub counters: Counters,
+    /// What this core shares with others, and its number there.
+    pub house: Arc<House>,
+    pub core: usize,
+    /// The number of the roster that this core has taken in.
+    pub known: u64,
+    /// Calls wait until this core knows all that it must know.
+    pub fenced: bool,
+    /// What other cores saw of data nodes: all that still holds, and whose word has yet to be told.
+    pub board: Board,
+    heard: BTreeMap<String, Evidence>,
+    /// What a test has this core do at its next beat.
+    #[cfg(feature = "faults")]
+    pub fault: Option<String>,
+    /// Connections to give away, and to which core.
+    pub giving: Option<(usize, usize)>,
     /// Something came in that the next round tells.
     pub came: Rc<Notify>,
     /// The module asks to follow the roster.
-    pub follow: Rc<Notify>,
+    pub follow: Arc<Notify>,
     /// SIGTERM has come: no new connection is wanted.
     pub stopping: bool,
     /// Every connection closes with its present answer.
@@ -48,8 +70,30 @@
 }
 
 impl Desk {
+    /// A desk that shares with nobody.
     pub fn new(clock: Clock, trunk: Trunk, room: Room, verticals: Vec<String>) -> Self {
+        Desk::on(House::alone(room.room), 0, clock, trunk, room, verticals)
+    }
+
+    pub fn on(
+        house: Arc<House>,
+        core: usize,
+        clock: Clock,
+        trunk: Trunk,
+        room: Room,
+        verticals: Vec<String>,
+    ) -> Self {
         Desk {
+            follow: house.follow.clone(),
+            house,
+            core,
+            known: 0,
+            fenced: false,
+            board: Board::default(),
+            heard: BTreeMap::new(),
+            #[cfg(feature = "faults")]
+            fault: None,
+            giving: None,
             clock,
             trunk,
             room,
@@ -60,7 +104,6 @@
             clients: Clients::default(),
             counters: Counters::default(),
             came: Rc::default(),
-            follow: Rc::default(),
             stopping: false,
             closing: false,
             ready: false,
@@ -73,22 +116,29 @@
 
     /// Whether queries can be served: any data node is known, from the start or from discovery.
     pub fn able(&self) -> bool {
-        self.roster.names_any() && !self.stopping
+        let led = self.house.fence.passes(u64::MAX, self.clock.now()).is_ok();
+        self.roster.names_any() && !self.stopping && led
     }
 
-    /// All counters, and what is open now.
-    pub fn figures(&self) -> String {
+    /// What this core counted, and what is open on it now.
+    pub fn own_figures(&self) -> Figures {
         let lines: usize = self.roster.nodes.values().map(|n| n.lines.len()).sum();
-        let open = [
-            ("queries_open", self.queries.len()),
-            ("queries_and_parts_held", self.queries.held()),
-            ("leaf_calls_open", self.calls.count_out()),
-            ("connections_open", lines),
-            ("clients_open", self.clients.len()),
-            ("nodes_known", self.roster.nodes.len()),
+        let open = vec![
+            ("queries_open", self.queries.len() as u64),
+            ("queries_and_parts_held", self.queries.held() as u64),
+            ("leaf_calls_open", self.calls.count_out() as u64),
+            ("connections_open", lines as u64),
+            ("clients_open", self.clients.len() as u64),
+            ("nodes_known", self.roster.nodes.len() as u64),
         ];
-        let open = open.iter().map(|(name, figure)| format!("{name} {figure}\n"));
-        self.counters.text() + &open.collect::<String>()
+        Figures { counters: self.counters.clone(), open }
+    }
+
+    /// All counters, and what is open now, on all cores.
+    pub fn figures(&self) -> String {
+        let mut figures = self.own_figures();
+        self.house.add_others(Some(self.core), &mut figures);
+        figures.text()
     }
 
     fn count(&mut self, what: &str, vertical: usize) {
@@ -98,20 +148,27 @@
 
     // What clients do.
 
-    /// Takes a query in, or turns it away with no room left; either way it will have its one answer.
-    pub fn take(&mut self, client: &Rc<Client>, query: Query) {
+    /// Takes a query in, or turns it away with no room left; either way it will have its one answer. Refused where
+    /// its id is open on some core.
+    pub fn take(&mut self, client: &Rc<Client>, query: Query) -> Result<(), Refusal> {
         let vertical = query.vertical;
+        let room = self.house.room.take(1 + query.parts.len());
+        let id = self.house.ids.claim(self.core as u8, &query.id);
+        if matches!(id, Err(Refused::Open)) {
+            return Err((400, "a query with this X-Correlation-Id is open"));
+        }
         self.count("taken", vertical);
-        if self.queries.held() + 1 + query.parts.len() > self.room.room {
+        let (Some(room), Ok(id)) = (room, id) else {
             self.count("turned_away", vertical);
             let closes = client.closes.get();
             answer::plain(&mut client.out.borrow_mut(), 503, "too many queries are open", None, closes);
-            return;
-        }
-        let number = self.queries.hold(query);
+            return Ok(());
+        };
+        let number = self.queries.hold(query, queries::Place { id, room });
         client.query.set(Some(number));
         self.new.push(number);
         self.came.notify_one();
+        Ok(())
     }
 
     /// The client has closed its connection.
@@ -225,7 +282,19 @@
     /// Writes the next frame of a connection into `out`; false when none waits.
     pub fn next_frame(&mut self, node: &str, line: u64, out: &mut Vec<u8>) -> bool {
         let now = self.clock.now();
+        let passes = self.house.fence.passes(self.known, now);
         let Some(line) = self.roster.line(node, line) else { return false };
+        // Guards against a core that stood still while its roster changed: what it decided before it stood still,
+        // or since by the old roster, waits until it has caught up.
+        if let (Err(why), true) = (passes, line.next_is_call()) {
+            if !std::mem::replace(&mut self.fenced, true) {
+                self.counters.one(match why {
+                    fence::Held::Behind => "sends_held_back{roster_behind}",
+                    fence::Held::Unled => "sends_held_back{lead_late}",
+                });
+            }
+            return false;
+        }
         match line.begin() {
             None => return false,
             Some(Frame::GiveUp(part)) => {
@@ -275,6 +344,29 @@
         self.came.notify_one();
     }
 
+    /// Lets calls go on that the fence held back, once it lets them pass.
+    pub fn pass_fence(&mut self) {
+        if self.fenced && self.house.fence.passes(self.known, self.clock.now()).is_ok() {
+            self.fenced = false;
+            let lines = self.roster.nodes.values().flat_map(|n| n.lines.values());
+            lines.for_each(|line| line.wake.notify_one());
+        }
+    }
+
+    /// What another core saw of a data node, for the next round.
+    pub fn hear(&mut self, word: Word) {
+        self.counters.one("evidence_heard");
+        self.board.note(&word.node, word.seen);
+        self.heard.insert(word.node, word.seen);
+        self.came.notify_one();
+    }
+
+    /// Everything that others saw and that still holds, for a module that starts anew.
+    pub fn hear_board(&mut self) {
+        self.heard = self.board.tell(self.clock.now()).into_iter().collect();
+        self.came.notify_one();
+    }
+
     pub fn roster_failed(&mut self) {
         self.roster.failed = true;
         self.came.notify_one();
@@ -306,7 +398,7 @@
     pub fn tell(&mut self, now: f64, module: &mut dyn Intake) {
         if !self.ready && self.able() {
             self.ready = true;
-            log::info!(target: "ready", "serves: {} data nodes known", self.roster.nodes.len());
+            tracing::info!(target: "ready", "serves: {} data nodes known", self.roster.nodes.len());
         }
         if std::mem::take(&mut self.roster.failed) {
             module.roster_failed();
@@ -319,6 +411,9 @@
                 module.roster_entry(&name, node.cell, node.state, node.started);
             }
         }
+        for (node, seen) in std::mem::take(&mut self.heard) {
+            module.evidence(&node, seen);
+        }
         for number in std::mem::take(&mut self.new) {
             let Some(query) = self.queries.get(number) else { continue };
             module.query(number, &query.id, query.vertical, "", query.not_after);
@@ -357,7 +452,7 @@
         self.alarms.clear();
         self.roster.whole = true;
         self.roster.changed = self.roster.nodes.keys().cloned().collect();
-        self.came.notify_one();
+        self.hear_board();
     }
 
     /// Makes the parts that this round sends to one node into calls, up to the bundle, and gives each call a
@@ -390,8 +485,17 @@
     fn line_for(&mut self, name: &str, call: &[CallId], now: f64) -> Option<u64> {
         let places = self.trunk.places;
         let node = self.roster.nodes.get(name)?;
-        let open = node.lines.iter().filter(|(_, l)| l.takes(call, places));
-        if let Some((line, _)) = open.min_by_key(|(_, l)| (!l.up, l.taken())) {
+        let open = |places| node.lines.iter().filter(move |(_, l)| l.takes(call, places));
+        if let Some((line, _)) = open(places).min_by_key(|(_, l)| (!l.up, l.taken())) {
+            return Some(*line);
+        }
+        // Guards against cores that together open more connections than a data node holds: past the number that
+        // is stated, parts wait on those that are there, unread by the node until a place is free.
+        let usable = node.lines.values().filter(|l| !l.retired && !l.cut).count();
+        if usable >= self.house.node_connections
+            && let Some((line, _)) = open(usize::MAX).min_by_key(|(_, l)| (!l.up, l.taken()))
+        {
+            self.counters.one("calls_past_places");
             return Some(*line);
         }
         self.roster.last_line += 1;
@@ -464,7 +568,12 @@
         self.follow.notify_one();
     }
 
+    fn evidence(&mut self, node: &str, seen: Evidence) {
+        self.counters.one("evidence_told");
+        self.house.tell(Word { core: self.core, node: node.into(), seen });
+    }
+
     fn remark(&mut self, text: &str) {
-        log::info!(target: "module", "{text}");
+        tracing::info!(target: "module", "{text}");
     }
 }
--- /dev/null
+++ b/crates/router/src/memory/house.rs
@@ -0,0 +1,198 @@
+//! What the cores of this program hold in common, and what they say to each other: a single atomic each, or a
+//! message. A program on one core has a house of its own with nobody else in it.
+use super::counters::Counters;
+use super::descriptors::Held;
+use alderway::host::{Common, Evidence};
+use alderway_cores::fence::Fence;
+use alderway_cores::ids::Ids;
+use alderway_cores::pool::Pool;
+use std::fmt::Write;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::Relaxed};
+use tokio::sync::{Notify, broadcast, mpsc, watch};
+
+/// Evidence under way between cores; a core that is further behind loses the oldest, which the roster and its own
+/// calls make up for.
+const GOSSIP: usize = 4096;
+/// Connections and words under way to one core.
+const INBOX: usize = 1024;
+
+/// A connection of a client on its way to a core. Nothing of it is read that is not answered.
+pub struct Passenger {
+    pub stream: std::net::TcpStream,
+    pub held: Held,
+    /// Has sent a request before, on another core.
+    pub used: bool,
+}
+
+/// What a core is told to do.
+pub enum Order {
+    Serve(Passenger),
+    /// To give so many connections to another core, as they fall idle after an answer.
+    GiveAway {
+        to: usize,
+        connections: usize,
+    },
+    /// To close the connection of a client that is idle longest.
+    MakeRoom,
+}
+
+/// What one core tells the others of a data node.
+#[derive(Clone, Debug)]
+pub struct Word {
+    pub core: usize,
+    pub node: String,
+    pub seen: Evidence,
+}
+
+/// What a core counts, and what is open on it.
+#[derive(Clone, Default)]
+pub struct Figures {
+    pub counters: Counters,
+    pub open: Vec<(&'static str, u64)>,
+}
+
+impl Figures {
+    /// Adds those of another core. All know the same data nodes.
+    pub fn join(&mut self, other: &Figures) {
+        self.counters.join(&other.counters);
+        for &(name, figure) in &other.open {
+            match self.open.iter_mut().find(|(known, _)| *known == name) {
+                Some((_, sum)) if name == "nodes_known" => *sum = figure.max(*sum),
+                Some((_, sum)) => *sum += figure,
+                None => self.open.push((name, figure)),
+            }
+        }
+    }
+
+    pub fn text(&self) -> String {
+        self.open.iter().fold(self.counters.text(), |mut text, (name, figure)| {
+            let _ = writeln!(text, "{name} {figure}");
+            text
+        })
+    }
+}
+
+/// What a core last said of itself.
+pub struct Seat {
+    /// When, in milliseconds of the common clock.
+    pub beat: AtomicU64,
+    pub clients: AtomicUsize,
+    /// Clients that had an answer since the beat before the last.
+    pub active: AtomicUsize,
+    /// Of a thousand parts of its time lately, how many it worked.
+    pub busy: AtomicU64,
+    pub figures: watch::Sender<Arc<Figures>>,
+    inbox: Option<mpsc::Sender<Order>>,
+}
+
+pub struct House {
+    pub ids: Arc<Ids>,
+    /// Queries and parts held.
+    pub room: Arc<Pool>,
+    pub fence: Arc<Fence>,
+    pub common: Common,
+    pub seats: Vec<Seat>,
+    /// The module of some core asks to follow the roster.
+    pub follow: Arc<Notify>,
+    /// Most connections of one core to one data node.
+    pub node_connections: usize,
+    gossip: Option<broadcast::Sender<Word>>,
+    /// Cores that serve, hang and are lost, as the lead sees them.
+    pub serving: AtomicUsize,
+    pub hung: AtomicUsize,
+    pub lost: AtomicUsize,
+    /// What the lead itself counts.
+    pub lead: watch::Sender<Arc<Figures>>,
+}
+
+/// How several cores share.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Sharing {
+    pub cores: usize,
+    /// Most connections to one data node, of all cores together; one for each core at least.
+    pub node_connections: Option<usize>,
+    /// Whether cores tell each other what they saw of data nodes.
+    pub evidence: bool,
+}
+
+impl Default for Sharing {
+    fn default() -> Self {
+        Sharing { cores: 1, node_connections: None, evidence: true }
+    }
+}
+
+impl House {
+    /// A house for so many cores, with the inbox of each, for so many queries and parts.
+    pub fn new(room: usize, sharing: Sharing, patience: f64) -> (Arc<Self>, Vec<mpsc::Receiver<Order>>) {
+        let many = sharing.cores > 1;
+        let seat = |inbox| Seat {
+            beat: AtomicU64::new(0),
+            clients: AtomicUsize::new(0),
+            active: AtomicUsize::new(0),
+            busy: AtomicU64::new(0),
+            figures: watch::channel(Arc::default()).0,
+            inbox,
+        };
+        let (senders, inboxes): (Vec<_>, Vec<_>) =
+            if many { (0..sharing.cores).map(|_| mpsc::channel(INBOX)).unzip() } else { (vec![], vec![]) };
+        let seats =
+            if many { senders.into_iter().map(|s| seat(Some(s))).collect() } else { vec![seat(None)] };
+        let each = sharing.node_connections.map_or(usize::MAX, |all| (all / sharing.cores).max(1));
+        let house = House {
+            ids: Ids::new(room),
+            room: Pool::new(room),
+            fence: Fence::new(if many { patience } else { f64::INFINITY }),
+            common: Common::new(sharing.cores),
+            seats,
+            follow: Arc::default(),
+            node_connections: each,
+            gossip: (many && sharing.evidence).then(|| broadcast::channel(GOSSIP).0),
+            serving: AtomicUsize::new(0),
+            hung: AtomicUsize::new(0),
+            lost: AtomicUsize::new(0),
+            lead: watch::channel(Arc::default()).0,
+        };
+        (Arc::new(house), inboxes)
+    }
+
+    /// For a program on one core.
+    pub fn alone(room: usize) -> Arc<Self> {
+        House::new(room, Sharing::default(), f64::INFINITY).0
+    }
+
+    pub fn is_shared(&self) -> bool {
+        self.seats.len() > 1
+    }
+
+    /// Gives a core something to do; what it has no room for comes back.
+    pub fn send(&self, core: usize, order: Order) -> Result<(), Order> {
+        let Some(inbox) = self.seats.get(core).and_then(|s| s.inbox.as_ref()) else { return Err(order) };
+        inbox.try_send(order).map_err(|why| match why {
+            mpsc::error::TrySendError::Full(order) | mpsc::error::TrySendError::Closed(order) => order,
+        })
+    }
+
+    pub fn tell(&self, word: Word) {
+        // An error says that nobody listens.
+        self.gossip.as_ref().into_iter().for_each(|gossip| drop(gossip.send(word.clone())));
+    }
+
+    pub fn listen(&self) -> Option<broadcast::Receiver<Word>> {
+        self.gossip.as_ref().map(broadcast::Sender::subscribe)
+    }
+
+    /// Adds what the other cores last said to one's own figures, and how the cores are.
+    pub fn add_others(&self, core: Option<usize>, figures: &mut Figures) {
+        if !self.is_shared() {
+            return;
+        }
+        let others = self.seats.iter().enumerate().filter(|(at, _)| Some(*at) != core);
+        others.for_each(|(_, seat)| figures.join(&seat.figures.borrow()));
+        figures.join(&self.lead.borrow());
+        let cores =
+            [("cores_serving", &self.serving), ("cores_hung", &self.hung), ("cores_lost", &self.lost)];
+        figures.open.extend(cores.map(|(name, count)| (name, count.load(Relaxed) as u64)));
+        figures.open.push(("ids_open", self.ids.count() as u64));
+    }
+}
--- a/crates/router/src/memory/lines.rs
+++ b/crates/router/src/memory/lines.rs
@@ -77,6 +77,11 @@
         self.wake.notify_one();
     }
 
+    /// Whether the next frame asks for something new.
+    pub fn next_is_call(&self) -> bool {
+        self.begun.is_none() && matches!(self.frames.front(), Some(Frame::Call(_)))
+    }
+
     /// The next frame to write; it has begun once this returns it.
     pub fn begin(&mut self) -> Option<&Frame> {
         if self.begun.is_none() {
--- a/crates/router/src/memory/mod.rs
+++ b/crates/router/src/memory/mod.rs
@@ -1,12 +1,14 @@
 //! What is kept: open queries, leaf calls, the roster with its connections, clients, descriptors, counters.
 //! The `Desk` holds them all and is the one place where a thing that came in meets what is kept; drivers and
-//! the round call it. Everything runs on one thread and no borrow outlasts a call.
+//! the round call it. Each core has one, used by its thread alone, and no borrow outlasts a call; the `House` is
+//! what the desks of several cores hold in common.
 pub mod calls;
 pub mod clients;
 pub mod clock;
 pub mod counters;
 pub mod descriptors;
 pub mod desk;
+pub mod house;
 pub mod lines;
 pub mod queries;
 pub mod roster;
--- a/crates/router/src/memory/queries.rs
+++ b/crates/router/src/memory/queries.rs
@@ -1,5 +1,7 @@
 //! Open queries and their parts, from the last byte of a request to its final answer.
 use super::clients::Client;
+use alderway_cores::ids::Claim;
+use alderway_cores::pool::Taken;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -23,10 +25,17 @@
     pub client: Rc<Client>,
 }
 
+/// What an open query takes of what all cores hold in common; dropped with it.
+pub struct Place {
+    pub id: Claim,
+    pub room: Taken,
+}
+
 /// A query is held from `hold` to `release`, and counts with its parts against the room.
 #[derive(Default)]
 pub struct Queries {
     open: BTreeMap<u64, Query>,
+    places: BTreeMap<u64, Place>,
     numbers: BTreeMap<Rc<str>, u64>,
     parts: BTreeMap<Rc<str>, (u64, usize)>,
     last: u64,
@@ -54,8 +63,9 @@
         self.numbers.keys().cloned().collect()
     }
 
-    pub fn hold(&mut self, query: Query) -> u64 {
+    pub fn hold(&mut self, query: Query, place: Place) -> u64 {
         self.last += 1;
+        self.places.insert(self.last, place);
         self.numbers.insert(query.id.clone(), self.last);
         for (i, part) in query.parts.iter().enumerate() {
             self.parts.insert(part.id.clone(), (self.last, i));
@@ -67,6 +77,7 @@
     pub fn release(&mut self, number: u64) -> Option<Query> {
         let query = self.open.remove(&number)?;
         self.numbers.remove(&query.id);
+        self.places.remove(&number);
         for part in &query.parts {
             self.parts.remove(&part.id);
         }
--- a/crates/router/src/memory/roster.rs
+++ b/crates/router/src/memory/roster.rs
@@ -15,6 +15,16 @@
     pub fresh: Vec<CallId>,
 }
 
+/// A data node as one core tells it to another.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    pub name: String,
+    pub address: SocketAddr,
+    pub cell: u32,
+    pub state: NodeState,
+    pub started: Option<f64>,
+}
+
 #[derive(Default)]
 pub struct Roster {
     pub nodes: BTreeMap<String, Node>,
@@ -71,6 +81,33 @@
         (node.address, node.cell, node.state, node.started) = (address, cell, state, started);
     }
 
+    /// All that serve or drain.
+    pub fn entries(&self) -> Vec<Entry> {
+        let here = self.nodes.iter().filter(|(_, n)| n.state != NodeState::Gone);
+        here.map(|(name, n)| {
+            let (name, address, cell, state, started) = (name.clone(), n.address, n.cell, n.state, n.started);
+            Entry { name, address, cell, state, started }
+        })
+        .collect()
+    }
+
+    /// Takes over the whole list as another holds it; what is the same stays untouched.
+    pub fn adopt(&mut self, list: &[Entry]) {
+        let named: BTreeSet<&str> = list.iter().map(|e| e.name.as_str()).collect();
+        for (name, node) in &mut self.nodes {
+            if node.state != NodeState::Gone && !named.contains(name.as_str()) {
+                node.state = NodeState::Gone;
+                self.changed.insert(name.clone());
+            }
+        }
+        for e in list {
+            let held = self.nodes.get(&e.name).map(|n| (n.address, n.cell, n.state, n.started));
+            if held != Some((e.address, e.cell, e.state, e.started)) {
+                self.entry(&e.name, e.address, e.cell, e.state, e.started);
+            }
+        }
+    }
+
     pub fn line(&mut self, node: &str, line: u64) -> Option<&mut Line> {
         self.nodes.get_mut(node)?.lines.get_mut(&line)
     }
--- a/crates/router/src/requests.rs
+++ b/crates/router/src/requests.rs
@@ -23,6 +23,10 @@
         client.closes.set(true);
         return plain(505, "expected METHOD PATH HTTP/1.1");
     }
+    #[cfg(feature = "faults")]
+    if let Ok(Some(fault)) = head.field("X-Fault") {
+        desk.borrow_mut().fault = Some(fault.to_string());
+    }
     match (method, path) {
         ("POST", "/api") => {
             let taken = read(desk, client, head, body, at);
@@ -73,6 +77,5 @@
     }
     let not_after = at + (f64::from(left) / 1e3).min(desk.room.deadline);
     let client = client.clone();
-    desk.take(&client.clone(), Query { id: id.into(), vertical, not_after, text, parts, client });
-    Ok(())
+    desk.take(&client.clone(), Query { id: id.into(), vertical, not_after, text, parts, client })
 }
--- a/crates/router/tests/desk.rs
+++ b/crates/router/tests/desk.rs
@@ -76,7 +76,8 @@
         |s: &u32| Part { id: format!("{id}.{s}").into(), shard: *s, weight: 1.0, value: None, calls: 0 };
     let parts = shards.iter().map(part).collect();
     let (not_after, text) = (desk.clock.now() + 5.0, "text".to_string());
-    desk.take(&client, Query { id: id.into(), vertical: 0, not_after, text, parts, client: client.clone() });
+    desk.take(&client, Query { id: id.into(), vertical: 0, not_after, text, parts, client: client.clone() })
+        .expect("taken");
     told(desk);
     client
 }
@@ -297,12 +298,12 @@
         let part = Part { id: format!("{id}.1").into(), shard: 1, weight: 1.0, value: None, calls: 0 };
         let (not_after, text, parts) = (desk.borrow().clock.now() + 5.0, String::new(), vec![part]);
         let query = Query { id: id.into(), vertical, not_after, text, parts, client: client.clone() };
-        desk.borrow_mut().take(&client, query);
+        desk.borrow_mut().take(&client, query).expect("taken");
         client
     };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     tokio::task::LocalSet::new().block_on(&runtime, async {
-        let share = descriptors::shares(64, usize::MAX).1;
+        let share = descriptors::shares(64, usize::MAX, 1).1;
         tokio::task::spawn_local(rounds::run(desk.clone(), module, share));
         let bad = taken("bad", 1);
         bad.wake.notified().await;
@@ -322,7 +323,7 @@
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
-        let share = descriptors::shares(64, usize::MAX).0;
+        let share = descriptors::shares(64, usize::MAX, 1).0;
         tokio::task::spawn_local(clients::listen(desk.clone(), listener, share, Rc::default()));
         let mut stream = tokio::net::TcpStream::connect(address).await.expect("connected");
         let mut answer = [0; 200];
@@ -354,9 +355,9 @@
         let part = Part { id: "r.1".into(), shard: 1, weight: 1.0, value: None, calls: 0 };
         let (not_after, text, parts) = (desk.borrow().clock.now() + 60.0, "x".repeat(1 << 25), vec![part]);
         let query = Query { id: "r".into(), vertical: 0, not_after, text, parts, client: client.clone() };
-        desk.borrow_mut().take(&client, query);
+        desk.borrow_mut().take(&client, query).expect("taken");
         let dial = send(&mut desk.borrow_mut(), "u", &["r.1"]).remove(0);
-        let share = descriptors::shares(64, usize::MAX).1;
+        let share = descriptors::shares(64, usize::MAX, 1).1;
         let driver = tokio::task::spawn_local(nodes::run(desk.clone(), dial, share));
         let _open = silent.accept().await.expect("a connection");
         let ended = tokio::time::timeout(std::time::Duration::from_secs(4), driver).await;
@@ -383,15 +384,15 @@
 
 #[rstest]
 fn descriptors_come_back_when_their_holder_is_dropped() {
-    let (clients, nodes) = descriptors::shares(32, usize::MAX);
+    let (clients, nodes) = descriptors::shares(32, usize::MAX, 1);
     let held: Vec<_> = std::iter::from_fn(|| clients.take()).collect();
     assert_eq!(held.len(), 8);
     assert!(nodes.take().is_some(), "clients cannot take the data nodes' share");
     drop(held);
     assert!(clients.take().is_some());
-    let (few, _) = descriptors::shares(1024, 4 * 1024 * 1024);
+    let (few, _) = descriptors::shares(1024, 4 * 1024 * 1024, 1);
     let held: Vec<_> = std::iter::from_fn(|| few.take()).collect();
     assert!(held.len() < 20, "memory bounds half-sent requests too");
-    let most = descriptors::shares(384, usize::MAX).0;
+    let most = descriptors::shares(384, usize::MAX, 1).0;
     assert_eq!(std::iter::from_fn(|| most.take()).collect::<Vec<_>>().len(), 128, "a third");
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -13,6 +13,8 @@
 /// A node that answered nothing for so many times a part's delay is silent.
 const SILENT: f64 = 2.5;
 const MAX_COPIES: usize = 2;
+/// How long others take a node for silent on one core's word, told again while it lasts.
+const HEARSAY: f64 = 0.5;
 
 #[derive(Default)]
 pub struct Router {
@@ -26,6 +28,7 @@
     placement: Placement,
     allowance: Allowance,
     cold: Option<ColdRule>,
+    common: Common,
     purse: Purse,
     nodes: BTreeMap<String, Node>,
     /// Ids of serving nodes by cell, made anew after a roster change: a part's cost follows its holders.
@@ -66,12 +69,27 @@
     cold_work: VecDeque<(f64, f64)>,
     /// Where in its turn this router is among those that send to the node while it is cold, from 0 to 1.
     phase: f64,
+    /// What other cores saw, counted from when they did; never told on.
+    hearsay: Hearsay,
+    /// Own calls have ended since this core last told of the node; what it told, and when it holds until.
+    observed: bool,
+    noted: f64,
+    told: (u8, f64),
     /// As judged at the start of this round.
     standing: u8,
     /// How long a part may wait for it: as the oldest has; while it is silent, as long again as it was.
     wait: f64,
 }
 
+/// Until when others' word makes a node late, far too late or sick, and when they saw it.
+#[derive(Clone, Copy, Default)]
+struct Hearsay {
+    seen: f64,
+    late_until: f64,
+    far_until: f64,
+    sick_until: f64,
+}
+
 #[derive(Default)]
 struct Shard {
     turn: usize,
@@ -137,7 +155,6 @@
 /// pays for every leaf call past a first one, so no window can see more than `free` + ratio x parts.
 #[derive(Default)]
 struct Purse {
-    tokens: f64,
     ratio: f64,
     capacity: f64,
     stated: bool,
@@ -147,13 +164,7 @@
     fn new(budget: Option<Budget>, ratio: f64, capacity: f64) -> Self {
         let ratio = budget.map_or(ratio, |b| ratio.min(b.ratio));
         let capacity = budget.map_or(capacity, |b| capacity.min(b.free));
-        Purse { tokens: capacity, ratio, capacity, stated: budget.is_some() }
-    }
-
-    fn pay(&mut self) -> bool {
-        let whole = self.tokens >= 1.0;
-        self.tokens -= if whole { 1.0 } else { 0.0 };
-        whole
+        Purse { ratio, capacity, stated: budget.is_some() }
     }
 }
 
@@ -187,10 +198,63 @@
         }
     }
 
+    /// The same by what others saw.
+    fn rumoured(&self, now: f64) -> u8 {
+        let hearsay = &self.hearsay;
+        match () {
+            _ if hearsay.sick_until > now => 3,
+            _ if hearsay.far_until > now => 2,
+            _ if hearsay.late_until > now => 1,
+            _ => 0,
+        }
+    }
+
+    /// Takes in what another core saw, `age` seconds ago. An observation of one's own as new or newer outranks
+    /// it (guards against wrong word that shuts out a node which answers here), as does newer word. Word that the
+    /// node answered in time ends what this core and others held against it before; it is not told on.
+    fn hear(&mut self, now: f64, age: f64, word: Evidence) {
+        let (seen, sound) = (now - age, word.late.max(word.far).max(word.sick) <= 0.0);
+        let own = if sound { self.noted } else { self.heard };
+        if age < 0.0 || seen <= own || seen <= self.hearsay.seen {
+            return;
+        }
+        let until = |span: f64| seen + span.clamp(0.0, 30.0);
+        let (late, far, sick) = (until(word.late), until(word.far), until(word.sick));
+        self.hearsay = Hearsay { seen, late_until: late, far_until: far, sick_until: sick };
+        if sound {
+            (self.rest, self.failures, self.told) = (0.0, 0, (0, now));
+            self.late_until = self.late_until.min(now);
+            self.far_until = self.far_until.min(now);
+            self.shun_until = self.shun_until.min(now);
+        }
+    }
+
+    /// What others should know: own calls showed the node in another standing than they were told, or it stays
+    /// in that beyond what they take our word for, or it answers here though others say that it does not.
+    fn news(&mut self, now: f64, clock: f64, own: u8) -> Option<Evidence> {
+        let doubted = self.rumoured(now) > 0 && self.hearsay.seen < self.heard && self.late_until <= now;
+        let left = |until: f64| (until - now).max(0.0);
+        let silent = own == 3 && self.shun_until <= now;
+        let sick = if silent { HEARSAY } else { left(self.shun_until) };
+        let until = now + sick.max(left(self.late_until));
+        let longer =
+            own > 0 && until > self.told.1 + if silent { 0.5 * HEARSAY } else { 0.1 * (until - now) };
+        // An old call that may yet end well is no evidence, silence and a call's end are.
+        if !(silent || std::mem::take(&mut self.observed)) || !(own != self.told.0 || longer || doubted) {
+            return None;
+        }
+        self.told = (own, until);
+        self.hearsay =
+            if doubted { Hearsay { seen: self.heard, ..Hearsay::default() } } else { self.hearsay };
+        let (started, late, far) = (self.started, left(self.late_until), left(self.far_until));
+        Some(Evidence { started, seen: clock, late, far, sick })
+    }
+
     /// Takes in how a leaf call ended. The cap on parts in flight grows by answers well inside the SLO time
     /// and shrinks by those beyond, so that waiting happens here, where it can still go elsewhere.
     fn ended(&mut self, now: f64, ending: Ending, latency: f64, delay: f64, slo: f64, least: f64) {
         let (late, sent) = (latency > delay, now - latency);
+        (self.observed, self.noted) = (true, now);
         match ending {
             Ending::Success => {
                 (self.heard, self.failures, self.shun_until) = (now, 0, now);
@@ -231,11 +295,13 @@
     /// held to this router's share of what would push it over, every peer sending likewise, taken as one
     /// core. Where many peers leave less than one part a span, it is one part in as long as the share takes,
     /// the first after a part of that drawn by chance, so that peers do not send in step.
-    fn room(&self, now: f64, work: f64, peers: f64, cold: Option<ColdRule>, bundle: usize) -> usize {
+    ///
+    /// Beside it the span in which nobody else of this router may send, none for a warm node.
+    fn room(&self, now: f64, work: f64, peers: f64, cold: Option<ColdRule>, bundle: usize) -> (usize, f64) {
         let free = (self.cap - self.calls.len() as f64).max(0.0).floor() as usize;
         let warm = if free > 0 { bundle } else { 0 };
         let aged = cold.and_then(|c| self.started.map(|s| (c, (now - s).max(0.0))));
-        let Some((rule, age)) = aged.filter(|(c, age)| *age < c.warm_up + c.span) else { return warm };
+        let Some((rule, age)) = aged.filter(|(c, age)| *age < c.warm_up + c.span) else { return (warm, 0.0) };
         let warmth = rule.share + (1.0 - rule.share) * (age - rule.span).max(0.0) / rule.warm_up;
         let share = rule.multiple * warmth.min(1.0) / peers;
         // The 1.3 makes up for part of the waiting in `work` (at most 0.39 of the limit was seen); without
@@ -245,7 +311,7 @@
             if rare { (work / share, 1.001 * work) } else { (rule.span, 1.3 * share * rule.span) };
         let sent: f64 = self.cold_work.iter().filter(|w| w.0 >= now - span - LOOK).map(|w| w.1).sum();
         let room = free.min(bundle).min(((bearable - sent) / work).max(0.0) as usize);
-        if rare && age < self.phase * span { 0 } else { room }
+        (if rare && age < self.phase * span { 0 } else { room }, span + LOOK)
     }
 }
 
@@ -322,7 +388,7 @@
         self.shards.entry(shard).or_insert_with(|| Shard { turn, ..Shard::default() });
         self.parts.insert(id.into(), (number, query.parts.len()));
         query.parts.push(Part { id: id.into(), shard, weight, merged: false, copies: 0, calls: vec![] });
-        self.purse.tokens = (self.purse.tokens + self.purse.ratio).min(self.purse.capacity);
+        self.common.earn(self.purse.ratio, self.purse.capacity);
     }
 
     fn call_ended(&mut self, part: &str, hop: usize, node: &str, ending: Ending, latency: f64) {
@@ -364,6 +430,12 @@
     fn alarm(&mut self, _tag: u64) {
         self.alarm_set = false;
     }
+
+    fn evidence(&mut self, id: &str, seen: Evidence) {
+        let (now, age) = (self.awake, self.now - seen.seen);
+        let node = self.nodes.get_mut(id).filter(|n| n.started == seen.started);
+        node.into_iter().for_each(|n| n.hear(now, age, seen));
+    }
 }
 
 impl Router {
@@ -378,14 +450,17 @@
         budget: Option<Budget>,
         cold: Option<ColdRule>,
     ) -> Self {
+        let (common, purse) = (Common::default(), Purse::new(budget, 0.1, 40.0));
+        common.fill(purse.capacity);
         Router {
             chance: Pcg(seed),
+            common,
+            purse,
             peers: peers.max(1) as f64,
             usual: verticals.iter().map(|_| Recent::default()).collect(),
             bare: vec![f64::INFINITY; verticals.len()],
             longest_try: vec![0.0; verticals.len()],
             customers: customers.into_iter().map(|c| (c, 1.0, 0.0)).collect(),
-            purse: Purse::new(budget, 0.1, 40.0),
             follow_at: if allowance.follow { 0.0 } else { f64::INFINITY },
             verticals,
             placement,
@@ -395,6 +470,12 @@
         }
     }
 
+    /// Makes this the module of one core among several; before the first round.
+    pub fn join(&mut self, common: Common) {
+        common.fill(self.purse.capacity);
+        self.common = common;
+    }
+
     /// One round: `came_in` tells all that came in, then every decision is written to `out`.
     pub fn round<E>(
         &mut self,
@@ -440,14 +521,21 @@
 
     fn look_at_nodes(&mut self, out: &mut dyn Writer) {
         for (id, node) in &mut self.nodes {
-            let standing = node.judged(self.awake, SILENT);
+            let (own, rumoured) = (node.judged(self.awake, SILENT), node.rumoured(self.awake));
+            if self.common.is_shared()
+                && let Some(seen) = node.news(self.awake, self.now, own)
+            {
+                out.evidence(id, seen);
+            }
+            let standing = own.max(rumoured);
             let sick = standing == 3;
             if sick != (node.standing == 3) {
                 let (n, f, cap) = (node.calls.len(), node.failures, node.cap);
                 let word = if sick { "sick" } else { "back" };
                 out.remark(&format!("node {id} {word}: {n} calls out, {f} failures, cap {cap:.1}"));
             }
-            let away = (node.shun_until - self.awake).max(self.awake - node.heard);
+            let silence = if own == 3 { self.awake - node.heard } else { 0.0 };
+            let away = (node.shun_until.max(node.hearsay.sick_until) - self.awake).max(silence);
             (node.standing, node.wait) = (standing, if sick { away } else { 0.0 });
         }
     }
@@ -619,7 +707,7 @@
                 if taken.len() < room && self.placement.holds(cell, shard) {
                     taken.insert(i);
                     let further = !self.queries[&number].parts[i].calls.is_empty();
-                    if !further || !self.purse.stated || self.purse.pay() {
+                    if !further || !self.purse.stated || self.common.pay() {
                         self.send(number, i, &node, out);
                     }
                 }
@@ -631,29 +719,35 @@
     /// The next holder in turn for a part, past late ones and those without room; a node tried before
     /// counts as late. Where calls cost work, the turn is taken per call: a node that can take more of
     /// the query's waiting parts goes first. Sick nodes are asked only where every holder is sick.
+    /// A cold node is any core's whose turn it is.
     fn next_node(&self, n: u64, i: usize, group: &[u32], bundle: usize) -> Option<(String, usize, usize)> {
         let q = &self.queries[&n];
         let (part, work) = (&q.parts[i], self.bare_work(q.vertical));
         let (shard, holders) = (part.shard, self.holders(part.shard));
         let all_sick = part.calls.is_empty() && holders.iter().all(|id| self.nodes[*id].standing == 3);
         let turn = self.shards.get(&shard).map_or(0, |s| s.turn);
-        let mut best: Option<((u8, usize, usize), usize, usize)> = None;
+        let mut able = vec![];
         for step in 0..holders.len() {
             let at = (turn + step) % holders.len();
             let node = &self.nodes[holders[at]];
-            let room = node.room(self.now, work, self.peers, self.cold, bundle);
+            let (room, span) = node.room(self.now, work, self.peers, self.cold, bundle);
             let asked = part.calls.iter().any(|c| c.out && c.node == holders[at]);
             if asked || room == 0 || (node.standing == 3 && !all_sick) {
                 continue;
             }
             let tried = part.calls.iter().any(|c| c.node == holders[at]);
             let covers = group.iter().filter(|&&s| self.placement.holds(node.cell, s)).count();
-            let key = (node.standing + u8::from(tried), usize::MAX - covers.min(room), step);
-            if best.as_ref().is_none_or(|(k, ..)| key < *k) {
-                best = Some((key, at, room));
-            }
+            able.push((
+                (node.standing + u8::from(tried), usize::MAX - covers.min(room), step),
+                at,
+                room,
+                span,
+            ));
         }
-        best.map(|(_, at, room)| (holders[at].to_string(), room, at + 1))
+        able.sort_unstable_by_key(|a| a.0);
+        let turn = |at: usize, span| span <= 0.0 || self.common.cold_turn(holders[at], self.now, span);
+        let (_, at, room, _) = able.into_iter().find(|&(_, at, _, span)| turn(at, span))?;
+        Some((holders[at].to_string(), room, at + 1))
     }
 
     fn send(&mut self, number: u64, i: usize, id: &str, out: &mut dyn Writer) {
@@ -690,7 +784,7 @@
             }
             let (age, delay) = (self.awake - part.calls[newest].since, self.delay(shard, v.slo));
             let may = part.may_call(self.now, v.effect, self.allowance.calls);
-            if age <= delay || !may || (self.purse.stated && self.purse.tokens < 1.0) {
+            if age <= delay || !may || (self.purse.stated && self.common.tokens() < 1.0) {
                 continue;
             }
             // Guards against hung and silent nodes when the bucket is dry: their calls move on where a holder
@@ -700,14 +794,16 @@
                 self.awake - call.since > SILENT * delay && node.standing == 3
             });
             let more = v.effect == Effect::Repeatable && self.allowance.parallel && part.copies < MAX_COPIES;
-            let copy = more && self.purse.tokens >= 1.0;
+            let copy = more && self.common.tokens() >= 1.0;
             let useful = self.now + 0.5 * self.work(vertical) < self.queries[&number].slo_at;
             if !(copy || useful && stuck) {
                 continue;
             }
             let Some((node, _, turn)) = self.next_node(number, i, &[shard], 1) else { continue };
+            if copy && !self.common.pay() {
+                continue;
+            }
             if copy {
-                self.purse.pay();
                 self.shards.entry(shard).or_default().turn = turn;
                 self.send(number, i, &node, out);
             } else {
--- a/src/host.rs
+++ b/src/host.rs
@@ -1,6 +1,10 @@
 //! The interface between the decision module and whatever hosts it: what comes in, what goes out, and
 //! the plain trade types that both sides speak. Times are seconds; ids are kept as they came.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+
 /// What a second run of a part would do.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Effect {
@@ -121,6 +125,101 @@
     }
 }
 
+/// What one decision point saw of a data node with its own calls. Spans count from `seen`, a time of the clock
+/// that all decision points of one program share; a span of 0 says that the node is sound in that respect.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Evidence {
+    /// The start of the node's process that was seen: of another process it says nothing.
+    pub started: Option<f64>,
+    pub seen: f64,
+    pub late: f64,
+    pub far: f64,
+    pub sick: f64,
+}
+
+/// What the modules of one query router's cores hold in common: single atomics, so that a stated sum holds for
+/// all of them at every instant and none keeps a part of it unused. Each core has a clone with its own number.
+#[derive(Clone, Debug, Default)]
+pub struct Common {
+    core: u8,
+    /// Whether other cores are there to be told.
+    shared: bool,
+    /// The bucket's tokens, as the bits of their negative, so that an empty bucket is told from an untouched one.
+    tokens: Arc<AtomicU64>,
+    /// For cold nodes, by a hash of their ids: in milliseconds until when one core alone may send, and its number.
+    cold: Arc<[AtomicU64]>,
+}
+
+impl Common {
+    /// Nodes that meet in one of these places take turns, which costs them work and breaks no rule.
+    const PLACES: usize = 1024;
+
+    /// For `cores` cores, 255 at most; each takes its own with `of`.
+    pub fn new(cores: usize) -> Self {
+        let places = if cores > 1 { Self::PLACES } else { 0 };
+        Common {
+            shared: cores > 1,
+            cold: (0..places).map(|_| AtomicU64::new(0)).collect(),
+            ..Self::default()
+        }
+    }
+
+    pub fn of(&self, core: u8) -> Self {
+        Common { core, ..self.clone() }
+    }
+
+    pub fn is_shared(&self) -> bool {
+        self.shared
+    }
+
+    fn bits(tokens: f64) -> u64 {
+        (-tokens).to_bits()
+    }
+
+    fn held(bits: u64) -> f64 {
+        -f64::from_bits(bits)
+    }
+
+    pub fn tokens(&self) -> f64 {
+        Self::held(self.tokens.load(Relaxed))
+    }
+
+    /// Fills an untouched bucket. A module that starts later, as after a failure, finds what is left.
+    pub fn fill(&self, tokens: f64) {
+        let _ = self.tokens.compare_exchange(0, Self::bits(tokens), Relaxed, Relaxed);
+    }
+
+    pub fn earn(&self, tokens: f64, capacity: f64) {
+        let more = |held| Some(Self::bits((Self::held(held) + tokens).min(capacity)));
+        let _ = self.tokens.fetch_update(Relaxed, Relaxed, more);
+    }
+
+    /// Pays one whole token, if there is one.
+    pub fn pay(&self) -> bool {
+        let less = |held| Some(Self::held(held) - 1.0).filter(|left| *left >= 0.0).map(Self::bits);
+        self.tokens.fetch_update(Relaxed, Relaxed, less).is_ok()
+    }
+
+    /// Takes, or keeps, the sole right to send to a cold node for `span` seconds from `now` on; false while it is
+    /// another core's. Guards against cores that each spend the whole router's share on one newcomer: nobody else
+    /// may send until all that the last holder sent has left the window that the share is stated for.
+    pub fn cold_turn(&self, node: &str, now: f64, span: f64) -> bool {
+        if self.cold.is_empty() {
+            return true;
+        }
+        let mut hash = DefaultHasher::new();
+        node.hash(&mut hash);
+        let place = &self.cold[hash.finish() as usize % self.cold.len()];
+        let (from, until) = ((now * 1e3) as u64, ((now + span) * 1e3).ceil() as u64 + 1);
+        let take = |held: u64| {
+            let mine = held & 0xff == u64::from(self.core);
+            let longest = if mine { until.max(held >> 8) } else { until };
+            (mine || held >> 8 <= from).then_some(longest << 8 | u64::from(self.core))
+        };
+        place.fetch_update(Relaxed, Relaxed, take).is_ok()
+    }
+}
+
 /// What a host tells the module; one call for each thing that came in, in order.
 pub trait Intake {
     /// The roster that follows is the whole one: nodes that it does not name are gone.
@@ -133,6 +232,8 @@
     fn call_ended(&mut self, part: &str, hop: usize, node: &str, ending: Ending, latency: f64);
     fn client_left(&mut self, query: &str);
     fn alarm(&mut self, tag: u64);
+    /// What another core of this query router saw of a data node.
+    fn evidence(&mut self, _node: &str, _seen: Evidence) {}
 }
 
 /// Where the module writes its decisions, in the order in which they are to happen.
@@ -146,4 +247,6 @@
     fn alarm(&mut self, span: f64, tag: u64);
     fn follow_roster(&mut self);
     fn remark(&mut self, text: &str);
+    /// What this core saw of a data node, for the others.
+    fn evidence(&mut self, _node: &str, _seen: Evidence) {}
 }
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -3,7 +3,7 @@
 use alderway::host::*;
 
 #[derive(Default)]
-pub struct Notes(pub Vec<String>);
+pub struct Notes(pub Vec<String>, pub Vec<(String, Evidence)>);
 
 impl Writer for Notes {
     fn call(&mut self, part: &str, node: &str, _limit: f64) {
@@ -28,6 +28,9 @@
     fn remark(&mut self, text: &str) {
         self.0.push(format!("remark {text}"));
     }
+    fn evidence(&mut self, node: &str, seen: Evidence) {
+        self.1.push((node.into(), seen));
+    }
 }
 
 pub struct Host {
@@ -35,6 +38,8 @@
     pub now: f64,
     /// All decisions so far, in order.
     pub notes: Vec<String>,
+    /// What it told other cores, in order.
+    pub told: Vec<(String, Evidence)>,
 }
 
 /// What a story's deployment is made of; a story changes what it is about.
@@ -87,7 +92,7 @@
         let verticals = vec![d.vertical];
         let router =
             Router::new(7, d.peers, verticals, d.customers, d.placement, d.allowance, d.budget, d.cold);
-        let mut host = Host { router, now: 100.0, notes: vec![] };
+        let mut host = Host { router, now: 100.0, notes: vec![], told: vec![] };
         for cell in 0..d.nodes {
             host.roster(&format!("n{cell}"), cell, NodeState::Serving, None);
         }
@@ -103,9 +108,20 @@
         };
         self.router.round(self.now, told, &mut notes).expect("nothing here can be malformed");
         self.notes.extend(notes.0.clone());
+        self.told.extend(notes.1);
         notes.0
     }
 
+    /// Makes this host's router one core's.
+    pub fn join(&mut self, common: Common) {
+        self.router.join(common);
+    }
+
+    /// Hears what another core told.
+    pub fn hears(&mut self, told: &[(String, Evidence)]) -> Vec<String> {
+        self.round(|r| told.iter().for_each(|(node, seen)| r.evidence(node, *seen)))
+    }
+
     pub fn roster(&mut self, node: &str, cell: u32, state: NodeState, started: Option<f64>) -> Vec<String> {
         self.round(|r| r.roster_entry(node, cell, state, started))
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -1,4 +1,5 @@
 //! Short stories of what can happen to a query router, each failing when the code behind it breaks.
+#[allow(dead_code)]
 mod fake;
 use alderway::host::*;
 use fake::*;
