Rounds look only at what can change: by age, by due time, by room

Change: the desk keeps calls and queries by due time and posts only to nodes with parts; the module looks at a query when something came in for it, a part of it is late (calls by age, src/kept.rs) or its time comes, tries a shard without room once a round, and takes the oldest waiting part a shard in admission. Latencies' window and chance moved to src/kept.rs.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -36,6 +36,14 @@
         #[arg(long, default_value_t = 2000.0)]
         rate: f64,
     },
+    /// What a query costs at a steady rate, by nodes and by queries open (a longer service time)
+    Cost {
+        #[command(flatten)]
+        common: Common,
+        /// Queries a second
+        #[arg(long, default_value_t = 1000.0)]
+        rate: f64,
+    },
     /// Data nodes drain one after the other: when the last new call reached each
     Drain {
         #[command(flatten)]
@@ -84,6 +92,19 @@
     /// Mean milliseconds that a part takes at a data node
     #[arg(long, default_value_t = 0.5)]
     service_ms: f64,
+    /// Cells, and how many in a row hold a shard; as many as data nodes give each cell one
+    #[arg(long, default_value_t = 1)]
+    cells: u32,
+    #[arg(long, default_value_t = 1)]
+    reach: u32,
+    #[arg(long, default_value_t = 64)]
+    shards: u32,
+    /// Descriptors that the router may hold
+    #[arg(long, default_value_t = 4096)]
+    sockets: usize,
+    /// Least microseconds between two rounds of a router
+    #[arg(long, default_value_t = 1000)]
+    tick_us: u32,
     /// Milliseconds of the SLO time
     #[arg(long, default_value_t = 500)]
     slo_ms: u64,
@@ -121,9 +142,9 @@
             threads: self.client_threads,
             connections: self.connections,
             parts: self.parts,
-            shards: 64,
+            shards: self.shards,
             vertical: "site-search".into(),
-            patience: 2000,
+            patience: 4 * self.slo_ms,
             seed: self.seed,
         };
         Trial {
@@ -133,7 +154,16 @@
             nodes: self.nodes,
             make,
             node_threads: self.node_threads,
-            setting: Setting { slo_ms: self.slo_ms, ..Setting::default() },
+            setting: Setting {
+                slo_ms: self.slo_ms,
+                deadline_ms: 4 * self.slo_ms,
+                sockets: self.sockets,
+                shards: self.shards,
+                cells: self.cells,
+                reach: self.reach,
+                tick_us: self.tick_us,
+                ..Setting::default()
+            },
             load,
         }
     }
@@ -141,11 +171,15 @@
 
 fn main() -> ExitCode {
     let line = Line::parse();
-    let (What::Cores { common, .. } | What::Slow { common, .. } | What::Drain { common, .. }) = &line.trial;
+    let (What::Cores { common, .. }
+    | What::Slow { common, .. }
+    | What::Cost { common, .. }
+    | What::Drain { common, .. }) = &line.trial;
     let plan = common.trial();
     let rows = plan.run(|trial, subject, seed| match &line.trial {
         What::Cores { share, .. } => trial::throughput(trial, subject, seed, *share),
         What::Slow { times, rate, .. } => trial::slow_node(trial, subject, seed, *times, *rate),
+        What::Cost { rate, .. } => trial::cost(trial, subject, seed, *rate),
         What::Drain { rate, .. } => trial::drain(trial, subject, seed, *rate),
     });
     let machine = std::thread::available_parallelism().map_or(0, usize::from);
--- a/crates/lab/src/program.rs
+++ b/crates/lab/src/program.rs
@@ -27,6 +27,8 @@
     pub peers: usize,
     /// Parts that one connection to a data node carries at once.
     pub places: usize,
+    /// Least microseconds between two rounds.
+    pub tick_us: u32,
     /// Seconds of the cold rule's warm-up; none where there is no such rule.
     pub warm_up: Option<f64>,
 }
@@ -44,6 +46,7 @@
             sockets: 4096,
             peers: 1,
             places: 256,
+            tick_us: 1000,
             warm_up: None,
         }
     }
@@ -51,7 +54,9 @@
 
 impl Setting {
     fn text(&self) -> String {
-        let Setting { slo_ms, deadline_ms, effect, shards, cells, reach, room, peers, places, .. } = self;
+        let Setting {
+            slo_ms, deadline_ms, effect, shards, cells, reach, room, peers, places, tick_us, ..
+        } = self;
         let cold = self.warm_up.map_or(String::new(), |span| {
             format!(
                 r#""ColdFrom":0.2,"WarmUpUs":{},"FallMultiple":2.5,"FallUs":1000000"#,
@@ -60,7 +65,7 @@
         });
         format!(
             r#"{{"Extra":{{"Cells":{cells},"Reach":{reach},"Slices":{shards},"BundleMax":8,"PerCallWorkUs":0}},
-            "Discovery":"automatic","TickUs":1000,"ReplicasOfMe":{peers},"Obligations":{{{cold}}},
+            "Discovery":"automatic","TickUs":{tick_us},"ReplicasOfMe":{peers},"Obligations":{{{cold}}},
             "Limits":{{"MayCancel":true,"ParallelTries":true,"MaxAttempts":4,"MaxOpen":{room},
             "StreamsPerConn":{places},"DialTimeoutUs":250000,"KeepaliveUs":15000000}},
             "Services":[{{"Name":"site-search","PromiseUs":{},"DeadlineUs":{},"Effect":"{effect}",
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -161,6 +161,29 @@
     Ok(row)
 }
 
+/// A steady schedule: what a query costs the router, with so many nodes and queries open.
+pub fn cost(trial: &Trial, subject: &Subject, seed: u64, rate: f64) -> Result<Row, String> {
+    let Subject::Router(build) = subject else { return Err("a relay has no such cost".into()) };
+    let clock = Clock::default();
+    let place = trial.place(seed, clock, false)?;
+    let program = trial.start(build, &place)?;
+    let load = Load { seed, pace: Pace::Open(rate), ..trial.load.clone() };
+    load::send(program.address, &Load { span: 0.4 * load.span, seed: seed ^ 0xa5a5, ..load.clone() }, clock);
+    let before = program.cpu();
+    let outcome = load::send(program.address, &load, clock);
+    let used = program.cpu() - before;
+    let mut row: Row = vec![
+        ("CPU microseconds a query", used * 1e6 / outcome.sent.max(1) as f64),
+        ("cores used", used / outcome.seconds),
+        ("queries open, by rate and p50", rate * outcome.quantile(0.5) / 1e3),
+        ("p50 ms", outcome.quantile(0.5)),
+        ("memory MiB at most", program.memory().1),
+        ("generator behind ms", outcome.behind * 1e3),
+    ];
+    faults(&outcome, &mut row);
+    Ok(row)
+}
+
 /// One node of all becomes slow in the midst of a schedule: how many queries lose time on it.
 pub fn slow_node(trial: &Trial, subject: &Subject, seed: u64, times: f64, rate: f64) -> Result<Row, String> {
     let Subject::Router(build) = subject else { return Err("a relay knows no slow nodes".into()) };
--- a/crates/router/src/memory/calls.rs
+++ b/crates/router/src/memory/calls.rs
@@ -1,5 +1,6 @@
 //! Leaf calls that have not ended, and the endings that the next round tells.
 use super::CallId;
+use super::due::Due;
 use alderway::host::Ending;
 use std::collections::BTreeMap;
 
@@ -16,11 +17,13 @@
 #[derive(Default)]
 pub struct Calls {
     out: BTreeMap<CallId, Call>,
+    due: Due<CallId>,
     ended: Vec<(CallId, String, Ending, f64)>,
 }
 
 impl Calls {
     pub fn start(&mut self, id: CallId, node: &str, at: f64, until: f64) {
+        self.due.add(until, id.clone());
         self.out.insert(id, Call { node: node.into(), line: None, at, until });
     }
 
@@ -35,6 +38,7 @@
     /// The first ending counts; a call that has ended is not known any more.
     pub fn end(&mut self, id: &CallId, ending: Ending, now: f64) -> Option<Call> {
         let call = self.out.remove(id)?;
+        self.due.remove(call.until, id);
         self.ended.push((id.clone(), call.node.clone(), ending, now - call.at));
         Some(call)
     }
@@ -62,10 +66,10 @@
     }
 
     pub fn overdue(&self, now: f64) -> Vec<CallId> {
-        self.out.iter().filter(|(_, c)| c.until <= now).map(|(id, _)| id.clone()).collect()
+        self.due.by(now).cloned().collect()
     }
 
     pub fn next_due(&self) -> f64 {
-        self.out.values().map(|c| c.until).fold(f64::INFINITY, f64::min)
+        self.due.next()
     }
 }
--- a/crates/router/src/memory/desk.rs
+++ b/crates/router/src/memory/desk.rs
@@ -15,7 +15,7 @@
 use alderway_cores::fence;
 use alderway_cores::ids::Refused;
 use alderway_deployment::{Intake as Room, Trunk};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -67,6 +67,8 @@
     left: Vec<Rc<str>>,
     alarms: Vec<(f64, u64)>,
     dials: Vec<Dial>,
+    /// Data nodes that have parts from this round.
+    sending: BTreeSet<String>,
 }
 
 impl Desk {
@@ -111,6 +113,7 @@
             left: vec![],
             alarms: vec![],
             dials: vec![],
+            sending: BTreeSet::new(),
         }
     }
 
@@ -458,10 +461,9 @@
     /// Makes the parts that this round sends to one node into calls, up to the bundle, and gives each call a
     /// place on a connection.
     pub fn post(&mut self, now: f64) -> Vec<Dial> {
-        let sending = self.roster.nodes.iter_mut().filter(|(_, n)| !n.fresh.is_empty());
-        let fresh: Vec<(String, Vec<CallId>)> =
-            sending.map(|(name, n)| (name.clone(), std::mem::take(&mut n.fresh))).collect();
-        for (node, parts) in fresh {
+        for node in std::mem::take(&mut self.sending) {
+            let Some(record) = self.roster.nodes.get_mut(&node) else { continue };
+            let parts = std::mem::take(&mut record.fresh);
             for call in parts.chunks(self.trunk.bundle.min(self.trunk.places)) {
                 match self.line_for(&node, call, now) {
                     Some(line) => {
@@ -533,7 +535,12 @@
         });
         self.calls.start(id.clone(), node, now, now + limit);
         match self.roster.nodes.get_mut(node) {
-            Some(there) => there.fresh.push(id),
+            Some(there) => {
+                if there.fresh.is_empty() {
+                    self.sending.insert(node.to_string());
+                }
+                there.fresh.push(id);
+            }
             None => self.end(&id, Ending::NeverSent),
         }
     }
--- a/crates/router/src/memory/mod.rs
+++ b/crates/router/src/memory/mod.rs
@@ -8,6 +8,7 @@
 pub mod counters;
 pub mod descriptors;
 pub mod desk;
+pub mod due;
 pub mod house;
 pub mod lines;
 pub mod queries;
--- a/crates/router/src/memory/queries.rs
+++ b/crates/router/src/memory/queries.rs
@@ -1,5 +1,6 @@
 //! Open queries and their parts, from the last byte of a request to its final answer.
 use super::clients::Client;
+use super::due::Due;
 use alderway_cores::ids::Claim;
 use alderway_cores::pool::Taken;
 use std::collections::BTreeMap;
@@ -36,6 +37,7 @@
 pub struct Queries {
     open: BTreeMap<u64, Query>,
     places: BTreeMap<u64, Place>,
+    due: Due<u64>,
     numbers: BTreeMap<Rc<str>, u64>,
     parts: BTreeMap<Rc<str>, (u64, usize)>,
     last: u64,
@@ -66,6 +68,7 @@
     pub fn hold(&mut self, query: Query, place: Place) -> u64 {
         self.last += 1;
         self.places.insert(self.last, place);
+        self.due.add(query.not_after, self.last);
         self.numbers.insert(query.id.clone(), self.last);
         for (i, part) in query.parts.iter().enumerate() {
             self.parts.insert(part.id.clone(), (self.last, i));
@@ -78,6 +81,7 @@
         let query = self.open.remove(&number)?;
         self.numbers.remove(&query.id);
         self.places.remove(&number);
+        self.due.remove(query.not_after, &number);
         for part in &query.parts {
             self.parts.remove(&part.id);
         }
@@ -90,7 +94,7 @@
     }
 
     pub fn overdue(&self, now: f64) -> Vec<u64> {
-        self.open.iter().filter(|(_, q)| q.not_after <= now).map(|(n, _)| *n).collect()
+        self.due.by(now).copied().collect()
     }
 
     pub fn number(&self, id: &str) -> Option<u64> {
--- a/crates/router/src/memory/roster.rs
+++ b/crates/router/src/memory/roster.rs
@@ -35,6 +35,8 @@
     pub failed: bool,
     pub changed: BTreeSet<String>,
     pub last_line: u64,
+    /// Some node may be gone: otherwise nobody looks for one.
+    any_gone: bool,
 }
 
 impl Roster {
@@ -42,7 +44,7 @@
     pub fn begin(&mut self, index: u64, whole: bool) {
         self.index = Some(index);
         if whole {
-            self.whole = true;
+            (self.whole, self.any_gone) = (true, true);
             for (name, node) in &mut self.nodes {
                 node.state = NodeState::Gone;
                 self.changed.insert(name.clone());
@@ -63,11 +65,13 @@
         self.changed.insert(name.to_string());
         let Some(node) = self.nodes.get_mut(name) else {
             let (lines, fresh) = (BTreeMap::new(), vec![]);
+            self.any_gone |= state == NodeState::Gone;
             self.nodes.insert(name.into(), Node { address, cell, state, started, lines, fresh });
             return;
         };
         if state == NodeState::Gone {
             node.state = state;
+            self.any_gone = true;
             return;
         }
         let (moved, again) = (node.address != address, node.started != started);
@@ -97,6 +101,7 @@
         for (name, node) in &mut self.nodes {
             if node.state != NodeState::Gone && !named.contains(name.as_str()) {
                 node.state = NodeState::Gone;
+                self.any_gone = true;
                 self.changed.insert(name.clone());
             }
         }
@@ -114,7 +119,10 @@
 
     /// Gone nodes are forgotten with their last connection.
     pub fn forget_gone(&mut self) {
-        self.nodes.retain(|_, n| n.state != NodeState::Gone || !n.lines.is_empty());
+        if self.any_gone {
+            self.nodes.retain(|_, n| n.state != NodeState::Gone || !n.lines.is_empty());
+            self.any_gone = self.nodes.values().any(|n| n.state == NodeState::Gone);
+        }
     }
 
     pub fn names_any(&self) -> bool {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,10 +1,10 @@
 //! The decision module: which data node each part of a query goes to, when a copy or another leaf call
-//! follows, when an answer goes back, and what is rejected. A host makes one `Router` for each query
-//! router and calls `round` once for all that came in at one moment; decisions go straight into the
-//! writer. The interface (`Intake`, `Writer` and the trade types) is in `src/host.rs`; why things are as
-//! they are is in `docs/design.md`.
+//! follows, when an answer goes back, and what is rejected. A host makes one `Router` for each query router, or
+//! for each core of one, and calls `round` once for all that came in at one moment; decisions go straight into
+//! the writer. Why things are as they are is in `docs/design.md`; the interface is in `src/host.rs`.
 
 use crate::host::*;
+use crate::kept::{ByAge, Pcg, Recent};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 const LOOK: f64 = 0.010; // Seconds between two looks at what is open.
@@ -34,9 +34,13 @@
     /// Ids of serving nodes by cell, made anew after a roster change: a part's cost follows its holders.
     serving: BTreeMap<u32, Vec<String>>,
     shards: BTreeMap<u32, Shard>,
+    /// Shards for which no holder has room in this round for a first call of a vertical.
+    full: BTreeSet<(u32, usize)>,
     usual: Vec<Recent>,
     bare: Vec<f64>,
     queries: BTreeMap<u64, Query>,
+    /// Calls that may still be out, by shard and vertical.
+    out: ByAge<(u32, usize)>,
     parts: BTreeMap<String, (u64, usize)>,
     longest_try: Vec<f64>,
     /// Queries given up or left, of which clients may come again.
@@ -69,9 +73,9 @@
     cold_work: VecDeque<(f64, f64)>,
     /// Where in its turn this router is among those that send to the node while it is cold, from 0 to 1.
     phase: f64,
-    /// What other cores saw, counted from when they did; never told on.
+    /// What other cores saw; never told on.
     hearsay: Hearsay,
-    /// Own calls have ended since this core last told of the node; what it told, and when it holds until.
+    /// Whether own calls ended since this core last told of the node, and when; what it told, and until when.
     observed: bool,
     noted: f64,
     told: (u8, f64),
@@ -109,6 +113,8 @@
     second_step: bool,
     first_whole: bool,
     expected: usize,
+    /// When it is next looked at, unless something comes in or a part of it is late before.
+    look_at: f64,
     parts: Vec<Part>,
 }
 
@@ -131,26 +137,6 @@
     may_have_run: bool,
 }
 
-/// Latest latencies, in the order in which they came and in order of size.
-#[derive(Default)]
-struct Recent(VecDeque<f64>, Vec<f64>);
-
-impl Recent {
-    fn note(&mut self, latency: f64, keep: usize) {
-        self.0.push_back(latency);
-        self.1.insert(self.1.partition_point(|&l| l < latency), latency);
-        while self.0.len() > keep {
-            let old = self.0.pop_front().unwrap_or_default();
-            self.1.remove(self.1.partition_point(|&l| l < old));
-        }
-    }
-
-    fn quantile(&self, share: f64, least: usize) -> Option<f64> {
-        let at = (self.1.len().saturating_sub(1) as f64 * share).round() as usize;
-        self.1.get(at).copied().filter(|_| self.1.len() >= least)
-    }
-}
-
 /// The token bucket: earns a ratio for each part taken, pays whole tokens. With a stated budget it
 /// pays for every leaf call past a first one, so no window can see more than `free` + ratio x parts.
 #[derive(Default)]
@@ -168,19 +154,6 @@
     }
 }
 
-/// PCG-XSH-RR, 32 bits out.
-#[derive(Default)]
-struct Pcg(u64);
-
-impl Pcg {
-    fn draw(&mut self) -> f64 {
-        let old = self.0;
-        self.0 = old.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
-        let bits = ((((old >> 18) ^ old) >> 27) as u32).rotate_right((old >> 59) as u32);
-        f64::from(bits) / 4294967296.0
-    }
-}
-
 impl Node {
     /// 0: in turn. 1: late, passed over while another holder is not. 2: far too late, behind those. 3: sick,
     /// last resort only: it refuses connections or fails again and again, or has answered nothing since it
@@ -200,18 +173,12 @@
 
     /// The same by what others saw.
     fn rumoured(&self, now: f64) -> u8 {
-        let hearsay = &self.hearsay;
-        match () {
-            _ if hearsay.sick_until > now => 3,
-            _ if hearsay.far_until > now => 2,
-            _ if hearsay.late_until > now => 1,
-            _ => 0,
-        }
+        let (hearsay, at) = (&self.hearsay, |until: f64, standing| if until > now { standing } else { 0 });
+        at(hearsay.sick_until, 3).max(at(hearsay.far_until, 2)).max(at(hearsay.late_until, 1))
     }
 
-    /// Takes in what another core saw, `age` seconds ago. An observation of one's own as new or newer outranks
-    /// it (guards against wrong word that shuts out a node which answers here), as does newer word. Word that the
-    /// node answered in time ends what this core and others held against it before; it is not told on.
+    /// Takes in what another core saw, `age` seconds ago; what one saw oneself since outranks it (guards against
+    /// wrong word on a node that answers here). Word of an answer in time ends what was held against the node.
     fn hear(&mut self, now: f64, age: f64, word: Evidence) {
         let (seen, sound) = (now - age, word.late.max(word.far).max(word.sick) <= 0.0);
         let own = if sound { self.noted } else { self.heard };
@@ -229,8 +196,8 @@
         }
     }
 
-    /// What others should know: own calls showed the node in another standing than they were told, or it stays
-    /// in that beyond what they take our word for, or it answers here though others say that it does not.
+    /// What others should know: own calls show another standing than was told, or the same for longer, or the
+    /// node answers here though others say that it does not.
     fn news(&mut self, now: f64, clock: f64, own: u8) -> Option<Evidence> {
         let doubted = self.rumoured(now) > 0 && self.hearsay.seen < self.heard && self.late_until <= now;
         let left = |until: f64| (until - now).max(0.0);
@@ -239,7 +206,6 @@
         let until = now + sick.max(left(self.late_until));
         let longer =
             own > 0 && until > self.told.1 + if silent { 0.5 * HEARSAY } else { 0.1 * (until - now) };
-        // An old call that may yet end well is no evidence, silence and a call's end are.
         if !(silent || std::mem::take(&mut self.observed)) || !(own != self.told.0 || longer || doubted) {
             return None;
         }
@@ -295,8 +261,7 @@
     /// held to this router's share of what would push it over, every peer sending likewise, taken as one
     /// core. Where many peers leave less than one part a span, it is one part in as long as the share takes,
     /// the first after a part of that drawn by chance, so that peers do not send in step.
-    ///
-    /// Beside it the span in which nobody else of this router may send, none for a warm node.
+    /// Beside it the span in which no other core may send, none for a warm node.
     fn room(&self, now: f64, work: f64, peers: f64, cold: Option<ColdRule>, bundle: usize) -> (usize, f64) {
         let free = (self.cap - self.calls.len() as f64).max(0.0).floor() as usize;
         let warm = if free > 0 { bundle } else { 0 };
@@ -387,6 +352,7 @@
         let turn = (self.chance.draw() * f64::from(self.placement.reach) * 64.0) as usize;
         self.shards.entry(shard).or_insert_with(|| Shard { turn, ..Shard::default() });
         self.parts.insert(id.into(), (number, query.parts.len()));
+        query.look_at = 0.0;
         query.parts.push(Part { id: id.into(), shard, weight, merged: false, copies: 0, calls: vec![] });
         self.common.earn(self.purse.ratio, self.purse.capacity);
     }
@@ -394,10 +360,12 @@
     fn call_ended(&mut self, part: &str, hop: usize, node: &str, ending: Ending, latency: f64) {
         let record = self.nodes.get_mut(node).and_then(|n| n.calls.remove(&(part.to_string(), hop)));
         let latency = record.map_or(latency, |(at, _)| latency.min(self.awake - at));
-        let found = self.parts.get(part).and_then(|&(n, i)| Some((self.queries.get_mut(&n)?, i)));
+        let found = self.parts.get(part).and_then(|&(n, i)| Some((n, self.queries.get_mut(&n)?, i)));
         let slo = self.verticals.iter().map(|v| v.slo).fold(f64::MAX, f64::min);
-        if let Some((query, i)) = found {
+        if let Some((n, query, i)) = found {
+            query.look_at = 0.0;
             let part = &mut query.parts[i];
+            self.out.remove((part.shard, query.vertical), (n, i, hop));
             part.merged |= ending == Ending::Success;
             if let Some(call) = part.calls.get_mut(hop) {
                 call.out = false;
@@ -493,14 +461,17 @@
             self.follow_at = f64::INFINITY;
             out.follow_roster();
         }
-        self.nodes.retain(|_, n| n.state != NodeState::Gone || !n.calls.is_empty());
         if self.serving.is_empty() {
             for (id, node) in self.nodes.iter().filter(|(_, n)| n.state == NodeState::Serving) {
                 self.serving.entry(node.cell % self.placement.cells).or_default().push(id.clone());
             }
         }
         self.look_at_nodes(out);
-        let open: Vec<u64> = self.queries.keys().copied().collect();
+        self.full.clear();
+        // All others would be as they were at the last round.
+        let late = self.late();
+        let looked_at = self.queries.iter().filter(|(n, q)| q.look_at <= now || late.contains(n));
+        let open: Vec<u64> = looked_at.map(|(n, _)| *n).collect();
         for &number in &open {
             self.settle(number, out);
         }
@@ -519,25 +490,40 @@
         Ok(())
     }
 
+    /// Queries with a part that is late.
+    fn late(&mut self) -> BTreeSet<u64> {
+        let mut calls = std::mem::take(&mut self.out);
+        let delay = |(shard, vertical): (u32, usize)| self.delay(shard, self.verticals[vertical].slo);
+        let out = |(number, i, hop): (u64, usize, usize)| {
+            let part = self.queries.get(&number).and_then(|q| q.parts.get(i));
+            part.and_then(|p| p.calls.get(hop)).is_some_and(|c| c.out && !c.cancelled)
+        };
+        let late = calls.late(self.awake, delay, out).into_iter().map(|c| c.0).collect();
+        self.out = calls;
+        late
+    }
+
     fn look_at_nodes(&mut self, out: &mut dyn Writer) {
-        for (id, node) in &mut self.nodes {
-            let (own, rumoured) = (node.judged(self.awake, SILENT), node.rumoured(self.awake));
-            if self.common.is_shared()
-                && let Some(seen) = node.news(self.awake, self.now, own)
-            {
+        let (now, clock, shared) = (self.awake, self.now, self.common.is_shared());
+        self.nodes.retain(|id, node| {
+            if node.state == NodeState::Gone && node.calls.is_empty() {
+                return false;
+            }
+            let (own, rumoured) = (node.judged(now, SILENT), node.rumoured(now));
+            if shared && let Some(seen) = node.news(now, clock, own) {
                 out.evidence(id, seen);
             }
-            let standing = own.max(rumoured);
-            let sick = standing == 3;
+            let (standing, sick) = (own.max(rumoured), own.max(rumoured) == 3);
             if sick != (node.standing == 3) {
-                let (n, f, cap) = (node.calls.len(), node.failures, node.cap);
-                let word = if sick { "sick" } else { "back" };
+                let (n, f, cap, word) =
+                    (node.calls.len(), node.failures, node.cap, if sick { "sick" } else { "back" });
                 out.remark(&format!("node {id} {word}: {n} calls out, {f} failures, cap {cap:.1}"));
             }
-            let silence = if own == 3 { self.awake - node.heard } else { 0.0 };
-            let away = (node.shun_until.max(node.hearsay.sick_until) - self.awake).max(silence);
+            let silence = if own == 3 { now - node.heard } else { 0.0 };
+            let away = (node.shun_until.max(node.hearsay.sick_until) - now).max(silence);
             (node.standing, node.wait) = (standing, if sick { away } else { 0.0 });
-        }
+            true
+        });
     }
 
     /// The delay after which a part is late: the 95th percentile of the shard's latest latencies, a quarter
@@ -594,8 +580,13 @@
             short && arrived && q.admitted && self.now + self.work(q.vertical) > q.slo_at.min(q.not_after);
         let over = self.now >= q.not_after - AHEAD
             || (late && (v.late_share <= 0.0 || (self.shedding && v.late_share * merged < 0.27)));
+        // Every part in or out and time left: nothing changes by itself.
+        let still = arrived && q.admitted && !late && q.parts.iter().all(|p| p.merged || p.out());
+        let look_at = if still { q.slo_at.min(q.not_after) - AHEAD } else { 0.0 };
         if over || doomed || hopeless {
             self.give_up(number, self.allowance.come_back, out);
+        } else if let Some(q) = self.queries.get_mut(&number) {
+            q.look_at = look_at;
         }
     }
 
@@ -641,11 +632,16 @@
     /// nodes, which copies and rests meet. Some are always let in, or no answer would show a jam's end.
     fn admit(&mut self, out: &mut dyn Writer) {
         let new: Vec<u64> = self.queries.iter().filter(|(_, q)| !q.admitted).map(|(n, _)| *n).collect();
-        for q in self.queries.values().filter(|q| q.admitted) {
+        let mut oldest = BTreeMap::new();
+        for q in self.queries.values().filter(|q| q.admitted && q.look_at <= self.now) {
             for p in q.parts.iter().filter(|p| p.calls.is_empty()) {
-                for id in self.placement.holding(p.shard).filter_map(|c| self.serving.get(&c)).flatten() {
-                    self.nodes.get_mut(id).into_iter().for_each(|n| n.wait = n.wait.max(self.now - q.at));
-                }
+                let at = oldest.entry(p.shard).or_insert(q.at);
+                *at = q.at.min(*at);
+            }
+        }
+        for (shard, at) in oldest {
+            for id in self.placement.holding(shard).filter_map(|c| self.serving.get(&c)).flatten() {
+                self.nodes.get_mut(id).into_iter().for_each(|n| n.wait = n.wait.max(self.now - at));
             }
         }
         for number in new {
@@ -693,11 +689,17 @@
         let bundle = if self.placement.call_work > 0.0 { self.placement.bundle } else { 1 };
         while let Some(&first) = waiting.front() {
             let q = &self.queries[&number];
+            let fresh = Some((q.parts[first].shard, q.vertical)).filter(|_| q.parts[first].calls.is_empty());
+            if fresh.is_some_and(|key| self.full.contains(&key)) {
+                waiting.pop_front();
+                continue;
+            }
             // A node that holds this shard may hold others of the query's too: those ride along.
             let along = if bundle > 1 { waiting.len() } else { 1 };
             let group: Vec<usize> = waiting.iter().take(along).copied().collect();
             let shards: Vec<u32> = group.iter().map(|&i| q.parts[i].shard).collect();
             let Some((node, room, turn)) = self.next_node(number, first, &shards, bundle) else {
+                self.full.extend(fresh);
                 waiting.pop_front();
                 continue;
             };
@@ -757,8 +759,10 @@
         let more = v.effect == Effect::Repeatable && q.parts[i].calls.len() + 1 < self.allowance.calls;
         let timed = if more && !self.allowance.cancel { 0.5 * v.slo } else { f64::INFINITY };
         let limit = timed.min(q.not_after - now);
+        let vertical = q.vertical;
         let Some(part) = self.queries.get_mut(&number).map(|q| &mut q.parts[i]) else { return };
         let Some(node) = self.nodes.get_mut(id) else { return };
+        self.out.add((part.shard, vertical), self.awake, (number, i, part.calls.len()));
         node.calls.insert((part.id.clone(), part.calls.len()), (self.awake, delay));
         node.cold_work.retain(|w| w.0 >= now - self.cold.map_or(0.0, |c| c.warm_up + c.span));
         node.cold_work.push_back((now, work));
@@ -775,11 +779,11 @@
         for i in 0..q.parts.len() {
             let part = &self.queries[&number].parts[i];
             let (shard, merged) = (part.shard, part.merged);
-            let outs: Vec<usize> =
-                (0..part.calls.len()).filter(|&h| part.calls[h].out && !part.calls[h].cancelled).collect();
-            let Some(&newest) = outs.last() else { continue };
+            let live = |h: &usize| part.calls[*h].out && !part.calls[*h].cancelled;
+            let outs = || (0..part.calls.len()).filter(live).collect::<Vec<_>>();
+            let Some(newest) = (0..part.calls.len()).rfind(live) else { continue };
             if merged {
-                outs.iter().for_each(|&hop| self.cancel(number, i, hop, out));
+                outs().iter().for_each(|&hop| self.cancel(number, i, hop, out));
                 continue;
             }
             let (age, delay) = (self.awake - part.calls[newest].since, self.delay(shard, v.slo));
@@ -789,6 +793,7 @@
             }
             // Guards against hung and silent nodes when the bucket is dry: their calls move on where a holder
             // has room. Age alone proves nothing: one part of many is heavy.
+            let outs = outs();
             let stuck = outs.iter().all(|&hop| {
                 let (call, node) = (&part.calls[hop], &self.nodes[&part.calls[hop].node]);
                 self.awake - call.since > SILENT * delay && node.standing == 3
@@ -800,10 +805,10 @@
                 continue;
             }
             let Some((node, _, turn)) = self.next_node(number, i, &[shard], 1) else { continue };
-            if copy && !self.common.pay() {
-                continue;
-            }
             if copy {
+                if !self.common.pay() {
+                    continue;
+                }
                 self.shards.entry(shard).or_default().turn = turn;
                 self.send(number, i, &node, out);
             } else {
--- /dev/null
+++ b/src/kept.rs
@@ -0,0 +1,76 @@
+//! What the decision module keeps its observations in: a window of latencies, calls by age, chance. Nothing is
+//! decided here, and no value is chosen.
+use std::collections::{BTreeMap, VecDeque};
+
+/// Latest latencies, in the order in which they came and in order of size.
+#[derive(Default)]
+pub struct Recent(VecDeque<f64>, Vec<f64>);
+
+impl Recent {
+    pub fn note(&mut self, latency: f64, keep: usize) {
+        self.0.push_back(latency);
+        self.1.insert(self.1.partition_point(|&l| l < latency), latency);
+        while self.0.len() > keep {
+            let old = self.0.pop_front().unwrap_or_default();
+            self.1.remove(self.1.partition_point(|&l| l < old));
+        }
+    }
+
+    pub fn quantile(&self, share: f64, least: usize) -> Option<f64> {
+        let at = (self.1.len().saturating_sub(1) as f64 * share).round() as usize;
+        self.1.get(at).copied().filter(|_| self.1.len() >= least)
+    }
+}
+
+/// PCG-XSH-RR, 32 bits out.
+#[derive(Default)]
+pub struct Pcg(pub u64);
+
+impl Pcg {
+    pub fn draw(&mut self) -> f64 {
+        let old = self.0;
+        self.0 = old.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        let bits = ((((old >> 18) ^ old) >> 27) as u32).rotate_right((old >> 59) as u32);
+        f64::from(bits) / 4294967296.0
+    }
+}
+
+/// A call that is out: its query, its part's place there, and its number among that part's calls.
+pub type Place = (u64, usize, usize);
+
+/// Calls in the order in which they were sent, kept apart by what their delay goes by, so that finding the late
+/// ones costs a look at those and not at all that are out. Calls that ended and were not removed are dropped as they
+/// are met.
+#[derive(Default)]
+pub struct ByAge<K>(BTreeMap<K, VecDeque<(f64, Place)>>);
+
+impl<K: Ord + Copy> ByAge<K> {
+    /// `since` never falls from one call to the next.
+    pub fn add(&mut self, key: K, since: f64, call: Place) {
+        self.0.entry(key).or_default().push_back((since, call));
+    }
+
+    pub fn remove(&mut self, key: K, call: Place) {
+        if let Some(calls) = self.0.get_mut(&key) {
+            calls.retain(|c| c.1 != call);
+            if calls.is_empty() {
+                self.0.remove(&key);
+            }
+        }
+    }
+
+    /// Calls that have been out for longer than their key's delay and still are.
+    pub fn late(&mut self, now: f64, delay: impl Fn(K) -> f64, out: impl Fn(Place) -> bool) -> Vec<Place> {
+        let mut late = vec![];
+        for (&key, calls) in &mut self.0 {
+            let delay = delay(key);
+            let count = calls.partition_point(|&(since, _)| now - since > delay);
+            let from = late.len();
+            late.extend(calls.iter().take(count).map(|c| c.1).filter(|&call| out(call)));
+            let kept: Vec<_> = calls.drain(..count).filter(|c| late[from..].contains(&c.1)).collect();
+            kept.into_iter().rev().for_each(|call| calls.push_front(call));
+        }
+        self.0.retain(|_, calls| !calls.is_empty());
+        late
+    }
+}
