--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -68,6 +68,9 @@
     /// Each number of cores a second time with evidence kept to each core
     #[arg(long)]
     untold: bool,
+    /// Queries that may run once only: no copies, so whoever meets a slow node waits for it
+    #[arg(long)]
+    once: bool,
     #[arg(long, default_value_t = 5)]
     repeats: usize,
     #[arg(long, default_value_t = 1)]
@@ -156,6 +159,7 @@
             node_threads: self.node_threads,
             setting: Setting {
                 slo_ms: self.slo_ms,
+                effect: if self.once { "at_most_once" } else { "idempotent" },
                 deadline_ms: 4 * self.slo_ms,
                 sockets: self.sockets,
                 shards: self.shards,
--- a/crates/router/tests/desk.rs
+++ b/crates/router/tests/desk.rs
@@ -7,7 +7,9 @@
 use alderway_router::memory::clock::Clock;
 use alderway_router::memory::descriptors;
 use alderway_router::memory::desk::{Desk, Dial};
+use alderway_router::memory::house::{House, Sharing};
 use alderway_router::memory::queries::{Part, Query};
+use alderway_router::memory::roster::Entry;
 use rstest::rstest;
 use std::rc::Rc;
 use tokio::io::AsyncReadExt;
@@ -396,3 +398,38 @@
     let most = descriptors::shares(384, usize::MAX, 1).0;
     assert_eq!(std::iter::from_fn(|| most.take()).collect::<Vec<_>>().len(), 128, "a third");
 }
+
+#[rstest]
+fn a_core_that_lacks_the_newest_list_begins_no_call_until_it_has_it() {
+    let mut desk = desk();
+    let (house, _inboxes) = House::new(100, Sharing { cores: 2, ..Sharing::default() }, 1.0);
+    desk.house = house.clone();
+    house.fence.looked(desk.clock.now());
+    take(&mut desk, "q", &[0]);
+    told(&mut desk);
+    desk.call("q.0", "s", 1.0);
+    let now = desk.clock.now();
+    let line = desk.post(now).remove(0).line;
+    // The lead has a list that says that `s` drains; this core has not taken it in yet.
+    let number = house.fence.publish();
+    let mut out = vec![];
+    assert!(!desk.next_frame("s", line, &mut out) && out.is_empty());
+    let address = "127.0.0.1:1".parse().expect("an address");
+    let (name, cell, started) = ("s".to_string(), 0, None);
+    desk.roster.adopt(&[Entry { name, address, cell, state: NodeState::Draining, started }]);
+    desk.known = number;
+    desk.roster_changed();
+    assert!(!desk.next_frame("s", line, &mut out), "it was taken back");
+    assert!(told(&mut desk).contains(&"q.0 0 s NeverSent".to_string()));
+}
+
+#[rstest]
+fn a_list_taken_over_tells_what_changed_and_nothing_else() {
+    let mut desk = desk();
+    let same = desk.roster.entries();
+    desk.roster.adopt(&same);
+    assert!(told(&mut desk).is_empty());
+    desk.roster.adopt(&same[1..]);
+    assert_eq!(told(&mut desk), ["s 0 Gone"]);
+    assert_eq!(desk.roster.nodes.len(), 1);
+}
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -52,7 +52,9 @@
 
     pub fn remove(&mut self, key: K, call: Place) {
         if let Some(calls) = self.0.get_mut(&key) {
-            calls.retain(|c| c.1 != call);
+            if let Some(at) = calls.iter().position(|c| c.1 == call) {
+                calls.remove(at);
+            }
             if calls.is_empty() {
                 self.0.remove(&key);
             }
