--- /dev/null
+++ b/crates/layouts/src/layout.rs
@@ -0,0 +1,214 @@
+//! One version of the layout, and the changes that make the next. A faulty layout or change is refused whole.
+use crate::{Key, Range, ShardId, Version};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+/// A shard: its keys, and the cells that hold it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Shard {
+    pub keys: Range,
+    pub holders: BTreeSet<u32>,
+}
+
+/// Shards that cover all keys from 0 to below `keys`, each key once.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Layout {
+    version: Version,
+    keys: Key,
+    shards: BTreeMap<ShardId, Shard>,
+    /// Where each shard begins.
+    starts: BTreeMap<Key, ShardId>,
+}
+
+/// What happens to shards; a chain of these makes one version.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    /// One shard becomes several, in the order of their keys: each new number with where it begins; holders stay.
+    Split { parent: ShardId, children: Vec<(ShardId, Key)> },
+    /// Neighbours become one, held by those that hold all of them.
+    Merge { parents: Vec<ShardId>, child: ShardId },
+    /// Other holders: those that are named have the data from here on.
+    Move { shard: ShardId, holders: BTreeSet<u32> },
+}
+
+/// Why a layout or change is refused, in one line.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Faulty {
+    Hole { at: Key },
+    Overlap { shard: ShardId, at: Key },
+    Empty { shard: ShardId },
+    NoHolder { shard: ShardId },
+    Unknown { shard: ShardId },
+    Used { shard: ShardId },
+    Apart { shard: ShardId },
+    Outside { shard: ShardId, at: Key },
+    Backwards { held: Version, told: Version },
+    Nothing,
+}
+
+impl fmt::Display for Faulty {
+    fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Faulty::Hole { at } => write!(out, "no shard covers key {at}"),
+            Faulty::Overlap { shard, at } => write!(out, "shard {shard} covers key {at} beside another"),
+            Faulty::Empty { shard } => write!(out, "shard {shard} covers no key"),
+            Faulty::NoHolder { shard } => write!(out, "shard {shard} has no holder"),
+            Faulty::Unknown { shard } => write!(out, "shard {shard} is not known"),
+            Faulty::Used { shard } => write!(out, "shard number {shard} is taken already"),
+            Faulty::Apart { shard } => write!(out, "shard {shard} does not follow on the one before it"),
+            Faulty::Outside { shard, at } => {
+                write!(out, "shard {shard} would begin at key {at}, not in order")
+            }
+            Faulty::Backwards { held, told } => write!(out, "version {told} does not follow version {held}"),
+            Faulty::Nothing => write!(out, "it names nothing"),
+        }
+    }
+}
+
+impl std::error::Error for Faulty {}
+
+impl Layout {
+    /// A whole layout, once it has proved to cover every key once.
+    pub fn new(version: Version, keys: Key, shards: BTreeMap<ShardId, Shard>) -> Result<Self, Faulty> {
+        let mut starts = BTreeMap::new();
+        for (&id, shard) in &shards {
+            if shard.keys.is_empty() {
+                return Err(Faulty::Empty { shard: id });
+            }
+            if shard.holders.is_empty() {
+                return Err(Faulty::NoHolder { shard: id });
+            }
+            if starts.insert(shard.keys.from, id).is_some() {
+                return Err(Faulty::Overlap { shard: id, at: shard.keys.from });
+            }
+        }
+        let mut next = 0;
+        for (&from, &id) in &starts {
+            if from > next {
+                return Err(Faulty::Hole { at: next });
+            }
+            if from < next {
+                return Err(Faulty::Overlap { shard: id, at: from });
+            }
+            next = shards[&id].keys.to;
+        }
+        match next.cmp(&keys) {
+            std::cmp::Ordering::Less => Err(Faulty::Hole { at: next }),
+            std::cmp::Ordering::Greater => {
+                let last = starts.values().next_back().copied().unwrap_or_default();
+                Err(Faulty::Outside { shard: last, at: keys })
+            }
+            std::cmp::Ordering::Equal if shards.is_empty() => Err(Faulty::Nothing),
+            std::cmp::Ordering::Equal => Ok(Layout { version, keys, shards, starts }),
+        }
+    }
+
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// Keys are numbered from 0 to below this.
+    pub fn keys(&self) -> Key {
+        self.keys
+    }
+
+    pub fn shards(&self) -> &BTreeMap<ShardId, Shard> {
+        &self.shards
+    }
+
+    pub fn shard(&self, id: ShardId) -> Option<&Shard> {
+        self.shards.get(&id)
+    }
+
+    /// The shard of a key.
+    pub fn of(&self, key: Key) -> Option<ShardId> {
+        let (_, &id) = self.starts.range(..=key).next_back()?;
+        self.shards[&id].keys.covers(Range::new(key, key + 1)).then_some(id)
+    }
+
+    /// The shards that cover a range, in the order of their keys.
+    pub fn covering(&self, range: Range) -> impl Iterator<Item = (ShardId, &Shard)> {
+        let first = self.starts.range(..=range.from).next_back().map_or(range.from, |(&from, _)| from);
+        let begun = self.starts.range(first..range.to.max(first));
+        begun.map(|(_, &id)| (id, &self.shards[&id])).filter(move |(_, s)| s.keys.meets(range))
+    }
+
+    /// The next version after a chain of changes; this one stays as it is.
+    pub fn after(&self, version: Version, changes: &[Change]) -> Result<Layout, Faulty> {
+        if version <= self.version {
+            return Err(Faulty::Backwards { held: self.version, told: version });
+        }
+        if changes.is_empty() {
+            return Err(Faulty::Nothing);
+        }
+        let mut shards = self.shards.clone();
+        for change in changes {
+            apply(&mut shards, change)?;
+        }
+        Layout::new(version, self.keys, shards)
+    }
+}
+
+fn known(shards: &BTreeMap<ShardId, Shard>, id: ShardId) -> Result<&Shard, Faulty> {
+    shards.get(&id).ok_or(Faulty::Unknown { shard: id })
+}
+
+fn add(shards: &mut BTreeMap<ShardId, Shard>, id: ShardId, shard: Shard) -> Result<(), Faulty> {
+    match shards.insert(id, shard) {
+        None => Ok(()),
+        Some(_) => Err(Faulty::Used { shard: id }),
+    }
+}
+
+fn apply(shards: &mut BTreeMap<ShardId, Shard>, change: &Change) -> Result<(), Faulty> {
+    match change {
+        Change::Split { parent, children } => {
+            let old = known(shards, *parent)?.clone();
+            if children.len() < 2 {
+                return Err(Faulty::Nothing);
+            }
+            let ends = children.iter().skip(1).map(|c| c.1).chain([old.keys.to]);
+            let mut next = old.keys.from;
+            for (&(id, from), to) in children.iter().zip(ends) {
+                if from != next {
+                    return Err(Faulty::Outside { shard: id, at: from });
+                }
+                if to <= from || to > old.keys.to {
+                    return Err(Faulty::Outside { shard: id, at: to });
+                }
+                add(shards, id, Shard { keys: Range::new(from, to), holders: old.holders.clone() })?;
+                next = to;
+            }
+            shards.remove(parent);
+        }
+        Change::Merge { parents, child } => {
+            let (Some(&first), true) = (parents.first(), parents.len() > 1) else {
+                return Err(Faulty::Nothing);
+            };
+            let mut merged = known(shards, first)?.clone();
+            for &parent in &parents[1..] {
+                let next = known(shards, parent)?;
+                if next.keys.from != merged.keys.to {
+                    return Err(Faulty::Apart { shard: parent });
+                }
+                merged.keys.to = next.keys.to;
+                merged.holders = merged.holders.intersection(&next.holders).copied().collect();
+            }
+            if merged.holders.is_empty() {
+                return Err(Faulty::NoHolder { shard: *child });
+            }
+            parents.iter().for_each(|parent| drop(shards.remove(parent)));
+            add(shards, *child, merged)?;
+        }
+        Change::Move { shard, holders } => {
+            known(shards, *shard)?;
+            if holders.is_empty() {
+                return Err(Faulty::NoHolder { shard: *shard });
+            }
+            if let Some(shard) = shards.get_mut(shard) {
+                shard.holders = holders.clone();
+            }
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/layouts/src/lib.rs
@@ -0,0 +1,53 @@
+//! Layouts of shards that change while queries run. A shard is a range of keys with its holders; a change splits,
+//! merges or moves shards and makes the next version. This package says which shards cover a query's keys at a version,
+//! who holds them, what became of an old shard, and which keys of a query are answered. It is free of I/O and clocks:
+//! times are passed in. It never sends anything, and it decides nothing about data nodes: mapping stands beside the
+//! decision module, which knows only holders and parts.
+//!
+//! - `layout`: one version, checked whole; changes that make the next.
+//! - `history`: the versions that still matter, and what became of a shard.
+//! - `coverage`: which keys of a query are in, by answers of whatever versions; no key twice, none forgotten.
+pub mod coverage;
+pub mod history;
+pub mod layout;
+
+/// A key of a park block.
+pub type Key = u32;
+/// A shard's number; never used again for other keys.
+pub type ShardId = u32;
+pub type Version = u64;
+
+/// Keys from one to below another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Range {
+    pub from: Key,
+    pub to: Key,
+}
+
+impl Range {
+    pub fn new(from: Key, to: Key) -> Self {
+        Range { from, to }
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.from >= self.to
+    }
+
+    pub fn keys(&self) -> u64 {
+        u64::from(self.to.saturating_sub(self.from))
+    }
+
+    pub fn covers(&self, other: Range) -> bool {
+        self.from <= other.from && other.to <= self.to
+    }
+
+    pub fn meets(&self, other: Range) -> bool {
+        self.from < other.to && other.from < self.to
+    }
+
+    /// The keys of both.
+    pub fn common(&self, other: Range) -> Option<Range> {
+        let both = Range::new(self.from.max(other.from), self.to.min(other.to));
+        (!both.is_empty()).then_some(both)
+    }
+}
