Gone nodes are looked for only where one is gone

Cause: a pass over all nodes in each round for gone ones cost some 20 microseconds a query at 400 nodes.

Change: the judging loop notes whether one is gone. The module says no change of mode of a node that is gone.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -504,17 +504,15 @@
     }
 
     fn look_at_nodes(&mut self, out: &mut dyn Writer) {
-        let (now, clock, shared) = (self.awake, self.now, self.common.is_shared());
-        self.nodes.retain(|id, node| {
-            if node.state == NodeState::Gone && node.calls.is_empty() {
-                return false;
-            }
+        let (now, clock, shared, mut gone) = (self.awake, self.now, self.common.is_shared(), false);
+        for (id, node) in &mut self.nodes {
+            gone |= node.state == NodeState::Gone && node.calls.is_empty();
             let (own, rumoured) = (node.judged(now, SILENT), node.rumoured(now));
             if shared && let Some(seen) = node.news(now, clock, own) {
                 out.evidence(id, seen);
             }
             let (standing, sick) = (own.max(rumoured), own.max(rumoured) == 3);
-            if sick != (node.standing == 3) {
+            if sick != (node.standing == 3) && node.state != NodeState::Gone {
                 let (n, f, cap, word) =
                     (node.calls.len(), node.failures, node.cap, if sick { "sick" } else { "back" });
                 out.remark(&format!("node {id} {word}: {n} calls out, {f} failures, cap {cap:.1}"));
@@ -522,8 +520,10 @@
             let silence = if own == 3 { now - node.heard } else { 0.0 };
             let away = (node.shun_until.max(node.hearsay.sick_until) - now).max(silence);
             (node.standing, node.wait) = (standing, if sick { away } else { 0.0 });
-            true
-        });
+        }
+        if gone {
+            self.nodes.retain(|_, n| n.state != NodeState::Gone || !n.calls.is_empty());
+        }
     }
 
     /// The delay after which a part is late: the 95th percentile of the shard's latest latencies, a quarter
