A client that comes while every core hangs waits instead of being closed

Cause: the lead dropped a connection that it could deal to nobody (found by rereading); words on nodes were counted as told where cores keep evidence to themselves.

Change: the lead tries again until a core serves; `evidence_told` counts only what was told.

Result: a story over sockets that fails without the change; nothing on one core touches either.

--- a/crates/alderway/tests/cores.rs
+++ b/crates/alderway/tests/cores.rs
@@ -273,7 +273,19 @@
     let house = said("cores(count = 3, evidence = False)", 4, &Setting::default());
     house.fleet.nodes[2].set(Fault::Slow(2000.0));
     load::send(house.program.address, &house.load(Pace::Open(200.0), 1.0), house.clock);
-    assert_eq!(house.program.counters().get("evidence_heard"), None);
+    let counters = house.program.counters();
+    assert_eq!((counters.get("evidence_told"), counters.get("evidence_heard")), (None, None));
+}
+
+#[rstest]
+fn a_client_that_comes_while_every_core_hangs_waits_and_is_served() {
+    let house = house(2, 1, &Setting::default());
+    let mut clients = house.clients(2);
+    clients.iter_mut().for_each(|c| c.fault("hang 1500"));
+    thread::sleep(Duration::from_millis(800));
+    let mut late = Client::to(&house.program);
+    late.query("late", 1900);
+    assert_eq!(late.answer().0, 200);
 }
 
 #[rstest]
--- a/crates/router/src/drive/lead.rs
+++ b/crates/router/src/drive/lead.rs
@@ -109,12 +109,14 @@
         let mut order = Order::Serve(Passenger { stream, held, used: false });
         loop {
             let core = self.crew.borrow_mut().deal();
-            match core.map(|core| self.house.send(core, order)) {
-                Some(Ok(())) => return,
-                Some(Err(back)) => order = back,
-                None => return,
+            if let Some(core) = core {
+                match self.house.send(core, order) {
+                    Ok(()) => return,
+                    Err(back) => order = back,
+                }
             }
-            // All that serve are full; what comes meanwhile waits in the system's queue.
+            // Guards against clients that are turned away while every core hangs or starts anew.
+            // Nobody serves, or all are full: what comes meanwhile waits in the system's queue.
             sleep(PAUSE).await;
         }
     }
--- a/crates/router/src/memory/desk.rs
+++ b/crates/router/src/memory/desk.rs
@@ -576,8 +576,9 @@
     }
 
     fn evidence(&mut self, node: &str, seen: Evidence) {
-        self.counters.one("evidence_told");
-        self.house.tell(Word { core: self.core, node: node.into(), seen });
+        if self.house.tell(Word { core: self.core, node: node.into(), seen }) {
+            self.counters.one("evidence_told");
+        }
     }
 
     fn remark(&mut self, text: &str) {
--- a/crates/router/src/memory/house.rs
+++ b/crates/router/src/memory/house.rs
@@ -173,9 +173,10 @@
         })
     }
 
-    pub fn tell(&self, word: Word) {
+    /// Tells the other cores; false where each keeps to itself what it sees.
+    pub fn tell(&self, word: Word) -> bool {
         // An error says that nobody listens.
-        self.gossip.as_ref().into_iter().for_each(|gossip| drop(gossip.send(word.clone())));
+        self.gossip.as_ref().map(|gossip| gossip.send(word)).is_some()
     }
 
     pub fn listen(&self) -> Option<broadcast::Receiver<Word>> {
