Trials begin in one place; a core hears of a stop under way as of news

Cause: read again, three trials began with the same five lines, the lab kept a sum nobody asked for and an unused time, and a core that starts anew in the midst of a stop had a copy of the code that begins it.

Change: `begin` for the trials, the phase marked as changed at a core's start, dead lines out.

--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -96,10 +96,6 @@
         fleet.nodes = made.into_values().collect();
         Ok(fleet)
     }
-
-    pub fn parts(&self) -> Vec<u64> {
-        self.nodes.iter().map(|n| n.met.parts.load(Relaxed)).collect()
-    }
 }
 
 impl Drop for Fleet {
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -161,13 +161,26 @@
     Ok(row)
 }
 
-/// A steady schedule: what a query costs the router, with so many nodes and queries open.
-pub fn cost(trial: &Trial, subject: &Subject, seed: u64, rate: f64) -> Result<Row, String> {
-    let Subject::Router(build) = subject else { return Err("a relay has no such cost".into()) };
+/// A router of some build, beside its data nodes, with the schedule that it is to meet.
+struct Begun {
+    clock: Clock,
+    place: Place,
+    program: Program,
+    load: Load,
+}
+
+fn begin(trial: &Trial, subject: &Subject, seed: u64, rate: f64) -> Result<Begun, String> {
+    let Subject::Router(build) = subject else { return Err("this trial is for routers, not relays".into()) };
     let clock = Clock::default();
     let place = trial.place(seed, clock, false)?;
     let program = trial.start(build, &place)?;
     let load = Load { seed, pace: Pace::Open(rate), ..trial.load.clone() };
+    Ok(Begun { clock, place, program, load })
+}
+
+/// A steady schedule: what a query costs the router, with so many nodes and queries open.
+pub fn cost(trial: &Trial, subject: &Subject, seed: u64, rate: f64) -> Result<Row, String> {
+    let Begun { clock, place: _place, program, load } = begin(trial, subject, seed, rate)?;
     load::send(program.address, &Load { span: 0.4 * load.span, seed: seed ^ 0xa5a5, ..load.clone() }, clock);
     let before = program.cpu();
     let outcome = load::send(program.address, &load, clock);
@@ -186,30 +199,23 @@
 
 /// One node of all becomes slow in the midst of a schedule: how many queries lose time on it.
 pub fn slow_node(trial: &Trial, subject: &Subject, seed: u64, times: f64, rate: f64) -> Result<Row, String> {
-    let Subject::Router(build) = subject else { return Err("a relay knows no slow nodes".into()) };
-    let clock = Clock::default();
-    let place = trial.place(seed, clock, false)?;
-    let program = trial.start(build, &place)?;
-    let load = Load { seed, pace: Pace::Open(rate), ..trial.load.clone() };
+    let Begun { clock, place, program, load } = begin(trial, subject, seed, rate)?;
     let at = 0.4 * load.span;
     let (victim, to) = (&place.fleet.nodes[seed as usize % trial.nodes], program.address);
     let parts = |n: &crate::fleet::Handle| n.met.parts.load(std::sync::atomic::Ordering::Relaxed);
     let (outcome, before, in_a_second) = std::thread::scope(|scope| {
         let sent = scope.spawn(|| load::send(to, &load, clock));
-        let began = clock.now();
         std::thread::sleep(std::time::Duration::from_secs_f64(at));
         let before = parts(victim);
         victim.set(Fault::Slow(times));
         std::thread::sleep(std::time::Duration::from_secs_f64(1.0));
         let in_a_second = parts(victim) - before;
-        let _ = began;
         (sent.join().expect("the load does not panic"), before, in_a_second)
     });
     // Lost time: answered later than nearly all were while every node was sound.
-    let calm: Vec<f64> = outcome.over_time.iter().filter(|(due, _)| *due < at).map(|o| o.1).collect();
-    let mut sorted = calm.clone();
-    sorted.sort_by(f64::total_cmp);
-    let usual = sorted.get(sorted.len() * 999 / 1000).copied().unwrap_or(0.0);
+    let mut calm: Vec<f64> = outcome.over_time.iter().filter(|(due, _)| *due < at).map(|o| o.1).collect();
+    calm.sort_by(f64::total_cmp);
+    let usual = calm.get(calm.len() * 999 / 1000).copied().unwrap_or(0.0);
     let late = |from: f64, to: f64| {
         outcome.over_time.iter().filter(|(due, ms)| *due >= from && *due < to && *ms > 2.0 * usual).count()
             as f64
@@ -233,11 +239,7 @@
 
 /// A node drains in the midst of a schedule: when the last new call reached it.
 pub fn drain(trial: &Trial, subject: &Subject, seed: u64, rate: f64) -> Result<Row, String> {
-    let Subject::Router(build) = subject else { return Err("a relay knows no drains".into()) };
-    let clock = Clock::default();
-    let place = trial.place(seed, clock, false)?;
-    let program = trial.start(build, &place)?;
-    let load = Load { seed, pace: Pace::Open(rate), ..trial.load.clone() };
+    let Begun { clock, place, program, load } = begin(trial, subject, seed, rate)?;
     let (to, mut lags) = (program.address, vec![]);
     let outcome = std::thread::scope(|scope| {
         let sent = scope.spawn(|| load::send(to, &load, clock));
--- a/crates/router/src/drive/core.rs
+++ b/crates/router/src/drive/core.rs
@@ -182,9 +182,8 @@
     let mut rounds = spawn_local(rounds::run(desk.clone(), move || module(), berth.for_nodes.clone()));
     let mut failures = berth.roster.borrow().failures;
     let mut stopping: Option<JoinHandle<()>> = None;
-    if *berth.phase.borrow_and_update() != Phase::Serving {
-        stopping = Some(spawn_local(stop::see_through(desk.clone(), closed(berth.phase.clone()))));
-    }
+    // A core that starts anew in the midst of a stop hears of it as of news.
+    berth.phase.mark_changed();
     let mut beats = interval(BEAT);
     beats.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut work = Work { at: berth.clock.now(), cpu: Work::cpu(), busy: 0.0 };
