--- a/crates/alderway/src/main.rs
+++ b/crates/alderway/src/main.rs
@@ -4,6 +4,7 @@
 use alderway_router::life::{serve, start};
 use alderway_router::memory::clock::Clock;
 use alderway_router::memory::descriptors;
+use alderway_router::memory::ground::Following;
 use alderway_router::memory::house::Sharing;
 use clap::{Args, Parser, Subcommand};
 use std::path::{Path, PathBuf};
@@ -66,6 +67,7 @@
         let held = operator.clone();
         station.beside = Some(Arc::new(move || says_else(&path, &held, &text)));
     }
+    station.layouts = operator.layouts.map(|l| Following { grace: l.late_clients, lag: l.lagging_nodes });
     let cores = match operator.cores.count {
         Count::Cores(cores) => cores,
         Count::All => std::thread::available_parallelism().map_or(1, usize::from).min(operator::MOST_CORES),
@@ -89,6 +91,13 @@
     let Plan { station, sharing, operator, .. } = plan;
     let most = sharing.node_connections.map_or("as calls need".to_string(), |most| most.to_string());
     let told = if sharing.cores > 1 && sharing.evidence { "told between cores" } else { "each core's own" };
+    let shards = match operator.layouts {
+        None => "in the configuration's ring".to_string(),
+        Some(layouts) => format!(
+            "by layouts that discovery tells; {} s for late clients, {} s for lagging data nodes",
+            layouts.late_clients, layouts.lagging_nodes
+        ),
+    };
     [
         ("name", station.name.clone()),
         ("listens at", station.listen.to_string()),
@@ -101,6 +110,7 @@
         ("cores", sharing.cores.to_string()),
         ("connections to a data node", most),
         ("evidence of data nodes", told.to_string()),
+        ("shards", shards),
         ("log", format!("{:?}", operator.log).to_lowercase()),
     ]
     .map(|(what, value)| format!("{what}: {value}\n"))
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -103,6 +103,7 @@
         reach: above_zero(extra, "Reach")? as u32,
         bundle: or(1, extra, "BundleMax", above_zero)?,
         call_work: or(0.0, extra, "PerCallWorkUs", seconds)?,
+        listed: None,
     };
     let advice = or(false, limits, "RetryAfter", flag)?;
     let allowance = Allowance {
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -95,7 +95,7 @@
             Err(_) => continue,
         }
         while let Ok(Some((_, rest, used))) = frames::next(buffer.data()) {
-            if let Ok((id, _, value)) = frames::reply(rest)
+            if let Ok((id, _, _, value)) = frames::reply(rest)
                 && let Some((open, at)) = parts.borrow_mut().remove(id)
             {
                 open.values.borrow_mut()[at].1 = Some(value.to_string());
@@ -144,7 +144,7 @@
                 let trunk = &trunks[*turn];
                 frames::call(
                     &mut trunk.out.borrow_mut(),
-                    std::iter::once((part.as_str(), shard, 1000, &*text)),
+                    std::iter::once((part.as_str(), shard, 1000, &*text, None)),
                 );
                 parts.borrow_mut().insert(part, (open.clone(), at));
                 trunk.wake.notify_one();
--- a/crates/layouts/src/history.rs
+++ b/crates/layouts/src/history.rs
@@ -1,150 +1,229 @@
-//! The versions that still matter: the newest, and older ones while parts sent by them are open or a core may still send
-//! by them. What no longer matters is given back, so that years of weekly changes do not grow memory.
-use crate::layout::{Change, Faulty, Layout};
-use crate::{Range, ShardId, Version};
+//! The newest version, and what still matters of older ones: shards that are gone but for which parts are open, or which
+//! a client that has not heard yet may name. What no longer matters is given back, so that years of weekly changes do
+//! not grow memory.
+//!
+//! Nobody sends by an old version. A part that is open while its shard goes keeps its keys, and goes on to whoever holds
+//! all of them now; where nobody does, it has to be divided. A data node that says that it does not hold a shard
+//! (`disown`) is left out for it until this side knows what the node knows, or the node has had time to catch up.
+use crate::layout::{Change, Faulty, Layout, Shard};
+use crate::{Key, Range, ShardId, Version};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// What a new version did to a shard that it does not have any more.
+/// News of the layout: the whole of it, or changes to a version that is held.
 #[derive(Clone, Debug, PartialEq)]
+pub enum News {
+    Whole { version: Version, keys: Key, shards: Vec<(ShardId, Shard)> },
+    Changes { version: Version, after: Version, changes: Vec<Change> },
+}
+
 struct Gone {
     keys: Range,
     /// Since when it is gone, by the caller's clock.
     at: f64,
 }
 
-struct Old {
-    layout: Layout,
-    /// Parts open that were sent by it.
-    parts: usize,
-    /// When the next version came.
+/// A data node that does not hold a shard by its own word.
+struct Disowned {
+    /// The version by which it said so.
+    version: Version,
+    /// When it is asked again, where that version is known here.
     until: f64,
 }
 
 pub struct History {
     newest: Layout,
-    parts: usize,
-    old: BTreeMap<Version, Old>,
     gone: BTreeMap<ShardId, Gone>,
-    /// Seconds after which nobody sends by a version that has been followed.
+    /// Parts open, by the shard that they were made for.
+    open: BTreeMap<ShardId, usize>,
+    disowned: BTreeMap<ShardId, BTreeMap<String, Disowned>>,
+    /// Seconds for which a client may name a shard that is gone.
     grace: f64,
+    /// Seconds that a data node which lags behind has to catch up.
+    lag: f64,
 }
 
-/// What a part for some shard has become.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Now {
-    /// The shard is as it was.
-    Same,
-    /// Its keys are in these shards now, each with the keys that they have in common.
-    In(Vec<(ShardId, Range)>),
-    /// No version that still matters knows it.
-    Unknown,
+/// What a new version has changed.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Followed {
+    pub gone: Vec<ShardId>,
+    /// New shards, each with those whose keys it has now.
+    pub new: Vec<(ShardId, Vec<ShardId>)>,
+    /// Shards whose holders are others now; new ones among them, and gone ones with parts open.
+    pub held: Vec<ShardId>,
 }
 
 impl History {
-    pub fn new(layout: Layout, grace: f64) -> Self {
-        History { newest: layout, parts: 0, old: BTreeMap::new(), gone: BTreeMap::new(), grace }
+    pub fn new(layout: Layout, grace: f64, lag: f64) -> Self {
+        let (gone, open, disowned) = Default::default();
+        History { newest: layout, gone, open, disowned, grace, lag }
+    }
+
+    /// From the first news, which must be whole.
+    pub fn begin(news: News, grace: f64, lag: f64) -> Result<Self, Faulty> {
+        match news {
+            News::Whole { version, keys, shards } => Ok(Self::new(whole(version, keys, shards)?, grace, lag)),
+            News::Changes { after, .. } => Err(Faulty::NotHeld { after }),
+        }
     }
 
     pub fn newest(&self) -> &Layout {
         &self.newest
     }
 
-    /// Takes a chain of changes in as the next version, or refuses it whole. Returns the shards that are gone.
-    pub fn change(&mut self, version: Version, changes: &[Change], now: f64) -> Result<Vec<ShardId>, Faulty> {
-        let next = self.newest.after(version, changes)?;
-        self.all_new(&next)?;
-        Ok(self.follow(next, now))
+    /// Takes news in, or refuses them whole; then the old version holds. What is known already changes nothing.
+    pub fn take(&mut self, news: News, now: f64) -> Result<Followed, Faulty> {
+        match news {
+            News::Whole { version, .. } if version == self.newest.version() => Ok(Followed::default()),
+            News::Whole { version, keys, shards } => self.replace(whole(version, keys, shards)?, now),
+            News::Changes { after, .. } if after != self.newest.version() => Err(Faulty::NotHeld { after }),
+            News::Changes { version, changes, .. } => self.change(version, &changes, now),
+        }
+    }
+
+    /// Takes a chain of changes in as the next version, or refuses it whole.
+    pub fn change(&mut self, version: Version, changes: &[Change], now: f64) -> Result<Followed, Faulty> {
+        self.follow(self.newest.after(version, changes)?, now)
     }
 
     /// Takes a whole layout in, as after news that were missed. One that is no newer is refused.
-    pub fn replace(&mut self, layout: Layout, now: f64) -> Result<Vec<ShardId>, Faulty> {
+    pub fn replace(&mut self, layout: Layout, now: f64) -> Result<Followed, Faulty> {
         let (held, told) = (self.newest.version(), layout.version());
         if told <= held {
             return Err(Faulty::Backwards { held, told });
         }
-        self.all_new(&layout)?;
-        Ok(self.follow(layout, now))
+        self.follow(layout, now)
     }
 
-    /// Refuses a number that is used again for other keys: old answers would count for them.
-    fn all_new(&self, layout: &Layout) -> Result<(), Faulty> {
-        let again =
-            layout.shards().iter().find(|(id, shard)| self.keys(**id).is_some_and(|k| k != shard.keys));
-        again.map_or(Ok(()), |(id, _)| Err(Faulty::Used { shard: *id }))
-    }
-
-    fn follow(&mut self, next: Layout, now: f64) -> Vec<ShardId> {
+    fn follow(&mut self, next: Layout, now: f64) -> Result<Followed, Faulty> {
+        let difference = self.newest.to(&next);
+        // Guards against a number that is used again for other keys: old answers would count for them.
+        let other = |id: &&ShardId| {
+            self.keys(**id).is_some_and(|keys| next.shard(**id).is_some_and(|s| s.keys != keys))
+        };
+        if let Some(shard) = difference.new.iter().chain(&difference.changed).find(other) {
+            return Err(Faulty::Used { shard: *shard });
+        }
         let last = std::mem::replace(&mut self.newest, next);
-        let missing = last.shards().iter().filter(|(id, _)| self.newest.shard(**id).is_none());
-        let missing: Vec<(ShardId, Range)> = missing.map(|(id, shard)| (*id, shard.keys)).collect();
-        for &(id, keys) in &missing {
-            self.gone.insert(id, Gone { keys, at: now });
+        for &id in &difference.gone {
+            if let Some(shard) = last.shard(id) {
+                self.gone.insert(id, Gone { keys: shard.keys, at: now });
+            }
+        }
+        let parents = |id: ShardId| {
+            let keys = self.newest.shard(id).map_or(Range::new(0, 0), |s| s.keys);
+            (id, last.covering(keys).map(|(parent, _)| parent).collect())
+        };
+        let new = difference.new.iter().map(|&id| parents(id)).collect();
+        for id in &difference.new {
+            self.gone.remove(id);
+        }
+        let version = self.newest.version();
+        for nodes in self.disowned.values_mut() {
+            nodes.retain(|_, word| word.version > version);
         }
-        let parts = std::mem::take(&mut self.parts);
-        self.old.insert(last.version(), Old { layout: last, parts, until: now });
-        self.retire(now);
-        missing.into_iter().map(|(id, _)| id).collect()
+        self.disowned.retain(|_, nodes| !nodes.is_empty());
+        let open = self.open.keys().filter(|id| self.gone.contains_key(id));
+        let held: BTreeSet<ShardId> =
+            difference.new.iter().chain(&difference.changed).chain(open).copied().collect();
+        Ok(Followed { gone: difference.gone, new, held: held.into_iter().collect() })
+    }
+
+    /// The keys of a shard, of the newest version or one that still matters.
+    pub fn keys(&self, shard: ShardId) -> Option<Range> {
+        self.newest.shard(shard).map(|s| s.keys).or(self.gone.get(&shard).map(|g| g.keys))
+    }
+
+    pub fn is_gone(&self, shard: ShardId) -> bool {
+        self.gone.contains_key(&shard)
+    }
+
+    /// The shards that cover a range now, each with the keys that they have in common.
+    pub fn cover(&self, range: Range) -> Vec<(ShardId, Range)> {
+        self.newest.covering(range).filter_map(|(id, s)| Some((id, s.keys.common(range)?))).collect()
     }
 
-    /// A part goes out by a version; false where nobody may send by that one any more.
-    pub fn sent(&mut self, version: Version, now: f64) -> bool {
-        if version == self.newest.version() {
-            self.parts += 1;
-            return true;
+    /// The cells that hold every key of a shard now; for one that is gone, all of its successors.
+    pub fn holders(&self, shard: ShardId) -> Vec<u32> {
+        if let Some(shard) = self.newest.shard(shard) {
+            return shard.holders.iter().copied().collect();
         }
-        let grace = self.grace;
-        match self.old.get_mut(&version).filter(|old| now < old.until + grace) {
-            Some(old) => {
-                old.parts += 1;
-                true
+        let Some(keys) = self.keys(shard) else { return vec![] };
+        let mut covering = self.newest.covering(keys).map(|(_, s)| &s.holders);
+        let first = covering.next().cloned().unwrap_or_default();
+        covering.fold(first, |all, next| all.intersection(next).copied().collect()).into_iter().collect()
+    }
+
+    /// A part is made for a shard; `closed` gives it back.
+    pub fn opened(&mut self, shard: ShardId) {
+        *self.open.entry(shard).or_insert(0) += 1;
+    }
+
+    pub fn closed(&mut self, shard: ShardId) {
+        if let Some(open) = self.open.get_mut(&shard) {
+            *open -= 1;
+            if *open == 0 {
+                self.open.remove(&shard);
             }
-            None => false,
         }
     }
 
-    /// A part that went out by a version is over.
-    pub fn over(&mut self, version: Version, now: f64) {
-        if version == self.newest.version() {
-            self.parts = self.parts.saturating_sub(1);
-        } else if let Some(old) = self.old.get_mut(&version) {
-            old.parts = old.parts.saturating_sub(1);
-            self.retire(now);
-        }
+    /// A data node says that by its version it does not hold a shard. True where that is news: it is asked no more
+    /// for it until `lapse` says so, or a version at least as new as its own has come. Guards against asking the
+    /// same node again and again while one side lags behind, and against two nodes that each name the other.
+    pub fn disown(&mut self, shard: ShardId, node: &str, version: Version, now: f64) -> bool {
+        let word = Disowned { version, until: now + self.lag };
+        self.disowned.entry(shard).or_default().insert(node.into(), word).is_none()
     }
 
-    /// Gives back versions by which nothing is open and nobody sends, and shards that only those knew.
-    pub fn retire(&mut self, now: f64) {
-        let grace = self.grace;
-        self.old.retain(|_, old| old.parts > 0 || now < old.until + grace);
-        let known: BTreeSet<ShardId> =
-            self.old.values().flat_map(|old| old.layout.shards().keys().copied()).collect();
-        self.gone.retain(|id, gone| known.contains(id) || now < gone.at + grace);
+    /// Data nodes that are left out for a shard.
+    pub fn disowned(&self, shard: ShardId) -> impl Iterator<Item = &str> {
+        self.disowned.get(&shard).into_iter().flatten().map(|(node, _)| node.as_str())
     }
 
-    pub fn layout(&self, version: Version) -> Option<&Layout> {
-        if version == self.newest.version() {
-            return Some(&self.newest);
+    /// Shards for which some data node that lagged behind may be asked again.
+    pub fn lapse(&mut self, now: f64) -> Vec<ShardId> {
+        let mut lapsed = vec![];
+        if self.disowned.is_empty() {
+            return lapsed;
         }
-        self.old.get(&version).map(|old| &old.layout)
+        let version = self.newest.version();
+        for (shard, nodes) in &mut self.disowned {
+            let before = nodes.len();
+            // A node ahead of this side is waited for ten times as long: it may have dropped out of the news.
+            let lag = self.lag;
+            nodes.retain(|_, word| now < word.until + if word.version > version { 9.0 * lag } else { 0.0 });
+            if nodes.len() < before {
+                lapsed.push(*shard);
+            }
+        }
+        self.disowned.retain(|_, nodes| !nodes.is_empty());
+        lapsed
     }
 
-    /// The keys of a shard, of the newest version or one that still matters.
-    pub fn keys(&self, shard: ShardId) -> Option<Range> {
-        self.newest.shard(shard).map(|s| s.keys).or(self.gone.get(&shard).map(|g| g.keys))
+    /// Gives back shards that nothing is open for and that nobody names any more; returns them.
+    pub fn retire(&mut self, now: f64) -> Vec<ShardId> {
+        let (open, grace) = (&self.open, self.grace);
+        let over = |(id, gone): &(&ShardId, &Gone)| !open.contains_key(id) && now >= gone.at + grace;
+        let over: Vec<ShardId> = self.gone.iter().filter(over).map(|(id, _)| *id).collect();
+        for id in &over {
+            self.gone.remove(id);
+            self.disowned.remove(id);
+        }
+        over
     }
 
-    /// Where the keys of a shard are now.
-    pub fn now(&self, shard: ShardId) -> Now {
-        if self.newest.shard(shard).is_some() {
-            return Now::Same;
-        }
-        let Some(gone) = self.gone.get(&shard) else { return Now::Unknown };
-        let into = self.newest.covering(gone.keys);
-        Now::In(into.filter_map(|(id, s)| Some((id, s.keys.common(gone.keys)?))).collect())
+    /// Gone shards that are kept, shards with parts open, and shards that some node disowns.
+    pub fn kept(&self) -> (usize, usize, usize) {
+        (self.gone.len(), self.open.len(), self.disowned.len())
     }
+}
 
-    /// Versions and shards that are kept beside the newest.
-    pub fn kept(&self) -> (usize, usize) {
-        (self.old.len(), self.gone.len())
+fn whole(version: Version, keys: Key, shards: Vec<(ShardId, Shard)>) -> Result<Layout, Faulty> {
+    let mut all = BTreeMap::new();
+    for (id, shard) in shards {
+        if all.insert(id, shard).is_some() {
+            return Err(Faulty::Used { shard: id });
+        }
     }
+    Layout::new(version, keys, all)
 }
--- a/crates/layouts/src/layout.rs
+++ b/crates/layouts/src/layout.rs
@@ -1,7 +1,10 @@
 //! One version of the layout, and the changes that make the next. A faulty layout or change is refused whole.
 use crate::{Key, Range, ShardId, Version};
+use imbl::OrdMap;
+use imbl::ordmap::DiffItem;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
+use std::sync::Arc;
 
 /// A shard: its keys, and the cells that hold it.
 #[derive(Clone, Debug, PartialEq)]
@@ -10,14 +13,24 @@
     pub holders: BTreeSet<u32>,
 }
 
-/// Shards that cover all keys from 0 to below `keys`, each key once.
+/// Shards that cover all keys from 0 to below `keys`, each key once. Versions share what is the same in them, so that
+/// a change costs what it touches and not a copy of ten thousand shards.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Layout {
     version: Version,
     keys: Key,
-    shards: BTreeMap<ShardId, Shard>,
+    shards: OrdMap<ShardId, Arc<Shard>>,
     /// Where each shard begins.
-    starts: BTreeMap<Key, ShardId>,
+    starts: OrdMap<Key, ShardId>,
+}
+
+/// What one version has that another has not.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Difference {
+    pub gone: Vec<ShardId>,
+    pub new: Vec<ShardId>,
+    /// Other keys or other holders.
+    pub changed: Vec<ShardId>,
 }
 
 /// What happens to shards; a chain of these makes one version.
@@ -44,6 +57,7 @@
     Outside { shard: ShardId, at: Key },
     Backwards { held: Version, told: Version },
     Nothing,
+    NotHeld { after: Version },
 }
 
 impl fmt::Display for Faulty {
@@ -61,6 +75,7 @@
             }
             Faulty::Backwards { held, told } => write!(out, "version {told} does not follow version {held}"),
             Faulty::Nothing => write!(out, "it names nothing"),
+            Faulty::NotHeld { after } => write!(out, "it changes version {after}, which is not held"),
         }
     }
 }
@@ -70,7 +85,7 @@
 impl Layout {
     /// A whole layout, once it has proved to cover every key once.
     pub fn new(version: Version, keys: Key, shards: BTreeMap<ShardId, Shard>) -> Result<Self, Faulty> {
-        let mut starts = BTreeMap::new();
+        let mut starts = OrdMap::new();
         for (&id, shard) in &shards {
             if shard.keys.is_empty() {
                 return Err(Faulty::Empty { shard: id });
@@ -95,11 +110,14 @@
         match next.cmp(&keys) {
             std::cmp::Ordering::Less => Err(Faulty::Hole { at: next }),
             std::cmp::Ordering::Greater => {
-                let last = starts.values().next_back().copied().unwrap_or_default();
+                let last = starts.get_max().map(|last| last.1).unwrap_or_default();
                 Err(Faulty::Outside { shard: last, at: keys })
             }
             std::cmp::Ordering::Equal if shards.is_empty() => Err(Faulty::Nothing),
-            std::cmp::Ordering::Equal => Ok(Layout { version, keys, shards, starts }),
+            std::cmp::Ordering::Equal => {
+                let shards = shards.into_iter().map(|(id, shard)| (id, Arc::new(shard))).collect();
+                Ok(Layout { version, keys, shards, starts })
+            }
         }
     }
 
@@ -112,25 +130,41 @@
         self.keys
     }
 
-    pub fn shards(&self) -> &BTreeMap<ShardId, Shard> {
-        &self.shards
+    pub fn shards(&self) -> impl Iterator<Item = (ShardId, &Shard)> {
+        self.shards.iter().map(|(id, shard)| (*id, &**shard))
+    }
+
+    pub fn count(&self) -> usize {
+        self.shards.len()
     }
 
     pub fn shard(&self, id: ShardId) -> Option<&Shard> {
-        self.shards.get(&id)
+        self.shards.get(&id).map(|shard| &**shard)
+    }
+
+    /// What changes from this version to another; costs what differs.
+    pub fn to(&self, other: &Layout) -> Difference {
+        let mut difference = Difference::default();
+        for item in self.shards.diff(&other.shards) {
+            match item {
+                DiffItem::Add(id, _) => difference.new.push(*id),
+                DiffItem::Remove(id, _) => difference.gone.push(*id),
+                DiffItem::Update { old: (id, _), .. } => difference.changed.push(*id),
+            }
+        }
+        difference
     }
 
     /// The shard of a key.
     pub fn of(&self, key: Key) -> Option<ShardId> {
-        let (_, &id) = self.starts.range(..=key).next_back()?;
-        self.shards[&id].keys.covers(Range::new(key, key + 1)).then_some(id)
+        self.covering(Range::new(key, key.saturating_add(1))).next().map(|found| found.0)
     }
 
     /// The shards that cover a range, in the order of their keys.
     pub fn covering(&self, range: Range) -> impl Iterator<Item = (ShardId, &Shard)> {
-        let first = self.starts.range(..=range.from).next_back().map_or(range.from, |(&from, _)| from);
+        let first = self.starts.get_prev(&range.from).map_or(range.from, |(&from, _)| from);
         let begun = self.starts.range(first..range.to.max(first));
-        begun.map(|(_, &id)| (id, &self.shards[&id])).filter(move |(_, s)| s.keys.meets(range))
+        begun.map(|(_, &id)| (id, &*self.shards[&id])).filter(move |(_, s)| s.keys.meets(range))
     }
 
     /// The next version after a chain of changes; this one stays as it is.
@@ -141,74 +175,85 @@
         if changes.is_empty() {
             return Err(Faulty::Nothing);
         }
-        let mut shards = self.shards.clone();
+        let mut next = Layout { version, ..self.clone() };
         for change in changes {
-            apply(&mut shards, change)?;
+            next.apply(change)?;
         }
-        Layout::new(version, self.keys, shards)
+        Ok(next)
     }
-}
 
-fn known(shards: &BTreeMap<ShardId, Shard>, id: ShardId) -> Result<&Shard, Faulty> {
-    shards.get(&id).ok_or(Faulty::Unknown { shard: id })
-}
+    fn known(&self, id: ShardId) -> Result<&Shard, Faulty> {
+        self.shard(id).ok_or(Faulty::Unknown { shard: id })
+    }
 
-fn add(shards: &mut BTreeMap<ShardId, Shard>, id: ShardId, shard: Shard) -> Result<(), Faulty> {
-    match shards.insert(id, shard) {
-        None => Ok(()),
-        Some(_) => Err(Faulty::Used { shard: id }),
+    fn add(&mut self, id: ShardId, shard: Shard) -> Result<(), Faulty> {
+        self.starts.insert(shard.keys.from, id);
+        match self.shards.insert(id, Arc::new(shard)) {
+            None => Ok(()),
+            Some(_) => Err(Faulty::Used { shard: id }),
+        }
     }
-}
 
-fn apply(shards: &mut BTreeMap<ShardId, Shard>, change: &Change) -> Result<(), Faulty> {
-    match change {
-        Change::Split { parent, children } => {
-            let old = known(shards, *parent)?.clone();
-            if children.len() < 2 {
-                return Err(Faulty::Nothing);
-            }
-            let ends = children.iter().skip(1).map(|c| c.1).chain([old.keys.to]);
-            let mut next = old.keys.from;
-            for (&(id, from), to) in children.iter().zip(ends) {
-                if from != next {
-                    return Err(Faulty::Outside { shard: id, at: from });
+    fn remove(&mut self, id: ShardId) {
+        if let Some(shard) = self.shards.remove(&id) {
+            self.starts.remove(&shard.keys.from);
+        }
+    }
+
+    /// Each change keeps every key covered once, so that only what it touches has to be looked at. After an error
+    /// this is of no use any more.
+    fn apply(&mut self, change: &Change) -> Result<(), Faulty> {
+        match change {
+            Change::Split { parent, children } => {
+                let old = self.known(*parent)?.clone();
+                if children.len() < 2 {
+                    return Err(Faulty::Nothing);
                 }
-                if to <= from || to > old.keys.to {
-                    return Err(Faulty::Outside { shard: id, at: to });
+                self.starts.remove(&old.keys.from);
+                let ends = children.iter().skip(1).map(|c| c.1).chain([old.keys.to]);
+                let mut next = old.keys.from;
+                for (&(id, from), to) in children.iter().zip(ends) {
+                    if from != next {
+                        return Err(Faulty::Outside { shard: id, at: from });
+                    }
+                    if to <= from || to > old.keys.to {
+                        return Err(Faulty::Outside { shard: id, at: to });
+                    }
+                    self.add(id, Shard { keys: Range::new(from, to), holders: old.holders.clone() })?;
+                    next = to;
                 }
-                add(shards, id, Shard { keys: Range::new(from, to), holders: old.holders.clone() })?;
-                next = to;
+                self.shards.remove(parent);
             }
-            shards.remove(parent);
-        }
-        Change::Merge { parents, child } => {
-            let (Some(&first), true) = (parents.first(), parents.len() > 1) else {
-                return Err(Faulty::Nothing);
-            };
-            let mut merged = known(shards, first)?.clone();
-            for &parent in &parents[1..] {
-                let next = known(shards, parent)?;
-                if next.keys.from != merged.keys.to {
-                    return Err(Faulty::Apart { shard: parent });
+            Change::Merge { parents, child } => {
+                let (Some(&first), true) = (parents.first(), parents.len() > 1) else {
+                    return Err(Faulty::Nothing);
+                };
+                let mut merged = self.known(first)?.clone();
+                for &parent in &parents[1..] {
+                    let next = self.known(parent)?;
+                    if next.keys.from != merged.keys.to {
+                        return Err(Faulty::Apart { shard: parent });
+                    }
+                    merged.keys.to = next.keys.to;
+                    merged.holders = merged.holders.intersection(&next.holders).copied().collect();
                 }
-                merged.keys.to = next.keys.to;
-                merged.holders = merged.holders.intersection(&next.holders).copied().collect();
-            }
-            if merged.holders.is_empty() {
-                return Err(Faulty::NoHolder { shard: *child });
-            }
-            parents.iter().for_each(|parent| drop(shards.remove(parent)));
-            add(shards, *child, merged)?;
-        }
-        Change::Move { shard, holders } => {
-            known(shards, *shard)?;
-            if holders.is_empty() {
-                return Err(Faulty::NoHolder { shard: *shard });
+                if merged.holders.is_empty() {
+                    return Err(Faulty::NoHolder { shard: *child });
+                }
+                if self.shards.contains_key(child) {
+                    return Err(Faulty::Used { shard: *child });
+                }
+                parents.iter().for_each(|parent| self.remove(*parent));
+                self.add(*child, merged)?;
             }
-            if let Some(shard) = shards.get_mut(shard) {
-                shard.holders = holders.clone();
+            Change::Move { shard, holders } => {
+                let keys = self.known(*shard)?.keys;
+                if holders.is_empty() {
+                    return Err(Faulty::NoHolder { shard: *shard });
+                }
+                self.shards.insert(*shard, Arc::new(Shard { keys, holders: holders.clone() }));
             }
         }
+        Ok(())
     }
-    Ok(())
 }
--- a/crates/layouts/src/lib.rs
+++ b/crates/layouts/src/lib.rs
@@ -5,9 +5,11 @@
 //! decision module, which knows only holders and parts.
 //!
 //! - `layout`: one version, checked whole; changes that make the next.
-//! - `history`: the versions that still matter, and what became of a shard.
+//! - `history`: the newest version, what still matters of older ones, and data nodes that disown a shard.
 //! - `coverage`: which keys of a query are in, by answers of whatever versions; no key twice, none forgotten.
+//! - `family`: parts divided while leaf calls for them are out.
 pub mod coverage;
+pub mod family;
 pub mod history;
 pub mod layout;
 
--- a/crates/layouts/tests/stories.rs
+++ b/crates/layouts/tests/stories.rs
@@ -1,6 +1,7 @@
 //! Stories of layouts that change: faulty ones refused whole, old shards found again, keys counted once.
 use alderway_layouts::coverage::{Count, Coverage};
-use alderway_layouts::history::{History, Now};
+use alderway_layouts::family::Families;
+use alderway_layouts::history::{History, News};
 use alderway_layouts::layout::{Change, Faulty, Layout, Shard};
 use alderway_layouts::{Key, Range, ShardId};
 use proptest::prelude::*;
@@ -42,33 +43,118 @@
 #[case::nobody_holds_it(2, Change::Move { shard: 1, holders: BTreeSet::new() }, Faulty::NoHolder { shard: 1 })]
 #[case::backwards(1, Change::Move { shard: 1, holders: BTreeSet::new() }, Faulty::Backwards { held: 1, told: 1 })]
 fn a_faulty_change_is_refused_whole(#[case] version: u64, #[case] change: Change, #[case] why: Faulty) {
-    let mut history = History::new(layout(), 2.0);
+    let mut history = History::new(layout(), 2.0, 0.25);
     let good = Change::Split { parent: 2, children: vec![(20, 10), (21, 15)] };
     assert_eq!(history.change(version, &[good, change], 0.0), Err(why));
     assert_eq!(history.newest(), &layout());
 }
 
 #[rstest]
-fn a_split_shard_is_found_in_its_children_until_it_no_longer_matters() {
-    let mut history = History::new(layout(), 2.0);
-    assert!(history.sent(1, 0.0));
+fn a_part_of_a_shard_that_is_gone_goes_to_whoever_holds_all_its_keys_while_it_matters() {
+    let mut history = History::new(layout(), 2.0, 0.25);
+    history.opened(1);
     let split = Change::Split { parent: 1, children: vec![(10, 0), (11, 4)] };
-    assert_eq!(history.change(2, &[split], 1.0), Ok(vec![1]));
-    let merge = Change::Merge { parents: vec![11, 2], child: 12 };
-    history.change(3, &[merge], 1.5).expect("sound");
-    let into = Now::In(vec![(10, Range::new(0, 4)), (12, Range::new(4, 10))]);
-    assert_eq!((history.now(1), history.now(3), history.now(99)), (into.clone(), Now::Same, Now::Unknown));
-    // By an old version new parts go out within the grace only; an open part keeps what it needs.
-    assert!(history.sent(1, 2.9) && !history.sent(1, 3.0));
-    history.over(1, 3.1);
-    assert_eq!(history.now(1), into);
-    history.over(1, 10.0);
-    assert_eq!((history.now(1), history.kept()), (Now::Unknown, (0, 0)));
+    let followed = history.change(2, &[split], 1.0).expect("sound");
+    assert_eq!((followed.gone, followed.new), (vec![1], vec![(10, vec![1]), (11, vec![1])]));
+    assert_eq!(followed.held, [1, 10, 11]);
+    assert_eq!(history.holders(1), [1, 2]);
+    // One child is on its way: only the cell that has both holds all of the old shard, then none does.
+    let to = |cells: &[u32]| Change::Move { shard: 11, holders: holders(cells) };
+    assert_eq!(history.change(3, &[to(&[2, 3])], 1.5).expect("sound").held, [1, 11]);
+    assert_eq!(history.holders(1), [2]);
+    history.change(4, &[to(&[3])], 1.6).expect("sound");
+    assert!(history.holders(1).is_empty());
+    assert_eq!(
+        history.cover(Range::new(2, 12)),
+        [(10, Range::new(2, 4)), (11, Range::new(4, 10)), (2, Range::new(10, 12))]
+    );
+    assert_eq!(history.retire(100.0), [] as [ShardId; 0]);
+    history.closed(1);
+    assert_eq!((history.retire(2.9), history.retire(3.0)), (vec![], vec![1]));
+    assert_eq!((history.keys(1), history.kept()), (None, (0, 0, 0)));
+}
+
+#[rstest]
+fn a_node_that_disowns_a_shard_is_left_out_until_one_side_has_caught_up() {
+    let mut history = History::new(layout(), 2.0, 0.25);
+    // One is ahead of this side, the other lags behind; both name the shard at once.
+    assert!(history.disown(2, "ahead", 3, 0.0) && history.disown(2, "behind", 0, 0.0));
+    assert!(!history.disown(2, "ahead", 3, 0.1), "the same word again is no news");
+    let out = |history: &History| history.disowned(2).map(str::to_string).collect::<Vec<_>>();
+    assert_eq!(out(&history), ["ahead", "behind"]);
+    assert_eq!((history.lapse(0.2), history.lapse(0.3)), (vec![], vec![2]));
+    assert_eq!(out(&history), ["ahead"]);
+    let split = Change::Split { parent: 1, children: vec![(10, 0), (11, 4)] };
+    history.change(2, &[split], 0.4).expect("sound");
+    assert_eq!(out(&history), ["ahead"]);
+    let to = Change::Move { shard: 2, holders: holders(&[5]) };
+    assert_eq!(history.change(3, &[to], 0.5).expect("sound").held, [2]);
+    assert_eq!(out(&history), [] as [&str; 0]);
+    // Nor for ever, where the version that it names never comes.
+    history.disown(2, "ahead", 9, 1.0);
+    assert_eq!((history.lapse(3.4), history.lapse(3.6)), (vec![], vec![2]));
+}
+
+#[rstest]
+fn news_of_another_version_or_that_name_a_shard_twice_are_refused() {
+    let mut history = History::new(layout(), 2.0, 0.25);
+    let to = Change::Move { shard: 2, holders: holders(&[5]) };
+    let news = |after| News::Changes { version: 9, after, changes: vec![to.clone()] };
+    assert_eq!(history.take(news(4), 0.0), Err(Faulty::NotHeld { after: 4 }));
+    let shard = |from, to| (1, Shard { keys: Range::new(from, to), holders: holders(&[1]) });
+    let twice = News::Whole { version: 9, keys: 30, shards: vec![shard(0, 10), shard(10, 30)] };
+    assert_eq!(history.take(twice, 0.0), Err(Faulty::Used { shard: 1 }));
+    assert!(History::begin(news(1), 2.0, 0.25).is_err());
+    assert!(history.take(news(1), 0.0).is_ok() && history.newest().version() == 9);
+}
+
+/// What two versions share is not copied: otherwise a thousand changes a minute would cost ten thousand shards each.
+#[rstest]
+fn a_thousand_changes_of_ten_thousand_shards_leave_nothing_behind() {
+    let all = (0..10_000u32).map(|n| {
+        (n, Shard { keys: Range::new(100 * n, 100 * n + 100), holders: holders(&[n % 400, (n + 1) % 400]) })
+    });
+    let layout = Layout::new(1, 1_000_000, all.collect()).expect("sound");
+    let (mut history, mut next) = (History::new(layout, 2.0, 0.25), 10_000);
+    for n in 0..1000u32 {
+        let (at, now) = (f64::from(n) * 0.06, u64::from(n) + 2);
+        let shard = history.newest().of((n * 7919) % 1_000_000).expect("covered");
+        let keys = history.newest().shard(shard).expect("known").keys;
+        let changes = if keys.keys() > 1 && n % 2 == 0 {
+            next += 2;
+            let middle = keys.from + keys.keys() as u32 / 2;
+            vec![Change::Split { parent: shard, children: vec![(next, keys.from), (next + 1, middle)] }]
+        } else {
+            vec![Change::Move { shard, holders: holders(&[n % 400, 399]) }]
+        };
+        history.change(now, &changes, at).expect("sound");
+        history.retire(at);
+        assert!(history.kept().0 <= 40, "{:?}", history.kept());
+    }
+    assert_eq!(history.newest().count(), 10_500);
+    history.retire(100.0);
+    assert_eq!(history.kept(), (0, 0, 0));
+}
+
+#[rstest]
+fn a_call_serves_all_heirs_and_is_given_up_with_the_last() {
+    let mut families = Families::default();
+    families.divide(&"p", &["a", "b"]);
+    assert!(!families.release(&("p", 0), &"a"));
+    families.divide(&"b", &["c", "d"]);
+    assert_eq!(families.heirs(&"p"), ["a", "c", "d"]);
+    assert_eq!(families.line(&"d").copied().collect::<Vec<_>>(), ["d", "b", "p"]);
+    assert!(families.waits(&("p", 0), &"c") && !families.waits(&("p", 0), &"a"));
+    assert!(families.waits(&("p", 1), &"a"), "another call of it is another matter");
+    assert!(!families.release(&("p", 0), &"c") && families.release(&("p", 0), &"d"));
+    families.forget(|_| true);
+    assert!(families.is_empty() && families.heirs(&"p").is_empty());
+    assert_eq!(families.line(&"d").count(), 1);
 }
 
 #[rstest]
 fn a_year_of_weekly_changes_leaves_nothing_behind() {
-    let mut history = History::new(layout(), 2.0);
+    let mut history = History::new(layout(), 2.0, 0.25);
     for week in 0..52u32 {
         let now = f64::from(week) * 604_800.0;
         let whole = if week == 0 { 2 } else { 1000 + week - 1 };
@@ -78,17 +164,17 @@
         let merge = Change::Merge { parents: vec![a, b], child: 1000 + week };
         history.change(u64::from(2 * week + 3), &[merge], now + 60.0).expect("sound");
         history.retire(now + 120.0);
-        assert_eq!(history.kept(), (0, 0));
+        assert_eq!(history.kept(), (0, 0, 0));
     }
 }
 
 #[rstest]
 fn a_whole_layout_that_uses_a_number_again_is_refused() {
-    let mut history = History::new(layout(), 2.0);
+    let mut history = History::new(layout(), 2.0, 0.25);
     let other = Layout::new(7, 30, shards(&[(1, 0, 5), (4, 5, 30)])).expect("sound");
     assert_eq!(history.replace(other, 0.0), Err(Faulty::Used { shard: 1 }));
     let again = Layout::new(7, 30, shards(&[(1, 0, 10), (4, 10, 30)])).expect("sound");
-    assert_eq!(history.replace(again, 0.0), Ok(vec![2, 3]));
+    assert_eq!(history.replace(again, 0.0).expect("sound").gone, [2, 3]);
 }
 
 #[rstest]
@@ -144,7 +230,7 @@
         answers in prop::collection::vec((0..13usize, 0..20usize), 1..40),
         (from, len) in (0..30u32, 1..30u32),
     ) {
-        let (mut history, mut next) = (History::new(layout(), 1e9), 100);
+        let (mut history, mut next) = (History::new(layout(), 1e9, 0.25), 100);
         let mut versions = vec![layout()];
         for (n, (choice, at)) in changes.into_iter().enumerate() {
             if let Some(change) = draw(history.newest(), choice, at, &mut next) {
@@ -186,26 +272,30 @@
     fn an_old_shards_keys_are_found_again_each_once(
         changes in prop::collection::vec((any::<u8>(), 0..50usize), 1..20),
     ) {
-        let (mut history, mut next, mut ever) = (History::new(layout(), 1e9), 100, BTreeMap::new());
+        let (mut history, mut next, mut ever) = (History::new(layout(), 1e9, 0.25), 100, BTreeMap::new());
         for (n, (choice, at)) in changes.into_iter().enumerate() {
-            ever.extend(history.newest().shards().iter().map(|(id, s)| (*id, s.keys)));
+            ever.extend(history.newest().shards().map(|(id, s)| (id, s.keys)));
             if let Some(change) = draw(history.newest(), choice, at, &mut next) {
                 history.change(n as u64 + 2, &[change], n as f64).expect("a sound change");
             }
         }
         for (id, keys) in ever {
-            match history.now(id) {
-                Now::Same => prop_assert_eq!(history.keys(id), Some(keys)),
-                Now::In(into) => {
-                    let mut from = keys.from;
-                    for (_, part) in into {
-                        prop_assert_eq!(part.from, from);
-                        from = part.to;
-                    }
-                    prop_assert_eq!(from, keys.to);
-                }
-                Now::Unknown => prop_assert!(false, "shard {} is lost", id),
+            prop_assert_eq!(history.keys(id), Some(keys), "shard {} is lost", id);
+            let mut from = keys.from;
+            for (_, part) in history.cover(keys) {
+                prop_assert_eq!(part.from, from);
+                from = part.to;
+            }
+            prop_assert_eq!(from, keys.to);
+            // Whoever is said to hold a shard holds every one of its keys.
+            for key in keys.from..keys.to {
+                let now = history.newest().of(key).and_then(|s| history.newest().shard(s)).expect("covered");
+                prop_assert!(history.holders(id).iter().all(|cell| now.holders.contains(cell)));
             }
         }
+        // By small steps or as a whole, the same layout comes out.
+        let shards = history.newest().shards().map(|(id, s)| (id, s.clone())).collect();
+        let whole = Layout::new(history.newest().version(), 30, shards).expect("still covers every key once");
+        prop_assert_eq!(&whole, history.newest());
     }
 }
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -60,11 +60,22 @@
     Json,
 }
 
+/// Shards that change while queries run, as discovery tells of them.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Layouts {
+    /// Seconds for which a client may name a shard that is gone.
+    pub late_clients: f64,
+    /// Seconds that a data node which lags behind the layout has to catch up before it is asked again.
+    pub lagging_nodes: f64,
+}
+
 /// All that an operator's file may say.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Operator {
     pub cores: Cores,
     pub log: LogForm,
+    /// None: shards lie in the ring of the configuration, and never change.
+    pub layouts: Option<Layouts>,
 }
 
 /// What has been said so far.
@@ -72,6 +83,7 @@
 struct Said {
     cores: RefCell<Option<Cores>>,
     log: RefCell<Option<LogForm>>,
+    layouts: RefCell<Option<Layouts>>,
 }
 
 fn said<'a>(eval: &Evaluator<'_, 'a, '_>) -> anyhow::Result<&'a Said> {
@@ -134,6 +146,21 @@
         once(&said(eval)?.cores, "cores", Cores { count, node_connections, evidence })
     }
 
+    /// That shards lie by layouts which discovery tells, and how much lateness is allowed for.
+    fn layouts<'v>(
+        #[starlark(require = named)] late_clients_ms: Option<Value<'v>>,
+        #[starlark(require = named)] lagging_nodes_ms: Option<Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        let span = |name, value: Option<Value<'v>>, usual, least, most| {
+            let value = value.map_or(Ok(usual), |value| whole("layouts", name, value, least, most))?;
+            anyhow::Ok(value as f64 / 1e3)
+        };
+        let late_clients = span("late_clients_ms", late_clients_ms, 2000, 0, 3_600_000)?;
+        let lagging_nodes = span("lagging_nodes_ms", lagging_nodes_ms, 250, 10, 60_000)?;
+        once(&said(eval)?.layouts, "layouts", Layouts { late_clients, lagging_nodes })
+    }
+
     /// How the log is written.
     fn log<'v>(
         #[starlark(require = named)] form: Value<'v>,
@@ -209,7 +236,7 @@
         eval.eval_module(ast, &globals).map(drop).map_err(|why| line(name, &why))
     })?;
     let (cores, log) = (said.cores.take().unwrap_or_default(), said.log.take().unwrap_or_default());
-    Ok(Operator { cores, log })
+    Ok(Operator { cores, log, layouts: said.layouts.take() })
 }
 
 struct Silent;
--- a/crates/router/src/drive/core.rs
+++ b/crates/router/src/drive/core.rs
@@ -8,10 +8,12 @@
 use crate::memory::clock::Clock;
 use crate::memory::descriptors::Share;
 use crate::memory::desk::Desk;
+use crate::memory::ground::{Following, Ground};
 use crate::memory::house::{House, Order, Word};
 use crate::memory::roster::Entry;
 use alderway_cores::board::Board;
 use alderway_deployment::{Intake, Trunk};
+use alderway_layouts::layout::Layout;
 use nix::time::{ClockId, clock_gettime};
 use std::cell::RefCell;
 use std::ops::ControlFlow;
@@ -36,6 +38,7 @@
 pub struct Told {
     pub number: u64,
     pub entries: Arc<Vec<Entry>>,
+    pub layout: Option<Layout>,
     /// How often following has failed.
     pub failures: u64,
 }
@@ -63,6 +66,7 @@
     pub trunk: Trunk,
     pub room: Intake,
     pub verticals: Vec<String>,
+    pub layouts: Option<Following>,
     pub module: Recipe,
     pub for_nodes: Arc<Share>,
     pub orders: mpsc::Receiver<Order>,
@@ -108,6 +112,7 @@
     let mut desk = Desk::on(house, core, berth.clock, berth.trunk, berth.room, berth.verticals.clone());
     desk.counters = berth.house.seats[core].figures.borrow().counters.clone();
     desk.board = std::mem::take(board);
+    desk.ground = berth.layouts.map(Ground::new);
     let desk = Rc::new(RefCell::new(desk));
     let lived = catch_unwind(AssertUnwindSafe(|| local.block_on(runtime, tend(&desk, berth, gossip))));
     let why = match lived {
@@ -279,6 +284,14 @@
         desk.roster.adopt(&told.entries);
         desk.known = told.number;
         desk.roster_changed();
+        let now = desk.clock.now();
+        if let (Some(ground), Some(layout)) = (&mut desk.ground, &told.layout) {
+            match ground.adopt(layout, now) {
+                Ok(shards) if !shards.is_empty() => desk.layout_changed(&shards),
+                Ok(_) => {}
+                Err(why) => tracing::error!(target: "layout", "not taken over from the lead: {why}"),
+            }
+        }
         desk.pass_fence();
     }
 }
--- a/crates/router/src/drive/discovery.rs
+++ b/crates/router/src/drive/discovery.rs
@@ -6,6 +6,9 @@
 use crate::memory::roster::Roster;
 use crate::wire::buffer::Buffer;
 use crate::wire::discovery::{self, Watch};
+use crate::wire::layout;
+use alderway_layouts::history::News;
+use alderway_layouts::layout::Faulty;
 use std::cell::RefCell;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -38,6 +41,14 @@
     }
     /// Nothing that discovery had sent by then is unread, or there is no watch.
     fn looked(&mut self, _at: f64) {}
+    /// Where layouts are followed, the version to ask for changes to: 0 for the whole layout.
+    fn layout_since(&self) -> Option<u64> {
+        None
+    }
+    /// News of the layout, taken in whole or not at all; `changed` follows.
+    fn layout(&mut self, _news: News) -> Result<(), Faulty> {
+        Ok(())
+    }
 }
 
 impl Follower for Desk {
@@ -68,6 +79,16 @@
     fn moved(&mut self) {
         self.counters.one("discovery_moves");
     }
+    fn layout_since(&self) -> Option<u64> {
+        self.ground.as_ref().map(|ground| ground.version().unwrap_or(0))
+    }
+    fn layout(&mut self, news: News) -> Result<(), Faulty> {
+        let now = self.clock.now();
+        let Some(ground) = &mut self.ground else { return Ok(()) };
+        let shards = ground.take(news, now).inspect_err(|_| self.counters.one("layouts_refused"))?;
+        self.layout_changed(&shards);
+        Ok(())
+    }
 }
 
 pub type Following = Rc<RefCell<dyn Follower>>;
@@ -97,14 +118,14 @@
         let list = list.borrow();
         (list.follows(), list.asked(), Duration::from_secs_f64(list.dial()))
     };
-    let mut moved = false;
+    let (mut moved, mut whole) = (false, false);
     loop {
         if follow && !moved {
             unwatched(&list, asked.notified()).await;
         }
         let address = *agent.borrow_and_update();
         let why = tokio::select! {
-            why = watch(&list, address) => why,
+            why = watch(&list, address, &mut whole) => why,
             Ok(()) = agent.changed() => {
                 moved = true;
                 list.borrow_mut().moved();
@@ -119,11 +140,16 @@
 }
 
 /// One watch; returns why it ended.
-async fn watch(list: &Following, address: SocketAddr) -> String {
-    let (clock, limit, since) = {
+async fn watch(list: &Following, address: SocketAddr, whole: &mut bool) -> String {
+    let (clock, limit, since, mut layout) = {
         let mut list = list.borrow_mut();
-        (list.clock(), Duration::from_secs_f64(list.dial()), list.roster().index)
+        let layout = list.layout_since();
+        (list.clock(), Duration::from_secs_f64(list.dial()), list.roster().index, layout)
     };
+    // Changes could not be followed from the version held: guards against asking for them for ever.
+    if std::mem::take(whole) {
+        layout = layout.map(|_| 0);
+    }
     let stream = match unwatched(list, timeout(limit, TcpStream::connect(address))).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(why)) => return format!("no connection ({why})"),
@@ -132,7 +158,7 @@
     let _ = stream.set_nodelay(true);
     let leads = list.borrow().leads();
     let mut out = Vec::new();
-    discovery::follow(&mut out, &address.to_string(), since);
+    discovery::follow(&mut out, &address.to_string(), since, layout);
     let (mut written, mut heard) = (0, clock.now());
     let (mut buffer, mut watch) = (Buffer::new(discovery::LONGEST), Watch::default());
     loop {
@@ -171,7 +197,7 @@
                 Err(why) => return why.into(),
                 Ok(None) => break,
                 Ok(Some(end)) => {
-                    if let Err(why) = take(list, &buffer.data()[..end]) {
+                    if let Err(why) = take(list, &buffer.data()[..end], whole) {
                         return why.into();
                     }
                     watch.done(&mut buffer);
@@ -182,7 +208,7 @@
 }
 
 /// One line of the watch: blank while nothing changes, else a list or a change.
-fn take(list: &Following, line: &[u8]) -> Result<(), &'static str> {
+fn take(list: &Following, line: &[u8], whole_layout: &mut bool) -> Result<(), &'static str> {
     if line.trim_ascii().is_empty() {
         return Ok(());
     }
@@ -200,7 +226,30 @@
         entries += 1;
         roster.entry(name, address, cell, state, clock.from_unix(since));
     })?;
+    let told = if list.layout_since().is_some() { layout::news(line) } else { Ok(None) };
+    let (mut refused, held) = (None, list.layout_since());
+    match told {
+        Ok(Some(news)) => {
+            if let Err(why) = list.layout(news) {
+                *whole_layout = matches!(why, Faulty::NotHeld { .. });
+                refused = Some(why.to_string());
+            }
+        }
+        Ok(None) => {}
+        Err(why) => refused = Some(why.to_string()),
+    }
     list.changed();
+    match (refused, list.layout_since()) {
+        (Some(why), held) => {
+            let held = held.unwrap_or(0);
+            tracing::warn!(target: "layout", "refused: {why}; version {held} holds");
+        }
+        (None, now) if now != held => tracing::info!(target: "layout", "version {}", now.unwrap_or(0)),
+        _ => {}
+    }
+    if *whole_layout {
+        return Err("a change to a layout that is not held");
+    }
     let kind = if whole { "whole list" } else { "change" };
     tracing::info!(target: "roster", "{kind} {index}: {entries} entries");
     Ok(())
--- a/crates/router/src/drive/lead.rs
+++ b/crates/router/src/drive/lead.rs
@@ -9,10 +9,13 @@
 use crate::memory::clock::Clock;
 use crate::memory::counters::Counters;
 use crate::memory::descriptors::{self, Held};
+use crate::memory::ground::{Following, Ground};
 use crate::memory::house::{Figures, House, Order, Passenger, Sharing};
 use crate::memory::roster::Roster;
 use alderway_cores::balance::{Balance, Load};
 use alderway_cores::crew::{Change, Crew, State};
+use alderway_layouts::history::News;
+use alderway_layouts::layout::Faulty;
 use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
@@ -39,6 +42,8 @@
     roster: Roster,
     house: Arc<House>,
     counters: Counters,
+    /// Where layouts are followed: nothing is open here, it only checks what the cores take over.
+    ground: Option<Ground>,
     told: watch::Sender<Told>,
 }
 
@@ -47,7 +52,8 @@
     fn publish(&mut self) {
         let number = self.house.fence.publish();
         let entries = Arc::new(self.roster.entries());
-        self.told.send_modify(|told| (told.number, told.entries) = (number, entries));
+        let layout = self.ground.as_ref().and_then(|ground| Some(ground.history()?.newest().clone()));
+        self.told.send_modify(|told| (told.number, told.entries, told.layout) = (number, entries, layout));
         self.roster.forget_gone();
     }
 }
@@ -87,6 +93,17 @@
     fn looked(&mut self, at: f64) {
         self.house.fence.looked(at);
     }
+    fn layout_since(&self) -> Option<u64> {
+        self.ground.as_ref().map(|ground| ground.version().unwrap_or(0))
+    }
+    fn layout(&mut self, news: News) -> Result<(), Faulty> {
+        let now = self.clock.now();
+        let Some(ground) = &mut self.ground else { return Ok(()) };
+        let taken = ground.take(news, now).map(drop);
+        ground.rest(now);
+        self.counters.one(if taken.is_ok() { "layouts_taken" } else { "layouts_refused" });
+        taken
+    }
 }
 
 /// Deals connections out to the cores.
@@ -149,8 +166,12 @@
     let (phase, phase_told) = watch::channel(Phase::Serving);
     let (reports, mut came) = mpsc::unbounded_channel();
     let (dial, follows) = (trunk.dial, room.follow);
-    let mut list =
-        List { clock, dial, follows, roster, house: house.clone(), counters: Counters::default(), told };
+    let (layouts, counters) = (station.layouts, Counters::default());
+    // Guards against a shard's number that the lead has forgotten and a core has not: it takes over what the lead has
+    // checked, so the lead remembers for longer than a part can be open.
+    let longer = |l: Following| Following { grace: l.grace + room.deadline + 1.0, ..l };
+    let ground = layouts.map(|layouts| Ground::new(longer(layouts)));
+    let mut list = List { clock, dial, follows, roster, house: house.clone(), counters, ground, told };
     list.publish();
     list.house.fence.looked(clock.now());
     let known = list.roster.nodes.len();
@@ -165,6 +186,7 @@
             trunk,
             room,
             verticals: verticals.clone(),
+            layouts,
             module: module.clone(),
             for_nodes: for_nodes.clone(),
             orders,
--- a/crates/router/src/drive/nodes.rs
+++ b/crates/router/src/drive/nodes.rs
@@ -180,14 +180,14 @@
     while let Some((letter, rest, used)) = frames::next(buffer.data()).map_err(nameless)? {
         match letter {
             b'R' => {
-                let (part, word, value) = frames::reply(rest).map_err(nameless)?;
+                let (part, word, report, value) = frames::reply(rest).map_err(nameless)?;
                 let ending = match word {
                     "done" => Ending::Success,
                     "failed" => Ending::Error,
                     "full" => Ending::Full,
                     _ => return Err(("a reply with an unknown ending", Some(part.to_string()))),
                 };
-                if !desk.borrow_mut().replied(node, line, part, ending, value) {
+                if !desk.borrow_mut().answered(node, line, part, ending, report, value) {
                     return Err(nameless("a reply for a part not asked for"));
                 }
             }
--- a/crates/router/src/life/serve.rs
+++ b/crates/router/src/life/serve.rs
@@ -6,6 +6,7 @@
 use crate::memory::clock::Clock;
 use crate::memory::descriptors;
 use crate::memory::desk::Desk;
+use crate::memory::ground::Ground;
 use crate::memory::house::{House, Sharing};
 use std::cell::RefCell;
 use std::io;
@@ -35,6 +36,7 @@
     let house = House::new(station.room.room, sharing, f64::INFINITY).0;
     let mut desk = Desk::on(house, 0, clock, station.trunk, station.room, station.verticals);
     desk.roster = roster;
+    desk.ground = station.layouts.map(Ground::new);
     desk.came.notify_one();
     let listener = TcpListener::bind(listen).await?;
     arrival::stamp(&listener)?;
--- a/crates/router/src/life/start.rs
+++ b/crates/router/src/life/start.rs
@@ -1,5 +1,6 @@
 //! The one place where the configuration is read, checked and given defaults. Every message names its key.
 use crate::memory::clock::Clock;
+use crate::memory::ground::Following;
 use crate::memory::roster::Roster;
 use crate::wire::discovery;
 use alderway::choice::Router;
@@ -33,6 +34,8 @@
     pub trunk: deployment::Trunk,
     pub room: deployment::Intake,
     pub fixed: Fixed,
+    /// Whether shards lie by layouts that change, and how those are followed; the ring where not.
+    pub layouts: Option<Following>,
 }
 
 /// A second reading of other files: an error, or whether anything that it was started by has changed.
@@ -111,6 +114,7 @@
         verticals,
         trunk,
         room,
+        layouts: None,
         fixed: ["name", "listen", "limits", "settings"].map(|key| (key, all[key].clone())),
     })
 }
--- a/crates/router/src/memory/calls.rs
+++ b/crates/router/src/memory/calls.rs
@@ -43,6 +43,11 @@
         Some(call)
     }
 
+    /// A call has ended for a part that shares it with others.
+    pub fn tell(&mut self, id: CallId, node: &str, ending: Ending, latency: f64) {
+        self.ended.push((id, node.into(), ending, latency));
+    }
+
     pub fn take_ended(&mut self) -> Vec<(CallId, String, Ending, f64)> {
         std::mem::take(&mut self.ended)
     }
--- a/crates/router/src/memory/counters.rs
+++ b/crates/router/src/memory/counters.rs
@@ -34,6 +34,7 @@
             Ending::Reset => "leaf_calls_ended{reset}",
             Ending::Cancelled => "leaf_calls_ended{cancelled}",
             Ending::NeverSent => "leaf_calls_ended{never_sent}",
+            Ending::Moved => "leaf_calls_ended{moved}",
         });
     }
 
--- a/crates/router/src/memory/desk.rs
+++ b/crates/router/src/memory/desk.rs
@@ -4,6 +4,7 @@
 use super::clients::{Client, Clients};
 use super::clock::Clock;
 use super::counters::Counters;
+use super::ground::Ground;
 use super::house::{Figures, House, Word};
 use super::lines::{Frame, Line, Place};
 use super::queries::{self, Queries, Query};
@@ -15,6 +16,8 @@
 use alderway_cores::fence;
 use alderway_cores::ids::Refused;
 use alderway_deployment::{Intake as Room, Trunk};
+use alderway_layouts::ShardId;
+use alderway_layouts::coverage::Count;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -47,6 +50,8 @@
     pub fenced: bool,
     /// What other cores saw of data nodes: all that still holds, and whose word has yet to be told.
     pub board: Board,
+    /// Where shards lie, where layouts are followed.
+    pub ground: Option<Ground>,
     heard: BTreeMap<String, Evidence>,
     /// What a test has this core do at its next beat.
     #[cfg(feature = "faults")]
@@ -92,6 +97,7 @@
             known: 0,
             fenced: false,
             board: Board::default(),
+            ground: None,
             heard: BTreeMap::new(),
             #[cfg(feature = "faults")]
             fault: None,
@@ -120,7 +126,8 @@
     /// Whether queries can be served: any data node is known, from the start or from discovery.
     pub fn able(&self) -> bool {
         let led = self.house.fence.passes(u64::MAX, self.clock.now()).is_ok();
-        self.roster.names_any() && !self.stopping && led
+        let mapped = self.ground.as_ref().is_none_or(|ground| ground.version().is_some());
+        self.roster.names_any() && !self.stopping && led && mapped
     }
 
     /// What this core counted, and what is open on it now.
@@ -167,7 +174,10 @@
             answer::plain(&mut client.out.borrow_mut(), 503, "too many queries are open", None, closes);
             return Ok(());
         };
-        let number = self.queries.hold(query, queries::Place { id, room });
+        if let Some(ground) = &mut self.ground {
+            query.parts.iter().for_each(|part| ground.opened(part));
+        }
+        let number = self.queries.hold(query, queries::Place { id, room: vec![room] });
         client.query.set(Some(number));
         self.new.push(number);
         self.came.notify_one();
@@ -183,6 +193,7 @@
     fn drop_query(&mut self, number: u64, what: &str) {
         let Some(query) = self.queries.release(number) else { return };
         self.count(what, query.vertical);
+        self.close_parts(&query);
         for part in &query.parts {
             for id in self.calls.of_part(&part.id) {
                 self.give_up(&id, Ending::Cancelled);
@@ -192,8 +203,109 @@
         self.came.notify_one();
     }
 
+    fn close_parts(&mut self, query: &Query) {
+        if let Some(ground) = &mut self.ground {
+            query.parts.iter().for_each(|part| ground.closed(part));
+        }
+    }
+
+    // What layouts do.
+
+    /// The holders of these shards are others now, or the shards are gone. Calls that have not begun to go out to a
+    /// node that does not hold their keys any more are taken back; open parts that nobody holds whole are divided.
+    pub fn layout_changed(&mut self, shards: &[ShardId]) {
+        self.counters.one("layout_changes");
+        for &shard in shards {
+            let Some(ground) = &self.ground else { return };
+            let (holders, parts) = (ground.holders(shard), ground.open_in(shard));
+            for part in parts {
+                for id in self.calls_for(&part) {
+                    let Some(call) = self.calls.get(&id) else { continue };
+                    let Some(node) = self.roster.nodes.get(&call.node) else { continue };
+                    let line = call.line.and_then(|line| node.lines.get(&line));
+                    if !holders.contains(&node.cell)
+                        && matches!(line.map(|l| l.place(&id)), Some(Place::Waiting))
+                    {
+                        self.counters.one("calls_taken_back{moved}");
+                        self.give_up(&id, Ending::NeverSent);
+                    }
+                }
+                self.divide(&part);
+            }
+        }
+        self.came.notify_one();
+    }
+
+    /// Calls out for a part, those of the parts that it came from among them.
+    fn calls_for(&self, part: &Rc<str>) -> Vec<CallId> {
+        match &self.ground {
+            Some(ground) => ground.families.line(part).flat_map(|part| self.calls.of_part(part)).collect(),
+            None => self.calls.of_part(part),
+        }
+    }
+
+    fn divide(&mut self, id: &Rc<str>) {
+        let Some((number, query, i)) = self.queries.of_part(id) else { return };
+        let Some(ground) = self.ground.as_mut().filter(|ground| ground.is_to_divide(&query.parts[i])) else {
+            return;
+        };
+        let heirs = ground.heirs(&query.id, &query.parts[i]);
+        // Guards against many queries that grow by a change of layout past what memory is for.
+        let Some(room) = self.house.room.take(heirs.len()) else {
+            return self.counters.one("divisions_without_room");
+        };
+        ground.closed(&query.parts[i]);
+        heirs.iter().for_each(|heir| ground.opened(heir));
+        let into = heirs.iter().map(|heir| (heir.id.clone(), heir.shard, heir.weight)).collect();
+        ground.divided((number, id.clone(), into), self.new.contains(&number));
+        self.queries.divide(id, heirs, room);
+        self.counters.one("parts_divided");
+    }
+
+    /// A part's answer is in, for its keys: those of the parts that it was divided into as well.
+    fn take_in(&mut self, part: &Rc<str>, value: &str) {
+        let heirs = self.ground.as_ref().map_or(vec![], |ground| ground.families.heirs(part).to_vec());
+        let Some((_, query, i)) = self.queries.of_part(part) else { return };
+        if let (Some(coverage), Some(keys)) = (&mut query.coverage, query.parts[i].keys) {
+            let count = coverage.take(keys.range, (query.parts[i].shard, value.to_string()));
+            if let Count::Counts { replaced: 1.. } = count {
+                self.counters.one("answers_in_place_of_parts");
+            }
+        }
+        for id in heirs.iter().chain([part]) {
+            if let Some(keys) = self.queries.part(id).and_then(|part| part.keys.as_mut()) {
+                keys.merged = true;
+            }
+        }
+        heirs.iter().for_each(|heir| self.take_back(heir, Ending::Cancelled));
+    }
+
     // What data nodes do.
 
+    /// A part's reply has come with the node's report, which may speak of the layout.
+    pub fn answered(
+        &mut self,
+        node: &str,
+        line: u64,
+        part: &str,
+        ending: Ending,
+        report: &str,
+        value: &str,
+    ) -> bool {
+        let mut ending = ending;
+        if let (Some(ground), Some(record)) = (&mut self.ground, self.queries.part(part)) {
+            let keys = frames::keys(report).unwrap_or(Some((0, 0)));
+            let judged = ground.judge(node, record, ending, frames::moved(report), keys, self.clock.now());
+            if judged == Ending::Moved {
+                self.counters.one("parts_disowned");
+            } else if judged != ending {
+                self.counters.one("answers_for_other_keys");
+            }
+            ending = judged;
+        }
+        self.replied(node, line, part, ending, value)
+    }
+
     /// A part's reply has come on a connection. Replies for parts long over are passed over; false for a part
     /// that is not asked for there.
     pub fn replied(&mut self, node: &str, line: u64, part: &str, ending: Ending, value: &str) -> bool {
@@ -207,7 +319,11 @@
         let id: CallId = (part.into(), hop);
         self.end(&id, ending);
         if let (Ending::Success, Some(part)) = (ending, self.queries.part(part)) {
-            part.value.get_or_insert_with(|| value.to_string());
+            if part.keys.is_some() {
+                self.take_in(&id.0, value);
+            } else {
+                part.value.get_or_insert_with(|| value.to_string());
+            }
             self.take_back(&id.0, Ending::Cancelled);
         }
         true
@@ -286,6 +402,7 @@
     pub fn next_frame(&mut self, node: &str, line: u64, out: &mut Vec<u8>) -> bool {
         let now = self.clock.now();
         let passes = self.house.fence.passes(self.known, now);
+        let version = self.ground.as_ref().and_then(Ground::version).unwrap_or(0);
         let Some(line) = self.roster.line(node, line) else { return false };
         // Guards against a core that stood still while its roster changed: what it decided before it stood still,
         // or since by the old roster, waits until it has caught up.
@@ -306,9 +423,10 @@
             }
             Some(Frame::Call(parts)) => {
                 let asked = parts.iter().filter_map(|id| {
-                    let (shard, text, not_after) = self.queries.asked(&id.0)?;
+                    let (shard, text, not_after, keys) = self.queries.asked(&id.0)?;
                     let until = self.calls.get(id).map_or(not_after, |c| c.until.min(not_after));
-                    Some((&*id.0, shard, ((until - now) * 1e3).max(1.0) as u64, text))
+                    let keys = keys.map(|keys| (version, keys.from, keys.to));
+                    Some((&*id.0, shard, ((until - now) * 1e3).max(1.0) as u64, text, keys))
                 });
                 frames::call(out, asked);
                 self.counters.one("frames_sent{call}");
@@ -417,21 +535,39 @@
         for (node, seen) in std::mem::take(&mut self.heard) {
             module.evidence(&node, seen);
         }
+        if let Some(ground) = &mut self.ground {
+            ground.tell_shards(now, module);
+        }
         for number in std::mem::take(&mut self.new) {
             let Some(query) = self.queries.get(number) else { continue };
             module.query(number, &query.id, query.vertical, "", query.not_after);
-            for part in &query.parts {
+            for part in query.parts.iter().filter(|part| !part.is_divided()) {
                 module.part(number, &part.id, part.shard, part.weight);
             }
         }
+        if let Some(ground) = &mut self.ground {
+            ground.tell_divided(module);
+        }
         for (id, node, ending, latency) in self.calls.take_ended() {
-            module.call_ended(&id.0, id.1, &node, ending, latency);
+            match self.ground.as_ref().and_then(|ground| ground.told_of(&id, ending)) {
+                Some(heirs) => {
+                    heirs.iter().for_each(|heir| module.call_ended(heir, id.1, &node, ending, latency));
+                }
+                None => module.call_ended(&id.0, id.1, &node, ending, latency),
+            }
         }
         for query in std::mem::take(&mut self.left) {
             module.client_left(&query);
         }
         let due: Vec<u64> = self.alarms.extract_if(.., |a| a.0 <= now).map(|a| a.1).collect();
         due.into_iter().for_each(|tag| module.alarm(tag));
+        if let Some(ground) = &mut self.ground {
+            ground.tell_over(now, module);
+            if !ground.families.is_empty() {
+                let (queries, calls) = (&self.queries, &self.calls);
+                ground.families.forget(|part| !queries.knows(part) && calls.of_part(part).is_empty());
+            }
+        }
         self.roster.forget_gone();
     }
 
@@ -455,6 +591,7 @@
         self.alarms.clear();
         self.roster.whole = true;
         self.roster.changed = self.roster.nodes.keys().cloned().collect();
+        self.ground.iter_mut().for_each(Ground::tell_all);
         self.hear_board();
     }
 
@@ -511,6 +648,7 @@
     fn close(&mut self, query: &str, what: &str) -> Option<(Query, bool)> {
         let query = self.queries.number(query).and_then(|number| self.queries.release(number))?;
         self.count(what, query.vertical);
+        self.close_parts(&query);
         for part in &query.parts {
             self.take_back(&part.id, Ending::NeverSent);
         }
@@ -524,7 +662,7 @@
 /// The module's decisions, carried out as they are written.
 impl Writer for Desk {
     fn call(&mut self, part: &str, node: &str, limit: f64) {
-        let (now, others_out) = (self.clock.now(), !self.calls.of_part(part).is_empty());
+        let (now, others_out) = (self.clock.now(), !self.calls_for(&part.into()).is_empty());
         let Some(record) = self.queries.part(part) else { return self.counters.one("calls_of_parts_over") };
         let id = (record.id.clone(), record.calls);
         record.calls += 1;
@@ -547,14 +685,41 @@
 
     fn cancel(&mut self, part: &str, hop: usize) {
         self.counters.one("leaf_calls_cancelled");
-        self.give_up(&(part.into(), hop), Ending::Cancelled);
+        let id: CallId = (part.into(), hop);
+        let shared = match &mut self.ground {
+            Some(ground) if self.calls.get(&id).is_none() => {
+                let mut line = ground.families.line(&id.0).map(|part| (part.clone(), hop));
+                line.find(|call| self.calls.get(call).is_some())
+            }
+            _ => None,
+        };
+        let (Some(call), Some(ground)) = (shared, &mut self.ground) else {
+            return self.give_up(&id, Ending::Cancelled);
+        };
+        // Others may wait for it still: it is over for this part, and given up with the last.
+        let last = ground.families.release(&call, &id.0);
+        if let Some(record) = self.calls.get(&call) {
+            let (node, latency) = (record.node.clone(), self.clock.now() - record.at);
+            self.calls.tell(id, &node, Ending::Cancelled, latency);
+            self.came.notify_one();
+        }
+        if last {
+            self.give_up(&call, Ending::Cancelled);
+        }
     }
 
     fn answer(&mut self, query: &str, whole: bool) {
         let what = if whole { "merged" } else { "merged_in_part" };
         let Some((query, closes)) = self.close(query, what) else { return };
+        let mut out = query.client.out.borrow_mut();
+        if let Some(coverage) = &query.coverage {
+            let answers = coverage.answers();
+            let parts =
+                answers.map(|(keys, (shard, value))| (*shard, Some((keys.from, keys.to)), value.as_str()));
+            return answer::merged_by_keys(&mut out, whole, parts, closes);
+        }
         let parts = query.parts.iter().filter_map(|p| Some((p.shard, p.value.as_deref()?)));
-        answer::merged(&mut query.client.out.borrow_mut(), whole, parts, closes);
+        answer::merged(&mut out, whole, parts, closes);
     }
 
     fn reject(&mut self, query: &str, come_back: Option<f64>) {
--- /dev/null
+++ b/crates/router/src/memory/ground.rs
@@ -0,0 +1,266 @@
+//! The layout as one core follows it: its history, which open parts lie in which shards, and what the next round has to
+//! tell the module of it. A core whose shards lie in the platform's ring has none.
+use super::queries::{Part, Piece};
+use crate::wire::http::Refusal;
+use alderway::host::{Ending, Held, Intake};
+use alderway_layouts::coverage::Coverage;
+use alderway_layouts::family::Families;
+use alderway_layouts::history::{Followed, History, News};
+use alderway_layouts::layout::{Faulty, Layout};
+use alderway_layouts::{Range, ShardId, Version};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+/// How layouts are followed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Following {
+    /// Seconds for which a client may name a shard that is gone.
+    pub grace: f64,
+    /// Seconds that a data node which lags behind has to catch up.
+    pub lag: f64,
+}
+
+/// A part that has become several: its query, its id, and what it became.
+pub type Division = (u64, Rc<str>, Vec<(Rc<str>, ShardId, f64)>);
+
+/// What a client asks for: a shard, or keys, and its share.
+pub type Target = (Option<u32>, Option<(u32, u32)>, f64);
+
+/// What is in of a query, by keys: from which shard, and its value.
+pub type Answered = Coverage<(ShardId, String)>;
+
+pub struct Ground {
+    following: Following,
+    history: Option<History>,
+    open: BTreeMap<ShardId, BTreeSet<Rc<str>>>,
+    pub families: Families<Rc<str>>,
+    /// What the next round tells.
+    follows: Vec<(ShardId, Vec<ShardId>)>,
+    held: BTreeSet<ShardId>,
+    divided: Vec<Division>,
+}
+
+impl Ground {
+    pub fn new(following: Following) -> Self {
+        let (history, open, families, follows, held, divided) = Default::default();
+        Ground { following, history, open, families, follows, held, divided }
+    }
+
+    pub fn version(&self) -> Option<Version> {
+        self.history.as_ref().map(|history| history.newest().version())
+    }
+
+    pub fn history(&self) -> Option<&History> {
+        self.history.as_ref()
+    }
+
+    /// Takes news in; a faulty one changes nothing. Returns the shards whose open parts are to be looked at.
+    pub fn take(&mut self, news: News, now: f64) -> Result<Vec<ShardId>, Faulty> {
+        let Following { grace, lag } = self.following;
+        match &mut self.history {
+            Some(history) => {
+                let followed = history.take(news, now)?;
+                Ok(self.followed(followed))
+            }
+            None => {
+                self.history = Some(History::begin(news, grace, lag)?);
+                self.tell_all();
+                Ok(vec![])
+            }
+        }
+    }
+
+    /// Takes over a layout that another core has checked.
+    pub fn adopt(&mut self, layout: &Layout, now: f64) -> Result<Vec<ShardId>, Faulty> {
+        let Following { grace, lag } = self.following;
+        match &mut self.history {
+            Some(history) if history.newest().version() == layout.version() => Ok(vec![]),
+            Some(history) => {
+                let followed = history.replace(layout.clone(), now)?;
+                Ok(self.followed(followed))
+            }
+            None => {
+                self.history = Some(History::new(layout.clone(), grace, lag));
+                self.tell_all();
+                Ok(vec![])
+            }
+        }
+    }
+
+    fn followed(&mut self, followed: Followed) -> Vec<ShardId> {
+        self.follows.extend(followed.new);
+        self.held.extend(followed.held.iter().copied());
+        followed.held
+    }
+
+    /// Everything is to be told, as to a module that starts anew.
+    pub fn tell_all(&mut self) {
+        self.follows.clear();
+        self.divided.clear();
+        if let Some(history) = &self.history {
+            self.held.extend(history.newest().shards().map(|(id, _)| id));
+            self.held.extend(self.open.keys());
+        }
+    }
+
+    /// The parts of a query that asks for these targets, by the newest layout.
+    pub fn map(&self, id: &str, targets: &[Target]) -> Result<(Vec<Part>, Answered), Refusal> {
+        let history = self.history.as_ref().ok_or((503, "no layout is known yet"))?;
+        let (mut parts, mut asked) = (vec![], vec![]);
+        for &(shard, keys, share) in targets {
+            match (shard, keys) {
+                (Some(shard), None) => {
+                    let range = history.keys(shard).filter(|_| !history.holders(shard).is_empty());
+                    let range = range.ok_or((400, "`partition` is no shard here"))?;
+                    let mut part = Part::new(format!("{id}.{shard}").into(), shard, share);
+                    part.keys = Some(Piece::new(range, true));
+                    parts.push(part);
+                    asked.push((range, share));
+                }
+                (None, Some((from, to))) => {
+                    let range = Range::new(from, to);
+                    if range.is_empty() || to > history.newest().keys() {
+                        return Err((400, "`keys` are none here"));
+                    }
+                    parts.extend(pieces(history, id, range, share));
+                    asked.push((range, share));
+                }
+                _ => return Err((400, "a target names either `partition` or `keys`")),
+            }
+        }
+        let coverage = Coverage::new(asked).ok_or((400, "`keys` stand twice"))?;
+        Ok((parts, coverage))
+    }
+
+    /// What a part becomes by the newest layout.
+    pub fn heirs(&self, id: &str, part: &Part) -> Vec<Part> {
+        let (Some(history), Some(keys)) = (&self.history, part.keys) else { return vec![] };
+        let mut heirs = pieces(history, id, keys.range, part.weight);
+        heirs.iter_mut().for_each(|heir| heir.calls = part.calls);
+        heirs
+    }
+
+    /// Whether an open part has to be divided: nobody holds all of it any more, or nothing was sent for it yet, so
+    /// that it may as well go by the newest layout.
+    pub fn is_to_divide(&self, part: &Part) -> bool {
+        let (Some(history), Some(keys)) = (&self.history, part.keys) else { return false };
+        let over = keys.single || keys.divided || keys.merged || !history.is_gone(part.shard);
+        !over && (part.calls == 0 || history.holders(part.shard).is_empty())
+    }
+
+    pub fn opened(&mut self, part: &Part) {
+        if let Some(history) = self.history.as_mut().filter(|_| part.keys.is_some())
+            && self.open.entry(part.shard).or_default().insert(part.id.clone())
+        {
+            history.opened(part.shard);
+        }
+    }
+
+    pub fn closed(&mut self, part: &Part) {
+        let Some(open) = self.open.get_mut(&part.shard) else { return };
+        if open.remove(&part.id) {
+            if open.is_empty() {
+                self.open.remove(&part.shard);
+            }
+            self.history.iter_mut().for_each(|history| history.closed(part.shard));
+        }
+    }
+
+    pub fn open_in(&self, shard: ShardId) -> Vec<Rc<str>> {
+        self.open.get(&shard).into_iter().flatten().cloned().collect()
+    }
+
+    pub fn holders(&self, shard: ShardId) -> Vec<u32> {
+        self.history.as_ref().map_or(vec![], |history| history.holders(shard))
+    }
+
+    /// A part has become several. A query that the module has not heard of yet is told as it is then.
+    pub fn divided(&mut self, division: Division, new: bool) {
+        let into: Vec<Rc<str>> = division.2.iter().map(|heir| heir.0.clone()).collect();
+        self.families.divide(&division.1, &into);
+        if !new {
+            self.divided.push(division);
+        }
+    }
+
+    /// How a call ended, from what the data node says about the layout. An answer counts for just the keys that were
+    /// asked for: guards against a node that answers by another layout, and against one that knows of none and is
+    /// asked for a part of what it calls a shard.
+    pub fn judge(
+        &mut self,
+        node: &str,
+        part: &Part,
+        ending: Ending,
+        moved: Option<Version>,
+        keys: Option<(u32, u32)>,
+        now: f64,
+    ) -> Ending {
+        let (Some(history), Some(piece)) = (&mut self.history, part.keys) else { return ending };
+        match (ending, moved, keys) {
+            (Ending::Full, Some(version), _) => {
+                if history.disown(part.shard, node, version, now) {
+                    self.held.insert(part.shard);
+                }
+                Ending::Moved
+            }
+            (Ending::Success, _, Some((from, to))) if Range::new(from, to) != piece.range => Ending::Error,
+            (Ending::Success, _, None) if history.keys(part.shard) != Some(piece.range) => Ending::Error,
+            _ => ending,
+        }
+    }
+
+    /// What changed, before the queries of the round.
+    pub fn tell_shards(&mut self, now: f64, module: &mut dyn Intake) {
+        let Some(history) = &mut self.history else { return };
+        self.held.extend(history.lapse(now));
+        for (shard, parents) in std::mem::take(&mut self.follows) {
+            module.shard_follows(shard, &parents);
+        }
+        for shard in std::mem::take(&mut self.held) {
+            let without = history.disowned(shard).map(str::to_string).collect();
+            module.shard_held(shard, Held { cells: history.holders(shard), without });
+        }
+    }
+
+    /// Parts that have become several, after the queries of the round.
+    pub fn tell_divided(&mut self, module: &mut dyn Intake) {
+        for (number, part, into) in std::mem::take(&mut self.divided) {
+            let into: Vec<(&str, u32, f64)> = into.iter().map(|(id, shard, w)| (&**id, *shard, *w)).collect();
+            module.part_divided(number, &part, &into);
+        }
+    }
+
+    /// For one that tells no module: what no longer matters is given back.
+    pub fn rest(&mut self, now: f64) {
+        self.follows.clear();
+        self.held.clear();
+        self.history.iter_mut().for_each(|history| drop(history.retire(now)));
+    }
+
+    /// What no longer matters, at the end of the round.
+    pub fn tell_over(&mut self, now: f64, module: &mut dyn Intake) {
+        if let Some(history) = &mut self.history {
+            history.retire(now).into_iter().for_each(|shard| module.shard_over(shard));
+        }
+    }
+
+    /// Those to whom the end of a call is told in its part's place: heirs that still wait for it, or all of them
+    /// where it brought an answer; none where the part is what it was.
+    pub fn told_of(&self, call: &super::CallId, ending: Ending) -> Option<Vec<Rc<str>>> {
+        let heirs = self.families.heirs(&call.0);
+        let waits = |heir: &&Rc<str>| ending == Ending::Success || self.families.waits(call, heir);
+        (!heirs.is_empty()).then(|| heirs.iter().filter(waits).cloned().collect())
+    }
+}
+
+/// Keys as parts by the newest layout; each key weighs the same.
+fn pieces(history: &History, id: &str, range: Range, weight: f64) -> Vec<Part> {
+    let each = weight / range.keys() as f64;
+    let piece = |(shard, keys): (ShardId, Range)| {
+        let id = format!("{id}.{shard}.{}-{}", keys.from, keys.to).into();
+        let mut part = Part::new(id, shard, each * keys.keys() as f64);
+        part.keys = Some(Piece::new(keys, false));
+        part
+    };
+    history.cover(range).into_iter().map(piece).collect()
+}
--- a/crates/router/src/memory/queries.rs
+++ b/crates/router/src/memory/queries.rs
@@ -3,6 +3,8 @@
 use super::due::Due;
 use alderway_cores::ids::Claim;
 use alderway_cores::pool::Taken;
+use alderway_layouts::coverage::Coverage;
+use alderway_layouts::{Range, ShardId};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -14,6 +16,36 @@
     pub value: Option<String>,
     /// Leaf calls so far.
     pub calls: usize,
+    /// What of a layout it asks for, where layouts are followed.
+    pub keys: Option<Piece>,
+}
+
+/// Keys that a part asks for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Piece {
+    pub range: Range,
+    /// The client asked for a shard and can use nothing but one value for it.
+    pub single: bool,
+    /// It has become several parts; its late answer still counts.
+    pub divided: bool,
+    /// All its keys are in.
+    pub merged: bool,
+}
+
+impl Piece {
+    pub fn new(range: Range, single: bool) -> Self {
+        Piece { range, single, divided: false, merged: false }
+    }
+}
+
+impl Part {
+    pub fn new(id: Rc<str>, shard: u32, weight: f64) -> Self {
+        Part { id, shard, weight, value: None, calls: 0, keys: None }
+    }
+
+    pub fn is_divided(&self) -> bool {
+        self.keys.is_some_and(|keys| keys.divided)
+    }
 }
 
 pub struct Query {
@@ -24,12 +56,14 @@
     pub text: String,
     pub parts: Vec<Part>,
     pub client: Rc<Client>,
+    /// What is in, by keys, where layouts are followed.
+    pub coverage: Option<Coverage<(ShardId, String)>>,
 }
 
 /// What an open query takes of what all cores hold in common; dropped with it.
 pub struct Place {
     pub id: Claim,
-    pub room: Taken,
+    pub room: Vec<Taken>,
 }
 
 /// A query is held from `hold` to `release`, and counts with its parts against the room.
@@ -97,6 +131,11 @@
         self.due.by(now).copied().collect()
     }
 
+    /// Whether a part is one of an open query.
+    pub fn knows(&self, part: &str) -> bool {
+        self.parts.contains_key(part)
+    }
+
     pub fn number(&self, id: &str) -> Option<u64> {
         self.numbers.get(id).copied()
     }
@@ -107,10 +146,33 @@
         self.open.get_mut(&number)?.parts.get_mut(i)
     }
 
-    /// Shard, text and the client's last moment of an open part, for the frame that asks for it.
-    pub fn asked(&self, id: &str) -> Option<(u32, &str, f64)> {
+    /// Shard, text and the client's last moment of an open part, for the frame that asks for it, and its keys.
+    pub fn asked(&self, id: &str) -> Option<(u32, &str, f64, Option<Range>)> {
         let &(number, i) = self.parts.get(id)?;
         let query = self.open.get(&number)?;
-        Some((query.parts.get(i)?.shard, &query.text, query.not_after))
+        let part = query.parts.get(i)?;
+        Some((part.shard, &query.text, query.not_after, part.keys.map(|keys| keys.range)))
+    }
+
+    /// An open query and where in it a part stands.
+    pub fn of_part(&mut self, id: &str) -> Option<(u64, &mut Query, usize)> {
+        let &(number, i) = self.parts.get(id)?;
+        Some((number, self.open.get_mut(&number)?, i))
+    }
+
+    /// A part becomes several, which take room.
+    pub fn divide(&mut self, id: &str, into: Vec<Part>, room: Taken) {
+        let Some(&(number, i)) = self.parts.get(id) else { return };
+        let Some(query) = self.open.get_mut(&number) else { return };
+        if let Some(keys) = query.parts.get_mut(i).and_then(|part| part.keys.as_mut()) {
+            keys.divided = true;
+        }
+        for part in into {
+            self.parts.insert(part.id.clone(), (number, query.parts.len()));
+            query.parts.push(part);
+        }
+        if let Some(place) = self.places.get_mut(&number) {
+            place.room.push(room);
+        }
     }
 }
--- a/crates/router/src/requests.rs
+++ b/crates/router/src/requests.rs
@@ -59,6 +59,21 @@
     if desk.queries.is_open(id) {
         return Err((400, "a query with this X-Correlation-Id is open"));
     }
+    let not_after = at + (f64::from(left) / 1e3).min(desk.room.deadline);
+    if let Some(ground) = &desk.ground {
+        let mut targets = Vec::new();
+        let text = query::targets(body, true, |shard, keys, weight| {
+            targets.push((shard, keys, weight));
+            Ok(())
+        });
+        let text = text.map_err(|why| (400, why))?.into_owned();
+        if targets.is_empty() {
+            return Err((400, "`targets` is empty"));
+        }
+        let (parts, coverage) = ground.map(id, &targets)?;
+        let (id, client, coverage) = (id.into(), client.clone(), Some(coverage));
+        return desk.take(&client.clone(), Query { id, vertical, not_after, text, parts, client, coverage });
+    }
     let (mut parts, mut asked, shards) = (Vec::new(), BTreeSet::new(), desk.room.shards);
     let text = query::read(body, |shard, weight| {
         if shard >= shards {
@@ -67,15 +82,13 @@
         if !asked.insert(shard) {
             return Err("`partition` stands twice");
         }
-        let id = format!("{id}.{shard}").into();
-        parts.push(Part { id, shard, weight, value: None, calls: 0 });
+        parts.push(Part::new(format!("{id}.{shard}").into(), shard, weight));
         Ok(())
     });
     let text = text.map_err(|why| (400, why))?.into_owned();
     if parts.is_empty() {
         return Err((400, "`targets` is empty"));
     }
-    let not_after = at + (f64::from(left) / 1e3).min(desk.room.deadline);
-    let client = client.clone();
-    desk.take(&client.clone(), Query { id: id.into(), vertical, not_after, text, parts, client })
+    let (id, client, coverage) = (id.into(), client.clone(), None);
+    desk.take(&client.clone(), Query { id, vertical, not_after, text, parts, client, coverage })
 }
--- a/crates/router/src/wire/answer.rs
+++ b/crates/router/src/wire/answer.rs
@@ -29,11 +29,25 @@
 
 /// A merged answer with the shard and value of every part that is in.
 pub fn merged<'a>(out: &mut Vec<u8>, whole: bool, parts: impl Iterator<Item = (u32, &'a str)>, close: bool) {
+    merged_by_keys(out, whole, parts.map(|(shard, value)| (shard, None, value)), close);
+}
+
+/// The same where an answer says which keys it is for.
+pub fn merged_by_keys<'a>(
+    out: &mut Vec<u8>,
+    whole: bool,
+    parts: impl Iterator<Item = (u32, Option<(u32, u32)>, &'a str)>,
+    close: bool,
+) {
     let mut body = Vec::new();
     let _ = write!(body, "{{\"whole\":{whole},\"results\":[");
-    for (i, (shard, value)) in parts.enumerate() {
+    for (i, (shard, keys, value)) in parts.enumerate() {
         let comma = if i > 0 { "," } else { "" };
-        let _ = write!(body, "{comma}{{\"partition\":{shard},\"value\":\"");
+        let _ = write!(body, "{comma}{{\"partition\":{shard},");
+        if let Some((from, to)) = keys {
+            let _ = write!(body, "\"keys\":[{from},{to}],");
+        }
+        let _ = write!(body, "\"value\":\"");
         escape(&mut body, value);
         body.extend_from_slice(b"\"}");
     }
--- a/crates/router/src/wire/discovery.rs
+++ b/crates/router/src/wire/discovery.rs
@@ -10,10 +10,12 @@
 /// Longest line that is read: a whole list of some ten thousand data nodes.
 pub const LONGEST: usize = 2 * 1024 * 1024;
 
-/// Asks to follow the changes since a version, or from the whole list on where none is held.
-pub fn follow(out: &mut Vec<u8>, host: &str, since: Option<u64>) {
+/// Asks to follow the changes since a version, or from the whole list on where none is held; and, where layouts are
+/// followed, those since a version of the layout, 0 for the whole of it.
+pub fn follow(out: &mut Vec<u8>, host: &str, since: Option<u64>, layout: Option<u64>) {
     let since = since.map_or(String::new(), |index| format!("&since={index}"));
-    let _ = write!(out, "GET /discovery/hosts?follow=1{since} HTTP/1.1\r\nHost: {host}\r\n\r\n");
+    let layout = layout.map_or(String::new(), |version| format!("&layout={version}"));
+    let _ = write!(out, "GET /discovery/hosts?follow=1{since}{layout} HTTP/1.1\r\nHost: {host}\r\n\r\n");
 }
 
 /// The version of one object and whether it is the whole list, once all of it has proved readable.
--- a/crates/router/src/wire/frames.rs
+++ b/crates/router/src/wire/frames.rs
@@ -25,17 +25,33 @@
     Ok(bytes.get(HEAD..HEAD + length).map(|frame| (frame[0], &frame[1..], HEAD + length)))
 }
 
-/// The rest of an `R` frame: the part's id, how its call ended in the data node's word, and the value.
-pub fn reply(rest: &[u8]) -> Result<(&str, &str, &str), Fault> {
+/// The rest of an `R` frame: the part's id, how its call ended in the data node's word, its report, and the value.
+pub fn reply(rest: &[u8]) -> Result<(&str, &str, &str, &str), Fault> {
     let end = rest.iter().position(|&b| b == b'\n').ok_or("a reply without a line")?;
     let line = std::str::from_utf8(&rest[..end]).map_err(|_| "a reply's line is not text")?;
     let value = std::str::from_utf8(&rest[end + 1..]).map_err(|_| "a reply's value is not text")?;
     let mut words = line.split(' ');
     let (id, ending) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
-    if id.is_empty() || words.count() < 2 {
-        return Err("a reply's line lacks a word");
-    }
-    Ok((id, ending, value))
+    let report = words.nth(1).filter(|_| !id.is_empty()).ok_or("a reply's line lacks a word")?;
+    Ok((id, ending, report, value))
+}
+
+/// One word of a report, as `moved=18`.
+fn word<'r>(report: &'r str, name: &str) -> Option<&'r str> {
+    report.split(',').find_map(|word| word.strip_prefix(name)?.strip_prefix('='))
+}
+
+/// The version of the layout by which a data node does not hold what it was asked for.
+pub fn moved(report: &str) -> Option<u64> {
+    word(report, "moved")?.parse().ok()
+}
+
+/// The keys that a data node has answered for; an error where it names some that cannot be read.
+pub fn keys(report: &str) -> Result<Option<(u32, u32)>, Fault> {
+    let Some(word) = word(report, "keys") else { return Ok(None) };
+    let (from, to) = word.split_once('-').ok_or("a reply's keys are no range")?;
+    let number = |text: &str| text.parse().map_err(|_| "a reply's keys are no numbers");
+    Ok(Some((number(from)?, number(to)?)))
 }
 
 fn frame(out: &mut Vec<u8>, letter: u8, rest: impl FnOnce(&mut Vec<u8>)) {
@@ -47,11 +63,19 @@
     out[start..start + HEAD].copy_from_slice(&length.to_be_bytes());
 }
 
-/// One call: for each part its id, its shard, the milliseconds that the router waits, and the query's text.
-pub fn call<'a>(out: &mut Vec<u8>, parts: impl Iterator<Item = (&'a str, u32, u64, &'a str)>) {
+/// A version of the layout, and the keys that are asked for by it: from one to below another.
+pub type Keys = Option<(u64, u32, u32)>;
+
+/// One call: for each part its id, its shard, the milliseconds that the router waits, the query's text, and, where
+/// layouts are followed, the keys that it asks for.
+pub fn call<'a>(out: &mut Vec<u8>, parts: impl Iterator<Item = (&'a str, u32, u64, &'a str, Keys)>) {
     frame(out, b'S', |out| {
-        for (id, shard, wait, text) in parts {
-            let _ = writeln!(out, "{id} {shard} d={wait} {}", text.len());
+        for (id, shard, wait, text, keys) in parts {
+            let _ = write!(out, "{id} {shard} d={wait}");
+            if let Some((version, from, to)) = keys {
+                let _ = write!(out, ",v={version},k={from}-{to}");
+            }
+            let _ = writeln!(out, " {}", text.len());
             out.extend_from_slice(text.as_bytes());
         }
     });
--- /dev/null
+++ b/crates/router/src/wire/layout.rs
@@ -0,0 +1,135 @@
+//! The layout in discovery's lines: beside `endpoints` an object may hold `layout`, the whole of it or changes to a version.
+use super::Fault;
+use super::json::Json;
+use alderway_layouts::history::News;
+use alderway_layouts::layout::{Change, Shard};
+use alderway_layouts::{Range, ShardId};
+use std::collections::BTreeSet;
+
+/// What one of discovery's objects says of the layout, if it says anything.
+pub fn news(bytes: &[u8]) -> Result<Option<News>, Fault> {
+    let (mut json, mut news) = (Json::new(bytes), None);
+    json.object(|json, key| match key {
+        "layout" if news.is_some() => Err("`layout` stands twice"),
+        "layout" => {
+            news = Some(one(json)?);
+            Ok(())
+        }
+        _ => json.skip(),
+    })?;
+    json.end()?;
+    Ok(news)
+}
+
+fn one(json: &mut Json) -> Result<News, Fault> {
+    let (mut version, mut after, mut keys, mut shards, mut changes) = (None, None, None, None, None);
+    json.object(|json, key| {
+        match key {
+            "version" => version = Some(json.whole()?),
+            "after" => after = Some(json.whole()?),
+            "keys" => keys = Some(number(json)?),
+            "shards" => {
+                let mut all = vec![];
+                json.list(|json| {
+                    all.push(shard(json)?);
+                    Ok(())
+                })?;
+                shards = Some(all);
+            }
+            "changes" => {
+                let mut all = vec![];
+                json.list(|json| {
+                    all.push(change(json)?);
+                    Ok(())
+                })?;
+                changes = Some(all);
+            }
+            _ => json.skip()?,
+        }
+        Ok(())
+    })?;
+    let version = version.ok_or("a layout without `version`")?;
+    match (shards, changes) {
+        (Some(shards), None) => {
+            Ok(News::Whole { version, keys: keys.ok_or("a layout without `keys`")?, shards })
+        }
+        (None, Some(changes)) => {
+            let after = after.ok_or("changes of a layout without `after`")?;
+            Ok(News::Changes { version, after, changes })
+        }
+        _ => Err("a layout has either `shards` or `changes`"),
+    }
+}
+
+fn number(json: &mut Json) -> Result<u32, Fault> {
+    u32::try_from(json.whole()?).map_err(|_| "a number in a layout is too large")
+}
+
+fn numbers(json: &mut Json) -> Result<Vec<u32>, Fault> {
+    let mut all = vec![];
+    json.list(|json| {
+        all.push(number(json)?);
+        Ok(())
+    })?;
+    Ok(all)
+}
+
+fn shard(json: &mut Json) -> Result<(ShardId, Shard), Fault> {
+    let (mut id, mut from, mut to, mut holders) = (None, None, None, None);
+    json.object(|json, key| {
+        match key {
+            "shard" => id = Some(number(json)?),
+            "from" => from = Some(number(json)?),
+            "to" => to = Some(number(json)?),
+            "holders" => holders = Some(numbers(json)?),
+            _ => json.skip()?,
+        }
+        Ok(())
+    })?;
+    let id = id.ok_or("a layout's entry without `shard`")?;
+    let from = from.ok_or("a layout's entry without `from`")?;
+    let to = to.ok_or("a layout's entry without `to`")?;
+    let holders: BTreeSet<u32> = holders.ok_or("a layout's entry without `holders`")?.into_iter().collect();
+    Ok((id, Shard { keys: Range::new(from, to), holders }))
+}
+
+fn change(json: &mut Json) -> Result<Change, Fault> {
+    let (mut split, mut merge, mut moved, mut into, mut child, mut holders) =
+        (None, None, None, vec![], None, None);
+    json.object(|json, key| {
+        match key {
+            "split" => split = Some(number(json)?),
+            "merge" => merge = Some(numbers(json)?),
+            "move" => moved = Some(number(json)?),
+            "into" if split.is_some() => json.list(|json| {
+                let (mut id, mut from) = (None, None);
+                json.object(|json, key| {
+                    match key {
+                        "shard" => id = Some(number(json)?),
+                        "from" => from = Some(number(json)?),
+                        _ => json.skip()?,
+                    }
+                    Ok(())
+                })?;
+                into.push((id.ok_or("a split without `shard`")?, from.ok_or("a split without `from`")?));
+                Ok(())
+            })?,
+            "into" if merge.is_some() => child = Some(number(json)?),
+            "into" => return Err("`into` comes after `split` or `merge`"),
+            "holders" => holders = Some(numbers(json)?),
+            _ => json.skip()?,
+        }
+        Ok(())
+    })?;
+    match (split, merge, moved) {
+        (Some(parent), None, None) => Ok(Change::Split { parent, children: into }),
+        (None, Some(parents), None) => {
+            Ok(Change::Merge { parents, child: child.ok_or("a merge without `into`")? })
+        }
+        (None, None, Some(shard)) => {
+            let holders = holders.ok_or("a move without `holders`")?.into_iter().collect();
+            Ok(Change::Move { shard, holders })
+        }
+        _ => Err("a change is one of `split`, `merge` and `move`"),
+    }
+}
--- a/crates/router/src/wire/mod.rs
+++ b/crates/router/src/wire/mod.rs
@@ -6,6 +6,7 @@
 pub mod frames;
 pub mod http;
 pub mod json;
+pub mod layout;
 pub mod query;
 
 /// Why bytes could not be used, in a few words.
--- a/crates/router/src/wire/query.rs
+++ b/crates/router/src/wire/query.rs
@@ -9,15 +9,24 @@
 /// Reads a body: every target goes straight into `part` with its shard and weight; returns the text that
 /// each part has to carry.
 pub fn read(body: &[u8], mut part: impl FnMut(u32, f64) -> Result<(), Fault>) -> Result<Cow<'_, str>, Fault> {
+    targets(body, false, |shard, _, weight| part(shard.ok_or("a target without `partition`")?, weight))
+}
+
+/// The same where a target may name `keys`, from one to below another, in the place of a shard.
+pub fn targets(
+    body: &[u8],
+    by_keys: bool,
+    mut part: impl FnMut(Option<u32>, Option<(u32, u32)>, f64) -> Result<(), Fault>,
+) -> Result<Cow<'_, str>, Fault> {
     let (mut json, mut text, mut targets, mut whole) = (Json::new(body), None, false, 0.0);
     json.object(|json, key| match key {
         "targets" if targets => Err("`targets` stands twice"),
         "targets" => {
             targets = true;
             json.list(|json| {
-                let (shard, weight) = target(json)?;
+                let (shard, keys, weight) = target(json, by_keys)?;
                 whole += weight;
-                part(shard, weight)
+                part(shard, keys, weight)
             })
         }
         "query" => {
@@ -36,20 +45,33 @@
     text.ok_or("`query` is missing")
 }
 
-fn target(json: &mut Json) -> Result<(u32, f64), Fault> {
-    let (mut shard, mut weight) = (None, None);
+type Target = (Option<u32>, Option<(u32, u32)>, f64);
+
+fn target(json: &mut Json, by_keys: bool) -> Result<Target, Fault> {
+    let (mut shard, mut keys, mut weight) = (None, None, None);
     json.object(|json, key| {
         match key {
             "partition" => shard = Some(json.whole().map_err(|_| "`partition` is not a whole number")?),
+            "keys" if by_keys => {
+                let mut ends = vec![];
+                json.list(|json| {
+                    ends.push(json.whole().map_err(|_| "`keys` are not two whole numbers")?);
+                    Ok(())
+                })?;
+                let [from, to] = ends[..] else { return Err("`keys` are not two whole numbers") };
+                let key = |end| u32::try_from(end).map_err(|_| "`keys` are too large");
+                keys = Some((key(from)?, key(to)?));
+            }
             "share" => weight = Some(json.number().map_err(|_| "`share` is not a number")?),
             _ => json.skip()?,
         }
         Ok(())
     })?;
-    let shard = shard.ok_or("a target without `partition`")?;
     let weight = weight.ok_or("a target without `share`")?;
     if weight <= 0.0 || weight > 1.0 {
         return Err("`share` is not above 0 and at most 1");
     }
-    Ok((u32::try_from(shard).map_err(|_| "`partition` is too large")?, weight))
+    let shard =
+        shard.map(|shard| u32::try_from(shard).map_err(|_| "`partition` is too large")).transpose()?;
+    Ok((shard, keys, weight))
 }
--- a/crates/router/tests/desk.rs
+++ b/crates/router/tests/desk.rs
@@ -74,12 +74,12 @@
 /// Takes in query `id` with one part for each shard.
 fn take(desk: &mut Desk, id: &str, shards: &[u32]) -> Rc<Client> {
     let client = Rc::new(Client::default());
-    let part =
-        |s: &u32| Part { id: format!("{id}.{s}").into(), shard: *s, weight: 1.0, value: None, calls: 0 };
+    let part = |s: &u32| Part::new(format!("{id}.{s}").into(), *s, 1.0);
     let parts = shards.iter().map(part).collect();
     let (not_after, text) = (desk.clock.now() + 5.0, "text".to_string());
-    desk.take(&client, Query { id: id.into(), vertical: 0, not_after, text, parts, client: client.clone() })
-        .expect("taken");
+    let (query, client_of, coverage) = (id.into(), client.clone(), None);
+    let query = Query { id: query, vertical: 0, not_after, text, parts, client: client_of, coverage };
+    desk.take(&client, query).expect("taken");
     told(desk);
     client
 }
@@ -297,9 +297,10 @@
     desk.borrow_mut().verticals.push("w".into());
     let taken = |id: &str, vertical| {
         let client = Rc::new(Client::default());
-        let part = Part { id: format!("{id}.1").into(), shard: 1, weight: 1.0, value: None, calls: 0 };
+        let part = Part::new(format!("{id}.1").into(), 1, 1.0);
         let (not_after, text, parts) = (desk.borrow().clock.now() + 5.0, String::new(), vec![part]);
-        let query = Query { id: id.into(), vertical, not_after, text, parts, client: client.clone() };
+        let (of, coverage) = (client.clone(), None);
+        let query = Query { id: id.into(), vertical, not_after, text, parts, client: of, coverage };
         desk.borrow_mut().take(&client, query).expect("taken");
         client
     };
@@ -354,9 +355,10 @@
         roster(&mut desk.borrow_mut(), "u", port, NodeState::Serving, None);
         // More than the system takes on its own; nobody reads.
         let client = Rc::new(Client::default());
-        let part = Part { id: "r.1".into(), shard: 1, weight: 1.0, value: None, calls: 0 };
+        let part = Part::new("r.1".into(), 1, 1.0);
         let (not_after, text, parts) = (desk.borrow().clock.now() + 60.0, "x".repeat(1 << 25), vec![part]);
-        let query = Query { id: "r".into(), vertical: 0, not_after, text, parts, client: client.clone() };
+        let (of, coverage) = (client.clone(), None);
+        let query = Query { id: "r".into(), vertical: 0, not_after, text, parts, client: of, coverage };
         desk.borrow_mut().take(&client, query).expect("taken");
         let dial = send(&mut desk.borrow_mut(), "u", &["r.1"]).remove(0);
         let share = descriptors::shares(64, usize::MAX, 1).1;
--- a/crates/router/tests/wire.rs
+++ b/crates/router/tests/wire.rs
@@ -132,7 +132,7 @@
 #[rstest]
 fn frames_are_found_wherever_they_are_cut() {
     let mut bytes = vec![];
-    frames::call(&mut bytes, [("q.3", 3, 240, "some\ntext"), ("q.4", 4, 240, "")].into_iter());
+    frames::call(&mut bytes, [("q.3", 3, 240, "some\ntext", None), ("q.4", 4, 240, "", None)].into_iter());
     frames::give_up(&mut bytes, "q.3");
     let first = b"Sq.3 3 d=240 9\nsome\ntextq.4 4 d=240 0\n";
     assert_eq!(&bytes[..4 + first.len()], [&(first.len() as u32).to_be_bytes()[..], first].concat());
@@ -165,7 +165,7 @@
 #[case::no_id(b" done 1 -\nx", None)]
 #[case::not_text(b"q.3 done 1 -\n\xff", None)]
 fn a_reply_is_its_line_and_its_value(#[case] rest: &[u8], #[case] read: Option<(&str, &str, &str)>) {
-    assert_eq!(frames::reply(rest).ok(), read);
+    assert_eq!(frames::reply(rest).ok().map(|(id, end, _, value)| (id, end, value)), read);
 }
 
 const WATCH: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,7 +4,8 @@
 //! the writer. Why things are as they are is in `docs/design.md`; the interface is in `src/host.rs`.
 
 use crate::host::*;
-use crate::kept::{ByAge, Pcg, Recent};
+use crate::kept::{ByAge, Call, Part, Pcg, Recent};
+mod moves;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 const LOOK: f64 = 0.010; // Seconds between two looks at what is open.
@@ -13,6 +14,8 @@
 /// A node that answered nothing for so many times a part's delay is silent.
 const SILENT: f64 = 2.5;
 const MAX_COPIES: usize = 2;
+/// So many latest latencies of a shard tell its delay; no more are taken over from another.
+const LEARNED: usize = 12;
 /// How long others take a node for silent on one core's word, told again while it lasts.
 const HEARSAY: f64 = 0.5;
 
@@ -118,25 +121,6 @@
     parts: Vec<Part>,
 }
 
-struct Part {
-    id: String,
-    shard: u32,
-    weight: f64,
-    merged: bool,
-    copies: usize,
-    calls: Vec<Call>,
-}
-
-struct Call {
-    node: String,
-    at: f64,
-    /// When it was sent, by the clock of lateness.
-    since: f64,
-    out: bool,
-    cancelled: bool,
-    may_have_run: bool,
-}
-
 /// The token bucket: earns a ratio for each part taken, pays whole tokens. With a stated budget it
 /// pays for every leaf call past a first one, so no window can see more than `free` + ratio x parts.
 #[derive(Default)]
@@ -399,6 +383,24 @@
         self.alarm_set = false;
     }
 
+    fn shard_held(&mut self, shard: u32, held: Held) {
+        if self.placement.listed.get_or_insert_default().insert(shard, held).is_none() {
+            self.serving.clear();
+        }
+    }
+
+    fn shard_follows(&mut self, shard: u32, parents: &[u32]) {
+        self.inherit(shard, parents, LEARNED);
+    }
+
+    fn shard_over(&mut self, shard: u32) {
+        self.forget(shard);
+    }
+
+    fn part_divided(&mut self, number: u64, part: &str, into: &[(&str, u32, f64)]) {
+        self.divide(number, part, into);
+    }
+
     fn evidence(&mut self, id: &str, seen: Evidence) {
         let (now, age) = (self.awake, self.now - seen.seen);
         let node = self.nodes.get_mut(id).filter(|n| n.started == seen.started);
@@ -463,7 +465,7 @@
         }
         if self.serving.is_empty() {
             for (id, node) in self.nodes.iter().filter(|(_, n)| n.state == NodeState::Serving) {
-                self.serving.entry(node.cell % self.placement.cells).or_default().push(id.clone());
+                self.serving.entry(self.placement.cell(node.cell)).or_default().push(id.clone());
             }
         }
         self.look_at_nodes(out);
@@ -529,7 +531,7 @@
     /// The delay after which a part is late: the 95th percentile of the shard's latest latencies, a quarter
     /// of the SLO time until enough are known, and never so late that a copy could not be in time.
     fn delay(&self, shard: u32, slo: f64) -> f64 {
-        let learned = self.shards.get(&shard).and_then(|s| s.recent.quantile(0.95, 12));
+        let learned = self.shards.get(&shard).and_then(|s| s.recent.quantile(0.95, LEARNED));
         learned.unwrap_or(0.25 * slo).min(0.5 * slo)
     }
 
@@ -623,7 +625,7 @@
     /// Nodes that hold a shard and serve, in the order in which they take turns.
     fn holders(&self, shard: u32) -> Vec<&str> {
         let holding = self.placement.holding(shard).filter_map(|c| self.serving.get(&c)).flatten();
-        holding.map(String::as_str).collect()
+        holding.map(String::as_str).filter(|id| self.placement.owns(id, shard)).collect()
     }
 
     /// Turns away by chance under overload, the cheaper more often. Pressure is the expected latency over
@@ -706,7 +708,7 @@
             self.shards.entry(shards[0]).or_default().turn = turn;
             let (cell, mut taken) = (self.nodes[&node].cell, BTreeSet::new());
             for (i, &shard) in group.into_iter().zip(&shards) {
-                if taken.len() < room && self.placement.holds(cell, shard) {
+                if taken.len() < room && self.placement.holds(&node, cell, shard) {
                     taken.insert(i);
                     let further = !self.queries[&number].parts[i].calls.is_empty();
                     if !further || !self.purse.stated || self.common.pay() {
@@ -738,7 +740,7 @@
                 continue;
             }
             let tried = part.calls.iter().any(|c| c.node == holders[at]);
-            let covers = group.iter().filter(|&&s| self.placement.holds(node.cell, s)).count();
+            let covers = group.iter().filter(|&&s| self.placement.holds(holders[at], node.cell, s)).count();
             able.push((
                 (node.standing + u8::from(tried), usize::MAX - covers.min(room), step),
                 at,
--- a/src/host.rs
+++ b/src/host.rs
@@ -1,6 +1,7 @@
 //! The interface between the decision module and whatever hosts it: what comes in, what goes out, and
 //! the plain trade types that both sides speak. Times are seconds; ids are kept as they came.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
@@ -40,30 +41,59 @@
     pub quota: f64,
 }
 
-/// Where shards lie: shard s is held by the cells (s + j) mod `cells`, j below `reach`.
-#[derive(Clone, Copy, Debug, Default)]
+/// Where shards lie: shard s is held by the cells (s + j) mod `cells`, j below `reach`; or, where shards change while
+/// queries run, by those that are listed for it.
+#[derive(Clone, Debug, Default)]
 pub struct Placement {
     pub cells: u32,
     pub reach: u32,
     /// Most parts in one call, and the work that a call costs beside its parts.
     pub bundle: usize,
     pub call_work: f64,
+    pub listed: Option<BTreeMap<u32, Held>>,
+}
+
+/// Who holds a shard: all nodes of these cells, without those that have said that they do not.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Held {
+    pub cells: Vec<u32>,
+    pub without: BTreeSet<String>,
 }
 
 impl Placement {
-    /// How many cells a cell lies past the first one of a shard.
+    /// How many cells a cell lies past the first one of a shard in the ring.
     pub fn steps(&self, cell: u32, shard: u32) -> u32 {
         (cell % self.cells + self.cells - shard % self.cells) % self.cells
     }
 
+    /// The cell that a node's counts as.
+    pub fn cell(&self, cell: u32) -> u32 {
+        if self.listed.is_some() { cell } else { cell % self.cells }
+    }
+
+    fn listed(&self, shard: u32) -> Option<&[u32]> {
+        let listed = self.listed.as_ref()?;
+        Some(listed.get(&shard).map_or(&[], |held| &held.cells))
+    }
+
     /// The cells that hold a shard, from its first one on.
-    pub fn holding(&self, shard: u32) -> impl Iterator<Item = u32> {
-        let (cells, first) = (self.cells, shard % self.cells);
-        (0..self.reach.min(cells)).map(move |step| (first + step) % cells)
+    pub fn holding(&self, shard: u32) -> impl Iterator<Item = u32> + '_ {
+        let (cells, first, listed) = (self.cells, shard % self.cells, self.listed(shard));
+        let count = listed.map_or(self.reach.min(cells), |listed| listed.len() as u32);
+        (0..count).map(move |step| listed.map_or((first + step) % cells, |listed| listed[step as usize]))
     }
 
-    pub fn holds(&self, cell: u32, shard: u32) -> bool {
-        self.steps(cell, shard) < self.reach
+    /// Whether a node of a cell that holds a shard is not one of those that do not.
+    pub fn owns(&self, node: &str, shard: u32) -> bool {
+        let held = self.listed.as_ref().and_then(|listed| listed.get(&shard));
+        held.is_none_or(|held| !held.without.contains(node))
+    }
+
+    pub fn holds(&self, node: &str, cell: u32, shard: u32) -> bool {
+        match self.listed(shard) {
+            Some(listed) => listed.contains(&cell) && self.owns(node, shard),
+            None => self.steps(cell, shard) < self.reach,
+        }
     }
 }
 
@@ -116,12 +146,14 @@
     Reset,
     Cancelled,
     NeverSent,
+    /// The node does not hold the shard by its own word.
+    Moved,
 }
 
 impl Ending {
     /// True where the ending proves that the call had no effect.
     pub fn never_ran(self) -> bool {
-        matches!(self, Ending::Full | Ending::Unreachable | Ending::NeverSent)
+        matches!(self, Ending::Full | Ending::Unreachable | Ending::NeverSent | Ending::Moved)
     }
 }
 
@@ -234,6 +266,15 @@
     fn alarm(&mut self, tag: u64);
     /// What another core of this query router saw of a data node.
     fn evidence(&mut self, _node: &str, _seen: Evidence) {}
+    /// Who holds a shard from here on; the first of these puts the list in the place of the ring.
+    fn shard_held(&mut self, _shard: u32, _held: Held) {}
+    /// A shard has keys of others, which may be gone since: what was learnt of those is told of it too.
+    fn shard_follows(&mut self, _shard: u32, _parents: &[u32]) {}
+    /// A shard that no part is open for and none will be.
+    fn shard_over(&mut self, _shard: u32) {}
+    /// A part of an open query becomes several (id, shard, weight): nobody holds all of it any more. Each has the
+    /// leaf calls of the old one for its own; how those end is told for each.
+    fn part_divided(&mut self, _number: u64, _part: &str, _into: &[(&str, u32, f64)]) {}
 }
 
 /// Where the module writes its decisions, in the order in which they are to happen.
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -1,21 +1,38 @@
-//! What the decision module keeps its observations in: a window of latencies, calls by age, chance. Nothing is
-//! decided here, and no value is chosen.
+//! What the decision module keeps its observations in: a window of latencies, calls by age, chance; and its records
+//! of parts and leaf calls. Nothing is decided here, and no value is chosen.
 use std::collections::{BTreeMap, VecDeque};
 
-/// Latest latencies, in the order in which they came and in order of size.
+/// Latest latencies, in the order in which they came and in order of size; so many of them are another's.
 #[derive(Default)]
-pub struct Recent(VecDeque<f64>, Vec<f64>);
+pub struct Recent(VecDeque<f64>, Vec<f64>, usize);
 
 impl Recent {
     pub fn note(&mut self, latency: f64, keep: usize) {
         self.0.push_back(latency);
         self.1.insert(self.1.partition_point(|&l| l < latency), latency);
+        // Each of its own takes the place of one that was handed on.
+        let keep = if self.2 > 0 { keep.min(self.0.len() - 1) } else { keep };
+        self.2 = self.2.saturating_sub(1);
         while self.0.len() > keep {
             let old = self.0.pop_front().unwrap_or_default();
             self.1.remove(self.1.partition_point(|&l| l < old));
         }
     }
 
+    /// The latest of several, so many in all, taken from each in turn: what a successor of theirs begins with.
+    pub fn handed_on(parents: &[&Recent], keep: usize) -> Recent {
+        let mut latest = Vec::new();
+        let longest = parents.iter().map(|p| p.0.len()).max().unwrap_or(0);
+        for back in 0..longest {
+            latest.extend(parents.iter().filter_map(|p| p.0.iter().rev().nth(back)));
+        }
+        latest.truncate(keep);
+        let mut recent = Recent::default();
+        latest.into_iter().rev().for_each(|&latency| recent.note(latency, keep));
+        recent.2 = recent.0.len();
+        recent
+    }
+
     pub fn quantile(&self, share: f64, least: usize) -> Option<f64> {
         let at = (self.1.len().saturating_sub(1) as f64 * share).round() as usize;
         self.1.get(at).copied().filter(|_| self.1.len() >= least)
@@ -50,6 +67,12 @@
         self.0.entry(key).or_default().push_back((since, call));
     }
 
+    /// A call that was sent before others that are here: its part has another key or place from now on.
+    pub fn insert(&mut self, key: K, since: f64, call: Place) {
+        let calls = self.0.entry(key).or_default();
+        calls.insert(calls.partition_point(|c| c.0 <= since), (since, call));
+    }
+
     pub fn remove(&mut self, key: K, call: Place) {
         if let Some(calls) = self.0.get_mut(&key) {
             if let Some(at) = calls.iter().position(|c| c.1 == call) {
@@ -76,3 +99,25 @@
         late
     }
 }
+
+/// A part of an open query.
+pub struct Part {
+    pub id: String,
+    pub shard: u32,
+    pub weight: f64,
+    pub merged: bool,
+    pub copies: usize,
+    pub calls: Vec<Call>,
+}
+
+/// A leaf call.
+#[derive(Clone)]
+pub struct Call {
+    pub node: String,
+    pub at: f64,
+    /// When it was sent, by the clock of lateness.
+    pub since: f64,
+    pub out: bool,
+    pub cancelled: bool,
+    pub may_have_run: bool,
+}
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -71,7 +71,7 @@
                 fetch: 0,
             },
             customers: vec![],
-            placement: Placement { cells: 3, reach: 3, bundle: 1, call_work: 0.0 },
+            placement: Placement { cells: 3, reach: 3, bundle: 1, call_work: 0.0, listed: None },
             allowance: Allowance {
                 cancel: true,
                 parallel: true,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -383,7 +383,7 @@
 
 #[rstest]
 fn parts_that_share_a_holder_travel_as_one_call_where_calls_cost_work() {
-    let ring = Placement { cells: 6, reach: 3, bundle: 8, call_work: 0.05 };
+    let ring = Placement { cells: 6, reach: 3, bundle: 8, call_work: 0.05, listed: None };
     let mut host = with(|d| (d.placement, d.nodes) = (ring, 6));
     assert_eq!(host.query(0, &[0, 1, 2]), ["call p0.0 n2", "call p0.1 n2", "call p0.2 n2"]);
 }
@@ -392,7 +392,7 @@
 #[case::broken(Ending::Reset, 0)]
 #[case::refused(Ending::Unreachable, 1)]
 fn a_connection_that_breaks_under_many_calls_is_one_failure(#[case] ending: Ending, #[case] sick: usize) {
-    let one = Placement { cells: 1, reach: 1, bundle: 8, call_work: 0.05 };
+    let one = Placement { cells: 1, reach: 1, bundle: 8, call_work: 0.05, listed: None };
     let mut host = with(|d| (d.placement, d.nodes) = (one, 1));
     host.warm(9, 1, 0.1);
     host.query(0, &[0, 1, 2]);
@@ -407,7 +407,7 @@
 
 #[rstest]
 fn a_warm_node_with_any_room_takes_a_whole_call_past_its_cap() {
-    let one = Placement { cells: 1, reach: 1, bundle: 8, call_work: 0.05 };
+    let one = Placement { cells: 1, reach: 1, bundle: 8, call_work: 0.05, listed: None };
     let mut host = with(|d| (d.placement, d.nodes) = (one, 1));
     assert_eq!(calls(&host.query(0, &[0, 1, 2])).len(), 3);
     assert_eq!(calls(&host.query(1, &[0, 1, 2])).len(), 3, "three of four places taken, three more sent");
@@ -435,7 +435,7 @@
 
 #[rstest]
 fn queries_that_would_wait_at_their_only_holder_are_rejected_and_others_are_not() {
-    let apart = Placement { cells: 2, reach: 1, bundle: 1, call_work: 0.0 };
+    let apart = Placement { cells: 2, reach: 1, bundle: 1, call_work: 0.0, listed: None };
     let mut host = with(|d| (d.placement, d.nodes, d.allowance.parallel) = (apart, 2, false));
     host.warm(1000, 16, 0.1);
     for n in 0..30 {
