Lab: layouts shuffled under load, every answer checked key by key

Moving shards has to be measured: wrong, double and missing keys over seeded runs with splits, merges, moves, late news and node faults. Stand-in nodes hold keys by a layout of their own; stories of the desk cover division.

--- a/crates/alderway/tests/cores.rs
+++ b/crates/alderway/tests/cores.rs
@@ -73,6 +73,7 @@
             connections: 16,
             parts: 3,
             shards: 64,
+            keys: None,
             vertical: "site-search".into(),
             patience: 2000,
             seed: 5,
--- a/crates/lab/src/agent.rs
+++ b/crates/lab/src/agent.rs
@@ -27,13 +27,20 @@
 }
 
 pub fn object(index: u64, whole: bool, entries: &[Entry]) -> String {
+    object_with(index, whole, entries, None)
+}
+
+fn object_with(index: u64, whole: bool, entries: &[Entry], layout: Option<&str>) -> String {
     let entries: Vec<String> = entries.iter().map(Entry::text).collect();
-    format!(r#"{{"index":{index},"snapshot":{whole},"endpoints":[{}]}}"#, entries.join(","))
+    let layout = layout.map_or(String::new(), |text| format!(r#","layout":{text}"#));
+    format!(r#"{{"index":{index},"snapshot":{whole},"endpoints":[{}]{layout}}}"#, entries.join(","))
 }
 
 enum Word {
     Watch(TcpStream),
     Change(Vec<Entry>),
+    /// What watches are told of the layout, and the whole of it for new ones.
+    Layout(String, String),
 }
 
 /// Runs until it is dropped.
@@ -60,6 +67,11 @@
         Ok(Agent { address, words, stop })
     }
 
+    /// Changes the layout, told in discovery's form; every watch is told at once, new ones the whole of it.
+    pub fn layout(&self, told: String, whole: String) {
+        let _ = self.words.send(Word::Layout(told, whole));
+    }
+
     /// Changes some entries; every watch is told at once.
     pub fn change(&self, entries: Vec<Entry>) {
         let _ = self.words.send(Word::Change(entries));
@@ -75,7 +87,7 @@
 
 /// Whole lists to new watches, changes to all, an empty line while nothing changes.
 fn tell(came: &Receiver<Word>, mut list: Vec<Entry>) {
-    let (mut watches, mut index) = (Vec::<TcpStream>::new(), 100u64);
+    let (mut watches, mut index, mut layout) = (Vec::<TcpStream>::new(), 100u64, None::<String>);
     let chunk = |stream: &mut TcpStream, line: &str| {
         let whole = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
         stream.write_all(whole.as_bytes()).is_ok()
@@ -88,7 +100,7 @@
                 let begun = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
                 if head.is_ok()
                     && stream.write_all(begun).is_ok()
-                    && chunk(&mut stream, &object(index, true, &list))
+                    && chunk(&mut stream, &object_with(index, true, &list, layout.as_deref()))
                 {
                     watches.push(stream);
                 }
@@ -104,6 +116,12 @@
                 let line = object(index, false, &entries);
                 watches.retain_mut(|watch| chunk(watch, &line));
             }
+            Ok(Word::Layout(told, whole)) => {
+                index += 1;
+                layout = Some(whole);
+                let line = object_with(index, false, &[], Some(&told));
+                watches.retain_mut(|watch| chunk(watch, &line));
+            }
             Err(RecvTimeoutError::Timeout) => watches.retain_mut(|watch| chunk(watch, "")),
             Err(RecvTimeoutError::Disconnected) => return,
         }
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -1,11 +1,13 @@
 //! Data nodes on sockets: each listens on a port of its own, many share a thread. They count what came to each, and
 //! when a call last did.
 use crate::model::{Fault, Job, Make, Node, Verdict};
-use crate::{Clock, value};
+use crate::{Clock, inventory, value};
+use alderway_layouts::Range;
+use alderway_layouts::layout::Layout;
 use alderway_router::wire::buffer::Buffer;
 use alderway_router::wire::frames;
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -27,6 +29,23 @@
     pub last_call: AtomicU64,
     /// Parts that came a second time, of which each was to run once.
     pub again: AtomicU64,
+    /// Parts for keys that the node does not hold by its layout.
+    pub disowned: AtomicU64,
+    /// Most parts that came within a second of its start, its second second and so on, against what a cold node bears:
+    /// in thousandths of that.
+    pub cold_load: AtomicU64,
+}
+
+/// What a node is told.
+pub enum Order {
+    Fault(Fault),
+    /// The layout that it goes by from here on, and its own cell.
+    Layout(u32, Layout),
+    /// It has just started: it is cold for so many seconds, and bears so many parts a second when it is warm.
+    Cold {
+        warm_up: f64,
+        bears: f64,
+    },
 }
 
 /// One node as the trial holds it.
@@ -34,12 +53,16 @@
     pub name: String,
     pub address: SocketAddr,
     pub met: Arc<Met>,
-    faults: orders::UnboundedSender<Fault>,
+    orders: orders::UnboundedSender<Order>,
 }
 
 impl Handle {
     pub fn set(&self, fault: Fault) {
-        let _ = self.faults.send(fault);
+        self.tell(Order::Fault(fault));
+    }
+
+    pub fn tell(&self, order: Order) {
+        let _ = self.orders.send(order);
     }
 
     pub fn last_call(&self) -> f64 {
@@ -108,8 +131,17 @@
     }
 }
 
-/// A part that is taken: where its reply goes, its id, its shard and the query's text.
-type Part = (Rc<Line>, Rc<str>, u32, Rc<str>);
+/// A part that is taken: where its reply goes, its id, its shard, the keys asked for, and the query's text.
+type Part = (Rc<Line>, Rc<str>, u32, Option<Range>, Rc<str>);
+
+/// The cold rule as the stand-in counts it: from when, how long, parts a second that a warm one bears, and when parts
+/// came within the last second.
+struct Cold {
+    since: f64,
+    warm_up: f64,
+    bears: f64,
+    came: VecDeque<f64>,
+}
 
 /// A node and who waits for its replies.
 struct Stand {
@@ -117,6 +149,28 @@
     jobs: HashMap<Job, Part>,
     wake: Rc<Notify>,
     seen: std::collections::HashSet<String>,
+    layout: Option<(u32, Layout)>,
+    cold: Option<Cold>,
+}
+
+impl Stand {
+    /// By which version the node holds none of some keys; none where it holds all of them.
+    fn disowns(&self, keys: Range) -> Option<u64> {
+        let (cell, layout) = self.layout.as_ref()?;
+        let mut covering = layout.covering(keys);
+        (!covering.all(|(_, shard)| shard.holders.contains(cell))).then(|| layout.version())
+    }
+
+    /// A part has come: what share of what it bears in a second that makes, in thousandths.
+    fn weigh(&mut self, now: f64) -> u64 {
+        let Some(cold) = self.cold.as_mut().filter(|cold| now < cold.since + cold.warm_up) else { return 0 };
+        cold.came.push_back(now);
+        while cold.came.front().is_some_and(|at| *at <= now - 1.0) {
+            cold.came.pop_front();
+        }
+        let warmth = 0.2 + 0.8 * (now - cold.since) / cold.warm_up;
+        (cold.came.len() as f64 / (cold.bears * warmth) * 1e3) as u64
+    }
 }
 
 /// One connection: what is to be written, and parts out on it.
@@ -130,19 +184,28 @@
 async fn listen(n: usize, make: Make, seed: u64, clock: Clock, once: bool) -> std::io::Result<Handle> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let (address, met) = (listener.local_addr()?, Arc::new(Met::default()));
-    let (faults, mut set) = orders::unbounded_channel();
+    let (orders, mut set) = orders::unbounded_channel();
     let stand = Rc::new(RefCell::new(Stand {
         node: Node::new(make, seed, f64::NEG_INFINITY),
         jobs: HashMap::new(),
         wake: Rc::default(),
         seen: Default::default(),
+        layout: None,
+        cold: None,
     }));
-    let handle = Handle { name: format!("s-{n}"), address, met: met.clone(), faults };
+    let handle = Handle { name: format!("s-{n}"), address, met: met.clone(), orders };
     let (faulty, replies) = (stand.clone(), stand.clone());
     spawn_local(async move {
-        while let Some(fault) = set.recv().await {
-            faulty.borrow_mut().node.set(fault, clock.now());
-            faulty.borrow().wake.notify_one();
+        while let Some(order) = set.recv().await {
+            let mut stand = faulty.borrow_mut();
+            match order {
+                Order::Fault(fault) => stand.node.set(fault, clock.now()),
+                Order::Layout(cell, layout) => stand.layout = Some((cell, layout)),
+                Order::Cold { warm_up, bears } => {
+                    stand.cold = Some(Cold { since: clock.now(), warm_up, bears, came: VecDeque::new() });
+                }
+            }
+            stand.wake.notify_one();
         }
     });
     spawn_local(reply(replies, clock));
@@ -168,9 +231,15 @@
         let due = {
             let mut stand = stand.borrow_mut();
             for job in stand.node.due(clock.now()) {
-                let Some((line, id, shard, text)) = stand.jobs.remove(&job) else { continue };
+                let Some((line, id, shard, keys, text)) = stand.jobs.remove(&job) else { continue };
                 line.jobs.borrow_mut().remove(&id);
-                answer(&line, &id, "done", &value(&text, shard));
+                match keys.filter(|_| stand.layout.is_some()) {
+                    Some(keys) => {
+                        let report = format!("keys={}-{}", keys.from, keys.to);
+                        answer(&line, &id, "done", &report, &inventory::value(&text, keys));
+                    }
+                    None => answer(&line, &id, "done", "-", &value(&text, shard)),
+                }
             }
             stand.node.next()
         };
@@ -184,8 +253,8 @@
     }
 }
 
-fn answer(line: &Line, id: &str, end: &str, value: &str) {
-    let text = format!("{id} {end} 17 -\n{value}");
+fn answer(line: &Line, id: &str, end: &str, report: &str, value: &str) {
+    let text = format!("{id} {end} 17 {report}\n{value}");
     let mut out = line.out.borrow_mut();
     out.extend_from_slice(&(text.len() as u32 + 1).to_be_bytes());
     out.push(b'R');
@@ -272,7 +341,8 @@
     while let Some((head, tail)) = rest.split_once('\n') {
         let mut words = head.split(' ');
         let (id, shard) = (words.next().unwrap_or_default(), words.next().and_then(|s| s.parse().ok()));
-        let length = words.nth(1).and_then(|l| l.parse().ok()).filter(|&l| l <= tail.len());
+        let list = words.next().unwrap_or_default();
+        let length = words.next().and_then(|l| l.parse().ok()).filter(|&l| l <= tail.len());
         let (Some(shard), Some(length)) = (shard, length) else { return false };
         let (text, next) = tail.split_at(length);
         rest = next;
@@ -281,14 +351,23 @@
         if once && !stand.seen.insert(id.to_string()) {
             met.again.fetch_add(1, Relaxed);
         }
+        let keys = list.split(',').find_map(|word| word.strip_prefix("k=")?.split_once('-'));
+        let keys = keys.and_then(|(from, to)| Some(Range::new(from.parse().ok()?, to.parse().ok()?)));
+        let load = stand.weigh(now);
+        met.cold_load.fetch_max(load, Relaxed);
+        if let Some(version) = keys.and_then(|keys| stand.disowns(keys)) {
+            met.disowned.fetch_add(1, Relaxed);
+            answer(line, id, "full", &format!("moved={version}"), "");
+            continue;
+        }
         let (job, verdict) = stand.node.call(now);
         match verdict {
             Verdict::Taken => {
                 let id: Rc<str> = id.into();
                 line.jobs.borrow_mut().insert(id.clone(), job);
-                stand.jobs.insert(job, (line.clone(), id, shard, text.into()));
+                stand.jobs.insert(job, (line.clone(), id, shard, keys, text.into()));
             }
-            Verdict::Full => answer(line, id, "full", ""),
+            Verdict::Full => answer(line, id, "full", "-", ""),
             Verdict::Reset => return false,
             Verdict::Never => {}
         }
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -1,7 +1,8 @@
 //! Clients: they send queries on a schedule, whatever the router does, or in a loop as fast as answers come, and check
 //! every answer. In a schedule latency counts from the moment at which a query was due, so that a router that stands
 //! still is not flattered, and a generator that falls behind says by how much.
-use crate::{Clock, draw, value};
+use crate::{Clock, draw, inventory, value};
+use alderway_layouts::Range;
 use hdrhistogram::Histogram;
 use rand_pcg::Pcg32;
 use std::cell::{Cell, RefCell};
@@ -33,6 +34,8 @@
     pub connections: usize,
     pub parts: usize,
     pub shards: u32,
+    /// Queries ask for ranges of so many keys, not for shards; `parts` ranges at the most.
+    pub keys: Option<u32>,
     pub vertical: String,
     /// Milliseconds that a client waits.
     pub patience: u64,
@@ -49,6 +52,11 @@
     pub sent: u64,
     /// Answers with a value that no data node gave, that lack a part though whole, or that came after another one.
     pub wrong: u64,
+    /// Keys that counted twice, and keys that an answer said to be whole lacked.
+    pub double: u64,
+    pub missing: u64,
+    /// Answers said not to be whole.
+    pub in_part: u64,
     /// Connections that ended without an answer.
     pub lost: u64,
     /// Queries without an answer when their client's time and half a second were over.
@@ -67,6 +75,9 @@
             statuses: BTreeMap::new(),
             sent: 0,
             wrong: 0,
+            double: 0,
+            missing: 0,
+            in_part: 0,
             lost: 0,
             late: 0,
             behind: 0.0,
@@ -76,12 +87,15 @@
 }
 
 impl Outcome {
-    fn join(&mut self, other: Outcome) {
+    pub fn join(&mut self, other: Outcome) {
         let _ = self.latency.add(&other.latency);
         self.over_time.extend(other.over_time);
         other.statuses.iter().for_each(|(s, n)| *self.statuses.entry(*s).or_insert(0) += n);
         self.sent += other.sent;
         self.wrong += other.wrong;
+        self.double += other.double;
+        self.missing += other.missing;
+        self.in_part += other.in_part;
         self.lost += other.lost;
         self.late += other.late;
         self.behind = self.behind.max(other.behind);
@@ -119,6 +133,12 @@
     all
 }
 
+/// What a query asks for.
+enum Asked {
+    Shards(Vec<u32>),
+    Keys(Vec<Range>),
+}
+
 struct Line {
     load: Load,
     thread: usize,
@@ -210,10 +230,20 @@
         }
     }
 
-    /// A query's id, its shards and the bytes that ask for it.
-    fn query(&self, left: u64) -> (Vec<u32>, String, Vec<u8>) {
+    /// What a query asks for, its id, and the bytes that ask for it.
+    fn query(&self, left: u64) -> (Asked, String, Vec<u8>) {
         self.number.set(self.number.get() + 1);
         let text = format!("{:x}-{:x}-{:x}", self.load.seed, self.thread, self.number.get());
+        if let Some(keys) = self.load.keys {
+            let ranges = self.ranges(keys);
+            let (share, rest) = (1000 / ranges.len(), 1000 % ranges.len());
+            let targets = ranges.iter().enumerate().map(|(i, keys)| {
+                let share = (share + usize::from(i < rest)) as f64 / 1e3;
+                format!(r#"{{"keys":[{},{}],"share":{share}}}"#, keys.from, keys.to)
+            });
+            let request = self.request(&text, &targets.collect::<Vec<_>>(), left);
+            return (Asked::Keys(ranges), text, request);
+        }
         let first = (draw(&mut self.chance.borrow_mut()) * f64::from(self.load.shards)) as u32;
         let shards: Vec<u32> =
             (0..self.load.parts as u32).map(|part| (first + part) % self.load.shards).collect();
@@ -227,6 +257,25 @@
                 format!(r#"{{"partition":{shard},"share":{}}}"#, thousandths as f64 / 1e3)
             })
             .collect();
+        let request = self.request(&text, &targets, left);
+        (Asked::Shards(shards), text, request)
+    }
+
+    /// Ranges that do not meet, of up to a sixteenth of the keys each.
+    fn ranges(&self, keys: u32) -> Vec<Range> {
+        let mut chance = self.chance.borrow_mut();
+        let parts = 1 + (draw(&mut chance) * self.load.parts as f64) as u32;
+        let each = keys / parts;
+        (0..parts)
+            .map(|part| {
+                let span = 1 + (draw(&mut chance) * f64::from((keys / 16).min(each) - 1)) as u32;
+                let from = part * each + (draw(&mut chance) * f64::from(each - span + 1)) as u32;
+                Range::new(from, from + span)
+            })
+            .collect()
+    }
+
+    fn request(&self, text: &str, targets: &[String], left: u64) -> Vec<u8> {
         let body = format!(r#"{{"targets":[{}],"query":"{text}"}}"#, targets.join(","));
         let request = format!(
             "POST /api HTTP/1.1\r\nHost: lab\r\nX-Correlation-Id: {text}\r\nX-Service-Class: {}\r\n\
@@ -234,7 +283,7 @@
             self.load.vertical,
             body.len()
         );
-        (shards, text, request.into_bytes())
+        request.into_bytes()
     }
 }
 
@@ -250,7 +299,7 @@
         }
         let patience = Duration::from_millis(line.load.patience);
         let left = patience.saturating_sub(Duration::from_secs_f64(behind.max(0.0)));
-        let (shards, text, request) = line.query(left.as_millis().max(1) as u64);
+        let (asked_for, text, request) = line.query(left.as_millis().max(1) as u64);
         let asked =
             timeout(left + Duration::from_millis(500), ask(&mut stream, to, &mut buffer, &request)).await;
         let now = line.clock.now();
@@ -262,8 +311,17 @@
                     let micros = ((now - due) * 1e6).max(1.0);
                     let _ = outcome.latency.record(micros as u64);
                     outcome.over_time.push((due - line.began, micros / 1e3));
-                    if !is_right(&buffer, &shards, &text) {
-                        outcome.wrong += 1;
+                    match &asked_for {
+                        Asked::Shards(shards) if is_right(&buffer, shards, &text) => {}
+                        Asked::Shards(_) => outcome.wrong += 1,
+                        Asked::Keys(keys) => {
+                            let (faults, counted) = inventory::check(&buffer, keys, &text);
+                            outcome.wrong += faults.wrong;
+                            outcome.double += faults.double;
+                            outcome.missing += faults.missing;
+                            let all: u64 = keys.iter().map(Range::keys).sum();
+                            outcome.in_part += u64::from(counted < all);
+                        }
                     }
                 }
                 // Nothing follows an answer.
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,6 +2,7 @@
 use alderway_lab::load::{Load, Pace};
 use alderway_lab::model::Make;
 use alderway_lab::program::{Build, Setting, beside};
+use alderway_lab::shuffle::{self, Run};
 use alderway_lab::trial::{self, Subject, Trial};
 use clap::{Args, Parser, Subcommand};
 use std::path::PathBuf;
@@ -44,6 +45,8 @@
         #[arg(long, default_value_t = 1000.0)]
         rate: f64,
     },
+    /// Shards split, merge and move under load: every answer is checked key by key
+    Layouts(Shards),
     /// Data nodes drain one after the other: when the last new call reached each
     Drain {
         #[command(flatten)]
@@ -54,6 +57,90 @@
     },
 }
 
+/// Shards that split, merge and move under load; every answer is checked key by key.
+#[derive(Args, Clone)]
+struct Shards {
+    #[arg(long, default_value_t = 20)]
+    runs: u64,
+    /// Runs played at once
+    #[arg(long, default_value_t = 3)]
+    side_by_side: usize,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    #[arg(long, default_value_t = 1)]
+    cores: usize,
+    /// Queries a second
+    #[arg(long, default_value_t = 200.0)]
+    rate: f64,
+    /// Seconds of a run
+    #[arg(long, default_value_t = 4.0)]
+    span: f64,
+    /// Seconds between two versions, on average
+    #[arg(long, default_value_t = 0.3)]
+    every: f64,
+    /// Moves alone, one at a time, and the same runs without any change beside them
+    #[arg(long)]
+    only_moves: bool,
+    /// Most seconds by which the router or a data node hears of a version late
+    #[arg(long, default_value_t = 0.3)]
+    late: f64,
+    /// No data node fails and no newcomer joins
+    #[arg(long)]
+    calm: bool,
+    #[arg(long, default_value_t = 0.5)]
+    floor: f64,
+    /// Parts that may run once only
+    #[arg(long)]
+    once: bool,
+    /// A fault that a router built for tests plays, as `count-by-answers`: the run must report it
+    #[arg(long)]
+    fault: Option<String>,
+    /// The program, if not this build's own
+    #[arg(long, value_name = "FILE")]
+    program: Option<PathBuf>,
+}
+
+impl Shards {
+    fn run(&self) -> Result<bool, String> {
+        let operator = format!("cores(count = {})\nlayouts()\n", self.cores);
+        let run = Run {
+            build: Build {
+                path: self.program.clone().unwrap_or(beside("alderway")),
+                operator: Some(operator),
+            },
+            nodes: 8,
+            keys: 4096,
+            shards: 32,
+            reach: 2,
+            rate: self.rate,
+            span: self.span,
+            every: Some(self.every),
+            only_moves: self.only_moves,
+            late: self.late,
+            faults: !self.calm,
+            newcomer: !self.calm,
+            floor: self.floor,
+            service: 0.002,
+            effect: if self.once { "at_most_once" } else { "idempotent" },
+            fault: self.fault.clone(),
+        };
+        let machine = std::thread::available_parallelism().map_or(0, usize::from);
+        println!(
+            "machine: {machine} processors, {} runs at once; seeds from {}; {} cores; {} queries a second for {} s",
+            self.side_by_side, self.seed, self.cores, self.rate, self.span
+        );
+        let still = Run { every: None, newcomer: false, ..run.clone() };
+        let mut right = true;
+        for (name, run) in [("with changes", run), ("the same without", still)] {
+            let reports = shuffle::play_all(&run, self.runs, self.seed, self.side_by_side)?;
+            let (good, text) = shuffle::table(name, reports);
+            print!("{text}");
+            right &= good;
+        }
+        Ok(right)
+    }
+}
+
 #[derive(Args, Clone)]
 struct Common {
     /// Numbers of cores to run with
@@ -146,6 +233,7 @@
             connections: self.connections,
             parts: self.parts,
             shards: self.shards,
+            keys: None,
             vertical: "site-search".into(),
             patience: 4 * self.slo_ms,
             seed: self.seed,
@@ -175,16 +263,33 @@
 
 fn main() -> ExitCode {
     let line = Line::parse();
+    if let What::Layouts(shards) = &line.trial {
+        return match shards.run() {
+            Ok(true) => ExitCode::SUCCESS,
+            Ok(false) => {
+                eprintln!("alderway-lab: not every answer was right");
+                ExitCode::FAILURE
+            }
+            Err(why) => {
+                eprintln!("alderway-lab: {why}");
+                ExitCode::FAILURE
+            }
+        };
+    }
     let (What::Cores { common, .. }
     | What::Slow { common, .. }
     | What::Cost { common, .. }
-    | What::Drain { common, .. }) = &line.trial;
+    | What::Drain { common, .. }) = &line.trial
+    else {
+        return ExitCode::FAILURE;
+    };
     let plan = common.trial();
     let rows = plan.run(|trial, subject, seed| match &line.trial {
         What::Cores { share, .. } => trial::throughput(trial, subject, seed, *share),
         What::Slow { times, rate, .. } => trial::slow_node(trial, subject, seed, *times, *rate),
         What::Cost { rate, .. } => trial::cost(trial, subject, seed, *rate),
         What::Drain { rate, .. } => trial::drain(trial, subject, seed, *rate),
+        What::Layouts(_) => Err("not a trial of subjects".into()),
     });
     let machine = std::thread::available_parallelism().map_or(0, usize::from);
     println!(
--- a/crates/lab/src/program.rs
+++ b/crates/lab/src/program.rs
@@ -31,6 +31,8 @@
     pub tick_us: u32,
     /// Seconds of the cold rule's warm-up; none where there is no such rule.
     pub warm_up: Option<f64>,
+    /// Least share of the weight that may be answered.
+    pub floor: f64,
 }
 
 impl Default for Setting {
@@ -48,6 +50,7 @@
             places: 256,
             tick_us: 1000,
             warm_up: None,
+            floor: 1.0,
         }
     }
 }
@@ -55,7 +58,18 @@
 impl Setting {
     fn text(&self) -> String {
         let Setting {
-            slo_ms, deadline_ms, effect, shards, cells, reach, room, peers, places, tick_us, ..
+            slo_ms,
+            deadline_ms,
+            effect,
+            shards,
+            cells,
+            reach,
+            room,
+            peers,
+            places,
+            tick_us,
+            floor,
+            ..
         } = self;
         let cold = self.warm_up.map_or(String::new(), |span| {
             format!(
@@ -64,7 +78,7 @@
             )
         });
         format!(
-            r#"{{"Extra":{{"Cells":{cells},"Reach":{reach},"Slices":{shards},"BundleMax":8,"PerCallWorkUs":0}},
+            r#"{{"Extra":{{"Cells":{cells},"Reach":{reach},"Slices":{shards},"BundleMax":8,"PerCallWorkUs":0,"FloorByClass":[{floor}]}},
             "Discovery":"automatic","TickUs":{tick_us},"ReplicasOfMe":{peers},"Obligations":{{{cold}}},
             "Limits":{{"MayCancel":true,"ParallelTries":true,"MaxAttempts":4,"MaxOpen":{room},
             "StreamsPerConn":{places},"DialTimeoutUs":250000,"KeepaliveUs":15000000}},
@@ -161,6 +175,16 @@
         Some((head.split(' ').nth(1)?.parse().ok()?, body.to_string()))
     }
 
+    /// Has a build made for tests play a fault: asked on so many connections, so that every core hears of it.
+    pub fn fault(&self, fault: &str, connections: usize) {
+        let open: Vec<_> = (0..connections).filter_map(|_| TcpStream::connect(self.address).ok()).collect();
+        for mut stream in open {
+            let _ = write!(stream, "GET /up HTTP/1.1\r\nX-Fault: {fault}\r\nConnection: close\r\n\r\n");
+            let _ = stream.set_read_timeout(Some(PATIENCE));
+            let _ = stream.read_to_string(&mut String::new());
+        }
+    }
+
     pub fn counters(&self) -> BTreeMap<String, u64> {
         figures(&self.get("/counters").unwrap_or_default().1)
     }
--- a/crates/lab/tests/stories.rs
+++ b/crates/lab/tests/stories.rs
@@ -66,6 +66,7 @@
         connections,
         parts: 2,
         shards: 16,
+        keys: None,
         vertical: "site-search".into(),
         patience: 3000,
         seed: 3,
--- a/crates/router/src/memory/desk.rs
+++ b/crates/router/src/memory/desk.rs
@@ -272,6 +272,10 @@
                 self.counters.one("answers_in_place_of_parts");
             }
         }
+        #[cfg(feature = "faults")]
+        if self.ground.as_ref().is_some_and(|ground| ground.by_answers) {
+            query.parts[i].value = Some(value.to_string());
+        }
         for id in heirs.iter().chain([part]) {
             if let Some(keys) = self.queries.part(id).and_then(|part| part.keys.as_mut()) {
                 keys.merged = true;
@@ -712,6 +716,14 @@
         let what = if whole { "merged" } else { "merged_in_part" };
         let Some((query, closes)) = self.close(query, what) else { return };
         let mut out = query.client.out.borrow_mut();
+        #[cfg(feature = "faults")]
+        if self.ground.as_ref().is_some_and(|ground| ground.by_answers) {
+            let parts = query.parts.iter().filter_map(|p| {
+                let keys = p.keys.map(|keys| (keys.range.from, keys.range.to));
+                Some((p.shard, keys, p.value.as_deref()?))
+            });
+            return answer::merged_by_keys(&mut out, whole, parts, closes);
+        }
         if let Some(coverage) = &query.coverage {
             let answers = coverage.answers();
             let parts =
--- a/crates/router/src/memory/ground.rs
+++ b/crates/router/src/memory/ground.rs
@@ -34,6 +34,9 @@
     history: Option<History>,
     open: BTreeMap<ShardId, BTreeSet<Rc<str>>>,
     pub families: Families<Rc<str>>,
+    /// For tests: every answer counts, whatever keys it is for.
+    #[cfg(feature = "faults")]
+    pub by_answers: bool,
     /// What the next round tells.
     follows: Vec<(ShardId, Vec<ShardId>)>,
     held: BTreeSet<ShardId>,
@@ -43,7 +46,17 @@
 impl Ground {
     pub fn new(following: Following) -> Self {
         let (history, open, families, follows, held, divided) = Default::default();
-        Ground { following, history, open, families, follows, held, divided }
+        Ground {
+            following,
+            history,
+            open,
+            families,
+            #[cfg(feature = "faults")]
+            by_answers: false,
+            follows,
+            held,
+            divided,
+        }
     }
 
     pub fn version(&self) -> Option<Version> {
--- a/crates/router/src/requests.rs
+++ b/crates/router/src/requests.rs
@@ -25,7 +25,11 @@
     }
     #[cfg(feature = "faults")]
     if let Ok(Some(fault)) = head.field("X-Fault") {
-        desk.borrow_mut().fault = Some(fault.to_string());
+        let mut desk = desk.borrow_mut();
+        match &mut desk.ground {
+            Some(ground) if fault == "count-by-answers" => ground.by_answers = true,
+            _ => desk.fault = Some(fault.to_string()),
+        }
     }
     match (method, path) {
         ("POST", "/api") => {
--- a/crates/router/src/wire/layout.rs
+++ b/crates/router/src/wire/layout.rs
@@ -101,7 +101,7 @@
             "split" => split = Some(number(json)?),
             "merge" => merge = Some(numbers(json)?),
             "move" => moved = Some(number(json)?),
-            "into" if split.is_some() => json.list(|json| {
+            "into" => json.list(|json| {
                 let (mut id, mut from) = (None, None);
                 json.object(|json, key| {
                     match key {
@@ -114,8 +114,7 @@
                 into.push((id.ok_or("a split without `shard`")?, from.ok_or("a split without `from`")?));
                 Ok(())
             })?,
-            "into" if merge.is_some() => child = Some(number(json)?),
-            "into" => return Err("`into` comes after `split` or `merge`"),
+            "as" => child = Some(number(json)?),
             "holders" => holders = Some(numbers(json)?),
             _ => json.skip()?,
         }
@@ -124,7 +123,7 @@
     match (split, merge, moved) {
         (Some(parent), None, None) => Ok(Change::Split { parent, children: into }),
         (None, Some(parents), None) => {
-            Ok(Change::Merge { parents, child: child.ok_or("a merge without `into`")? })
+            Ok(Change::Merge { parents, child: child.ok_or("a merge without `as`")? })
         }
         (None, None, Some(shard)) => {
             let holders = holders.ok_or("a move without `holders`")?.into_iter().collect();
--- /dev/null
+++ b/crates/router/tests/layouts.rs
@@ -0,0 +1,405 @@
+//! Stories of a core whose shards split, merge and move while parts are out: what its desk sends, what it tells the
+//! module, and what it answers.
+use alderway::host::{Ending, Held, Intake, NodeState, Writer};
+use alderway_deployment as deployment;
+use alderway_layouts::history::News;
+use alderway_layouts::layout::{Change, Shard};
+use alderway_layouts::{Key, Range, ShardId};
+use alderway_router::drive::discovery::Follower;
+use alderway_router::memory::clients::Client;
+use alderway_router::memory::clock::Clock;
+use alderway_router::memory::desk::{Desk, Dial};
+use alderway_router::memory::ground::{Following, Ground, Target};
+use alderway_router::memory::queries::Query;
+use alderway_router::wire::{layout, query};
+use rstest::rstest;
+use std::rc::Rc;
+
+#[derive(Default)]
+struct Told(Vec<String>);
+
+impl Intake for Told {
+    fn roster_whole(&mut self) {}
+    fn roster_entry(&mut self, _: &str, _: u32, _: NodeState, _: Option<f64>) {}
+    fn roster_failed(&mut self) {}
+    fn query(&mut self, _: u64, id: &str, _: usize, _: &str, _: f64) {
+        self.0.push(format!("query {id}"));
+    }
+    fn part(&mut self, _: u64, id: &str, shard: u32, weight: f64) {
+        self.0.push(format!("part {id} {shard} {weight:.2}"));
+    }
+    fn call_ended(&mut self, part: &str, hop: usize, node: &str, ending: Ending, _: f64) {
+        self.0.push(format!("{part} {hop} {node} {ending:?}"));
+    }
+    fn client_left(&mut self, query: &str) {
+        self.0.push(format!("left {query}"));
+    }
+    fn alarm(&mut self, _: u64) {}
+    fn shard_held(&mut self, shard: u32, held: Held) {
+        self.0.push(format!("shard {shard} {:?} without {:?}", held.cells, held.without));
+    }
+    fn shard_follows(&mut self, shard: u32, parents: &[u32]) {
+        self.0.push(format!("shard {shard} follows {parents:?}"));
+    }
+    fn shard_over(&mut self, shard: u32) {
+        self.0.push(format!("shard {shard} over"));
+    }
+    fn part_divided(&mut self, _: u64, part: &str, into: &[(&str, u32, f64)]) {
+        self.0.push(format!("{part} into {into:?}"));
+    }
+}
+
+fn whole(version: u64, shards: &[(ShardId, Key, Key, &[u32])]) -> News {
+    let shard = |&(id, from, to, holders): &(ShardId, Key, Key, &[u32])| {
+        (id, Shard { keys: Range::new(from, to), holders: holders.iter().copied().collect() })
+    };
+    News::Whole { version, keys: 100, shards: shards.iter().map(shard).collect() }
+}
+
+fn change(desk: &mut Desk, version: u64, changes: Vec<Change>) {
+    desk.layout(News::Changes { version, after: version - 1, changes }).expect("a sound change");
+}
+
+fn split(parent: ShardId, children: &[(ShardId, Key)]) -> Change {
+    Change::Split { parent, children: children.to_vec() }
+}
+
+fn moved(shard: ShardId, holders: &[u32]) -> Change {
+    Change::Move { shard, holders: holders.iter().copied().collect() }
+}
+
+/// Nodes `n0` to `n5`, one a cell; shards 1 (keys 0 to 50) and 2 (50 to 100), both held by cells 0 and 1.
+fn desk(room: usize) -> Desk {
+    let trunk = deployment::Trunk { places: 8, bundle: 8, dial: 0.25, idle: 15.0 };
+    let room = deployment::Intake { room, shards: 1, tick: 0.005, slo: 1.0, deadline: 10.0, follow: false };
+    let mut desk = Desk::new(Clock::default(), trunk, room, vec!["v".into()]);
+    desk.ground = Some(Ground::new(Following { grace: 2.0, lag: 0.25 }));
+    desk.roster.begin(1, true);
+    for cell in 0..6u32 {
+        let at = ([127, 0, 0, 1], 1 + cell as u16).into();
+        desk.roster.entry(&format!("n{cell}"), at, cell, NodeState::Serving, None);
+    }
+    assert!(!desk.able(), "no layout is known yet");
+    desk.layout(whole(1, &[(1, 0, 50, &[0, 1]), (2, 50, 100, &[0, 1])])).expect("sound");
+    assert!(desk.able());
+    told(&mut desk);
+    desk
+}
+
+fn told(desk: &mut Desk) -> Vec<String> {
+    let (mut told, now) = (Told::default(), desk.clock.now());
+    desk.tell(now, &mut told);
+    told.0
+}
+
+fn ask(desk: &mut Desk, id: &str, targets: &[Target]) -> Result<Rc<Client>, &'static str> {
+    let client = Rc::new(Client::default());
+    let (parts, coverage) =
+        desk.ground.as_ref().expect("layouts").map(id, targets).map_err(|refusal| refusal.1)?;
+    let (not_after, text, of) = (desk.clock.now() + 5.0, "text".to_string(), client.clone());
+    let coverage = Some(coverage);
+    desk.take(&client, Query { id: id.into(), vertical: 0, not_after, text, parts, client: of, coverage })
+        .map_err(|refusal| refusal.1)?;
+    Ok(client)
+}
+
+fn take(desk: &mut Desk, from: Key, to: Key) -> Rc<Client> {
+    ask(desk, "q", &[(None, Some((from, to)), 1.0)]).expect("taken")
+}
+
+fn send(desk: &mut Desk, node: &str, parts: &[&str]) -> Dial {
+    parts.iter().for_each(|part| desk.call(part, node, 5.0));
+    let now = desk.clock.now();
+    desk.post(now).remove(0)
+}
+
+fn write(desk: &mut Desk, dial: &Dial) -> String {
+    let mut out = vec![];
+    assert!(desk.next_frame(&dial.node, dial.line, &mut out));
+    let now = desk.clock.now();
+    desk.roster.line(&dial.node, dial.line).expect("a connection").written(now);
+    String::from_utf8_lossy(&out[4..]).to_string()
+}
+
+fn body(client: &Client) -> String {
+    let text = String::from_utf8_lossy(&client.out.borrow()).to_string();
+    text.split("\r\n\r\n").nth(1).unwrap_or_default().to_string()
+}
+
+#[rstest]
+fn keys_are_asked_of_the_shards_that_cover_them_and_each_weighs_the_same() {
+    let mut desk = desk(100);
+    let client = take(&mut desk, 40, 60);
+    assert_eq!(told(&mut desk), ["query q", "part q.1.40-50 1 0.50", "part q.2.50-60 2 0.50"]);
+    let dial = send(&mut desk, "n0", &["q.1.40-50", "q.2.50-60"]);
+    let text = write(&mut desk, &dial);
+    assert!(text.starts_with("Sq.1.40-50 1 d=") && text.contains(",v=1,k=40-50 4\ntext"), "{text}");
+    for (part, keys) in [("q.1.40-50", "keys=40-50"), ("q.2.50-60", "load=3,keys=50-60")] {
+        assert!(desk.answered("n0", dial.line, part, Ending::Success, keys, "v"));
+    }
+    desk.answer("q", true);
+    assert_eq!(
+        body(&client),
+        r#"{"whole":true,"results":[{"partition":1,"keys":[40,50],"value":"v"},{"partition":2,"keys":[50,60],"value":"v"}]}"#
+    );
+}
+
+#[rstest]
+#[case::no_such_shard(&[(Some(9), None, 1.0)], "`partition` is no shard here")]
+#[case::beyond_the_last_key(&[(None, Some((90, 101)), 1.0)], "`keys` are none here")]
+#[case::no_keys_at_all(&[(None, Some((7, 7)), 1.0)], "`keys` are none here")]
+#[case::backwards(&[(None, Some((9, 7)), 1.0)], "`keys` are none here")]
+#[case::twice(&[(None, Some((0, 10)), 0.5), (None, Some((9, 20)), 0.5)], "`keys` stand twice")]
+#[case::a_shard_and_its_keys(&[(Some(1), None, 0.5), (None, Some((9, 20)), 0.5)], "`keys` stand twice")]
+#[case::both(&[(Some(1), Some((0, 10)), 1.0)], "a target names either `partition` or `keys`")]
+fn a_query_for_what_is_not_there_is_refused(#[case] targets: &[Target], #[case] why: &str) {
+    assert_eq!(ask(&mut desk(100), "q", targets).err(), Some(why));
+}
+
+#[rstest]
+fn a_part_that_nobody_holds_whole_is_divided_and_its_late_answer_takes_the_place_of_its_heirs() {
+    let mut desk = desk(100);
+    let client = take(&mut desk, 0, 50);
+    let old = send(&mut desk, "n0", &["q.1.0-50"]);
+    write(&mut desk, &old);
+    told(&mut desk);
+    // Split alone, it goes on as it is: the same cells hold all of it.
+    change(&mut desk, 2, vec![split(1, &[(3, 0), (4, 20)])]);
+    assert!(!told(&mut desk).iter().any(|t| t.contains("into")));
+    change(&mut desk, 3, vec![moved(3, &[2]), moved(4, &[3])]);
+    let told_now = told(&mut desk);
+    assert!(
+        told_now.contains(&r#"q.1.0-50 into [("q.3.0-20", 3, 0.4), ("q.4.20-50", 4, 0.6)]"#.to_string()),
+        "{told_now:?}"
+    );
+    // A copy for one heir: its number follows on the parent's call.
+    let new = send(&mut desk, "n2", &["q.3.0-20"]);
+    write(&mut desk, &new);
+    assert!(desk.answered("n2", new.line, "q.3.0-20", Ending::Success, "keys=0-20", "new"));
+    assert_eq!(told(&mut desk), ["q.3.0-20 1 n2 Success"]);
+    assert!(desk.answered("n0", old.line, "q.1.0-50", Ending::Success, "keys=0-50", "old"));
+    assert_eq!(told(&mut desk), ["q.3.0-20 0 n0 Success", "q.4.20-50 0 n0 Success"]);
+    desk.answer("q", true);
+    assert_eq!(body(&client), r#"{"whole":true,"results":[{"partition":1,"keys":[0,50],"value":"old"}]}"#);
+    // Nothing of it is left once the shard's time is over.
+    told(&mut desk);
+    let ground = desk.ground.as_ref().expect("layouts");
+    assert!(ground.families.is_empty());
+    assert_eq!(ground.history().expect("known").kept(), (1, 0, 0));
+}
+
+#[rstest]
+fn a_call_shared_by_heirs_is_given_up_only_when_none_waits() {
+    let mut desk = desk(100);
+    take(&mut desk, 0, 50);
+    let old = send(&mut desk, "n0", &["q.1.0-50"]);
+    write(&mut desk, &old);
+    change(&mut desk, 2, vec![split(1, &[(3, 0), (4, 20)]), moved(3, &[2]), moved(4, &[3])]);
+    told(&mut desk);
+    desk.cancel("q.3.0-20", 0);
+    assert_eq!(told(&mut desk), ["q.3.0-20 0 n0 Cancelled"]);
+    assert_eq!(desk.calls.count_out(), 1, "the other heir waits for it");
+    desk.cancel("q.4.20-50", 0);
+    assert_eq!(told(&mut desk), ["q.4.20-50 0 n0 Cancelled"]);
+    assert_eq!((desk.calls.count_out(), write(&mut desk, &old).as_str()), (0, "Cq.1.0-50"));
+}
+
+#[rstest]
+fn a_failed_call_of_the_parent_is_told_to_each_heir() {
+    let mut desk = desk(100);
+    take(&mut desk, 0, 50);
+    let old = send(&mut desk, "n0", &["q.1.0-50"]);
+    write(&mut desk, &old);
+    // It ends, untold yet, before the change comes.
+    desk.line_lost("n0", old.line);
+    change(&mut desk, 2, vec![split(1, &[(3, 0), (4, 20)]), moved(3, &[2]), moved(4, &[3])]);
+    let told = told(&mut desk);
+    assert!(told.ends_with(&["q.3.0-20 0 n0 Reset".into(), "q.4.20-50 0 n0 Reset".into()]), "{told:?}");
+}
+
+#[rstest]
+fn a_query_that_the_module_has_not_heard_of_is_told_as_it_is_now() {
+    let mut desk = desk(100);
+    take(&mut desk, 10, 30);
+    change(&mut desk, 2, vec![split(1, &[(3, 0), (4, 20)])]);
+    let told = told(&mut desk);
+    let parts: Vec<&String> = told.iter().filter(|t| t.starts_with("part") || t.contains("into")).collect();
+    assert_eq!(parts, ["part q.3.10-20 3 0.50", "part q.4.20-30 4 0.50"]);
+}
+
+#[rstest]
+fn a_call_that_has_not_begun_is_taken_back_from_a_node_that_lost_the_shard() {
+    let mut desk = desk(100);
+    take(&mut desk, 0, 50);
+    let dial = send(&mut desk, "n0", &["q.1.0-50"]);
+    told(&mut desk);
+    change(&mut desk, 2, vec![moved(1, &[1, 2])]);
+    assert_eq!(told(&mut desk), ["shard 1 [1, 2] without {}", "q.1.0-50 0 n0 NeverSent"]);
+    assert!(!desk.next_frame("n0", dial.line, &mut vec![]));
+}
+
+#[rstest]
+#[case::not_mine(Ending::Full, "moved=7", Ending::Moved)]
+#[case::full_as_ever(Ending::Full, "-", Ending::Full)]
+#[case::other_keys(Ending::Success, "keys=0-40", Ending::Error)]
+#[case::keys_in_noise(Ending::Success, "keys=0", Ending::Error)]
+#[case::a_node_that_knows_no_layouts(Ending::Success, "inflight=7", Ending::Success)]
+fn what_a_node_says_of_the_layout_counts(
+    #[case] ending: Ending,
+    #[case] report: &str,
+    #[case] told_as: Ending,
+) {
+    let mut desk = desk(100);
+    take(&mut desk, 0, 50);
+    let dial = send(&mut desk, "n0", &["q.1.0-50"]);
+    write(&mut desk, &dial);
+    told(&mut desk);
+    assert!(desk.answered("n0", dial.line, "q.1.0-50", ending, report, "v"));
+    let told = told(&mut desk);
+    assert!(told.contains(&format!("q.1.0-50 0 n0 {told_as:?}")), "{told:?}");
+    let left_out = told.contains(&r#"shard 1 [0, 1] without {"n0"}"#.to_string());
+    assert_eq!(left_out, told_as == Ending::Moved, "{told:?}");
+}
+
+#[rstest]
+fn a_node_that_knows_no_layouts_cannot_answer_for_a_piece_of_its_shard() {
+    let mut desk = desk(100);
+    take(&mut desk, 0, 20);
+    let dial = send(&mut desk, "n0", &["q.1.0-20"]);
+    write(&mut desk, &dial);
+    desk.answered("n0", dial.line, "q.1.0-20", Ending::Success, "-", "of all its keys");
+    assert!(told(&mut desk).contains(&"q.1.0-20 0 n0 Error".into()));
+}
+
+#[rstest]
+fn a_client_that_asked_for_a_shard_gets_one_value_for_it_or_none() {
+    let mut desk = desk(100);
+    let client = ask(&mut desk, "q", &[(Some(1), None, 1.0)]).expect("taken");
+    let dial = send(&mut desk, "n0", &["q.1"]);
+    assert!(write(&mut desk, &dial).contains(",k=0-50 "));
+    told(&mut desk);
+    change(&mut desk, 2, vec![split(1, &[(3, 0), (4, 20)]), moved(3, &[2]), moved(4, &[3])]);
+    assert!(!told(&mut desk).iter().any(|t| t.contains("into")), "pieces would be of no use to it");
+    desk.answered("n0", dial.line, "q.1", Ending::Success, "keys=0-50", "v");
+    desk.answer("q", true);
+    assert_eq!(body(&client), r#"{"whole":true,"results":[{"partition":1,"keys":[0,50],"value":"v"}]}"#);
+    assert_eq!(ask(&mut desk, "r", &[(Some(1), None, 1.0)]).err(), Some("`partition` is no shard here"));
+}
+
+#[rstest]
+fn without_room_a_part_stays_whole_and_its_query_still_ends() {
+    // One query, one part: no room for three heirs.
+    let mut desk = desk(2);
+    take(&mut desk, 0, 50);
+    told(&mut desk);
+    change(&mut desk, 2, vec![split(1, &[(3, 0), (4, 20), (5, 30)])]);
+    assert!(!told(&mut desk).iter().any(|t| t.contains("into")));
+    assert!(desk.figures().contains("divisions_without_room 1"));
+    desk.reject("q", None);
+    assert_eq!((desk.queries.held(), desk.house.room.free()), (0, 2));
+}
+
+#[rstest]
+fn room_and_records_of_divided_parts_are_given_back_with_their_query() {
+    let mut desk = desk(100);
+    take(&mut desk, 0, 100);
+    let old = send(&mut desk, "n0", &["q.1.0-50", "q.2.50-100"]);
+    write(&mut desk, &old);
+    change(&mut desk, 2, vec![split(1, &[(3, 0), (4, 20)]), moved(3, &[2]), moved(4, &[3])]);
+    change(&mut desk, 3, vec![split(4, &[(5, 20), (6, 30)]), moved(5, &[2]), moved(6, &[0, 1])]);
+    let number = desk.queries.number("q").expect("open");
+    desk.client_left(number);
+    told(&mut desk);
+    let ground = desk.ground.as_ref().expect("layouts");
+    assert!(ground.families.is_empty());
+    assert_eq!(ground.history().expect("known").kept().1, 0);
+    assert_eq!((desk.calls.count_out(), desk.house.room.free()), (0, 100));
+}
+
+#[rstest]
+fn a_module_that_starts_anew_is_told_every_shard() {
+    let mut desk = desk(100);
+    take(&mut desk, 0, 50);
+    desk.start_over();
+    let told = told(&mut desk);
+    assert!(
+        told.contains(&"shard 1 [0, 1] without {}".into())
+            && told.contains(&"shard 2 [0, 1] without {}".into())
+    );
+}
+
+#[rstest]
+fn faulty_news_change_nothing() {
+    let mut desk = desk(100);
+    let hole = whole(2, &[(1, 0, 50, &[0, 1])]);
+    assert_eq!(desk.layout(hole).expect_err("a hole").to_string(), "no shard covers key 50");
+    let unknown = News::Changes { version: 3, after: 2, changes: vec![moved(1, &[4])] };
+    assert!(desk.layout(unknown).is_err());
+    assert_eq!(desk.layout_since(), Some(1));
+    assert!(told(&mut desk).is_empty());
+}
+
+const CHANGES: &str = r#"{"index":4,"snapshot":false,"endpoints":[],"layout":{"version":9,"after":8,"changes":[
+    {"into":[{"shard":7,"from":0},{"from":32,"shard":8}],"split":1,"new":[1]},{"merge":[7,8],"as":9},
+    {"move":9,"holders":[1,2]}]}}"#;
+
+#[rstest]
+fn news_of_the_layout_are_read_in_any_order() {
+    let news = layout::news(CHANGES.as_bytes()).expect("readable").expect("there");
+    let merge = Change::Merge { parents: vec![7, 8], child: 9 };
+    let changes = vec![split(1, &[(7, 0), (8, 32)]), merge, moved(9, &[1, 2])];
+    assert_eq!(news, News::Changes { version: 9, after: 8, changes });
+    let text = r#"{"layout":{"keys":10,"shards":[{"shard":1,"from":0,"to":10,"holders":[3]}],"version":2}}"#;
+    let Some(News::Whole { version: 2, keys: 10, shards }) = layout::news(text.as_bytes()).expect("readable")
+    else {
+        panic!("not whole")
+    };
+    assert_eq!(shards[0].1.keys, Range::new(0, 10));
+    assert_eq!(layout::news(br#"{"index":4,"snapshot":false,"endpoints":[]}"#), Ok(None));
+}
+
+#[rstest]
+#[case::no_version(r#"{"layout":{"after":1,"changes":[]}}"#, "a layout without `version`")]
+#[case::neither(r#"{"layout":{"version":1}}"#, "a layout has either `shards` or `changes`")]
+#[case::no_keys(r#"{"layout":{"version":1,"shards":[]}}"#, "a layout without `keys`")]
+#[case::no_end(
+    r#"{"layout":{"version":1,"keys":9,"shards":[{"shard":1,"from":0,"holders":[1]}]}}"#,
+    "a layout's entry without `to`"
+)]
+#[case::two_in_one(
+    r#"{"layout":{"version":2,"after":1,"changes":[{"split":1,"move":2}]}}"#,
+    "a change is one of `split`, `merge` and `move`"
+)]
+#[case::too_large(
+    r#"{"layout":{"version":2,"after":1,"changes":[{"move":4294967296,"holders":[1]}]}}"#,
+    "a number in a layout is too large"
+)]
+#[case::twice(
+    r#"{"layout":{"version":1,"keys":1,"shards":[]},"layout":{"version":1,"keys":1,"shards":[]}}"#,
+    "`layout` stands twice"
+)]
+fn news_that_are_not_in_form_are_refused(#[case] text: &str, #[case] why: &str) {
+    assert_eq!(layout::news(text.as_bytes()), Err(why));
+}
+
+/// Half a file, and any other piece of one, is an error and never a panic or half of the news.
+#[rstest]
+fn news_cut_anywhere_are_refused() {
+    for cut in 0..CHANGES.len() {
+        assert!(layout::news(&CHANGES.as_bytes()[..cut]).is_err(), "cut at {cut}");
+    }
+}
+
+#[rstest]
+#[case::three_ends("[1,2,3]")]
+#[case::one_end("[1]")]
+#[case::too_large("[0,4294967296]")]
+#[case::negative("[-1,4]")]
+#[case::words(r#"["a","b"]"#)]
+fn keys_that_are_no_range_are_refused(#[case] keys: &str) {
+    let body = format!(r#"{{"targets":[{{"keys":{keys},"share":1}}],"query":"x"}}"#);
+    assert!(query::targets(body.as_bytes(), true, |_, _, _| Ok(())).is_err());
+    // Where the ring is in force the word means nothing, as any that is not known.
+    let body = body.replace("\"share\"", "\"partition\":1,\"share\"");
+    assert!(query::targets(body.as_bytes(), false, |_, _, _| Ok(())).is_ok());
+}
