--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -89,6 +89,9 @@
     calm: bool,
     #[arg(long, default_value_t = 0.5)]
     floor: f64,
+    /// Mean milliseconds that a part takes at a data node
+    #[arg(long, default_value_t = 2.0)]
+    service_ms: f64,
     /// Parts that may run once only
     #[arg(long)]
     once: bool,
@@ -120,7 +123,7 @@
             faults: !self.calm,
             newcomer: !self.calm,
             floor: self.floor,
-            service: 0.002,
+            service: self.service_ms / 1e3,
             effect: if self.once { "at_most_once" } else { "idempotent" },
             fault: self.fault.clone(),
         };
