--- a/crates/alderway/tests/cores.rs
+++ b/crates/alderway/tests/cores.rs
@@ -1,11 +1,13 @@
 //! One query router on several cores, over sockets: `alderway serve` beside stand-ins of data nodes and discovery.
 //! Stories wait for what the program does or says, never for a span that it might miss.
+mod common;
 use alderway_lab::Clock;
 use alderway_lab::agent::{Agent, Entry};
 use alderway_lab::fleet::Fleet;
 use alderway_lab::load::{self, Load, Pace};
 use alderway_lab::model::{Fault, Make};
 use alderway_lab::program::{Build, Program, Setting};
+use common::Client;
 use nix::sys::signal::Signal;
 use rstest::rstest;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -14,8 +16,6 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-const PATIENCE: Duration = Duration::from_secs(20);
-
 /// A router on so many cores with data nodes that it knows.
 struct House {
     clock: Clock,
@@ -52,11 +52,7 @@
 
 impl House {
     fn until(&self, what: &str, holds: impl Fn(&std::collections::BTreeMap<String, u64>) -> bool) {
-        let end = Instant::now() + PATIENCE;
-        while !holds(&self.program.counters()) {
-            assert!(Instant::now() < end, "{what}: {:?}", self.program.counters());
-            thread::sleep(Duration::from_millis(20));
-        }
+        common::until(&self.program, what, holds);
     }
 
     /// Connections on cores that serve: as many as cores, dealt one to each.
@@ -81,59 +77,6 @@
     }
 }
 
-struct Client(BufReader<TcpStream>);
-
-impl Client {
-    fn to(program: &Program) -> Client {
-        let stream = TcpStream::connect(program.address).expect("connected");
-        stream.set_read_timeout(Some(PATIENCE)).expect("set");
-        Client(BufReader::new(stream))
-    }
-
-    fn send(&mut self, text: &str) {
-        self.0.get_mut().write_all(text.as_bytes()).expect("written");
-    }
-
-    fn query(&mut self, id: &str, left_ms: u64) {
-        let body = r#"{"targets":[{"partition":3,"share":1}],"query":"c41e77d0"}"#;
-        self.send(&format!(
-            "POST /api HTTP/1.1\r\nX-Correlation-Id: {id}\r\nX-Service-Class: site-search\r\n\
-             X-Time-Left-Ms: {left_ms}\r\nContent-Length: {}\r\n\r\n{body}",
-            body.len()
-        ));
-    }
-
-    /// Has the core of this connection hang or fail at its next beat; a plain request carries the word.
-    fn fault(&mut self, fault: &str) {
-        self.send(&format!("GET /up HTTP/1.1\r\nX-Fault: {fault}\r\n\r\n"));
-        assert_eq!(self.answer().0, 200);
-    }
-
-    fn answer(&mut self) -> (u16, String) {
-        let (mut status, mut length, mut line) = (0, 0, String::new());
-        loop {
-            line.clear();
-            self.0.read_line(&mut line).expect("an answer");
-            let text = line.trim_end();
-            if let Some(rest) = text.strip_prefix("HTTP/1.1 ") {
-                status = rest.split(' ').next().and_then(|s| s.parse().ok()).expect("a status");
-            } else if let Some(rest) = text.strip_prefix("Content-Length: ") {
-                length = rest.parse().expect("a length");
-            } else if text.is_empty() {
-                break;
-            }
-        }
-        let mut body = vec![0; length];
-        self.0.read_exact(&mut body).expect("a body");
-        (status, String::from_utf8(body).expect("text"))
-    }
-
-    fn up(&mut self) -> u16 {
-        self.send("GET /up HTTP/1.1\r\n\r\n");
-        self.answer().0
-    }
-}
-
 #[rstest]
 fn queries_on_four_cores_get_their_one_right_answer_and_the_counters_add_up() {
     let house = house(4, 4, &Setting::default());
