--- a/crates/alderway/tests/layouts.rs
+++ b/crates/alderway/tests/layouts.rs
@@ -148,6 +148,7 @@
         service: 0.002,
         effect,
         fault: None,
+        range: 64,
     };
     let report = shuffle::play(&run, seed).unwrap_or_else(|why| panic!("{why}"));
     let outcome = &report.outcome;
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -34,8 +34,8 @@
     pub connections: usize,
     pub parts: usize,
     pub shards: u32,
-    /// Queries ask for ranges of so many keys, not for shards; `parts` ranges at the most.
-    pub keys: Option<u32>,
+    /// Queries ask for ranges of so many keys, not for shards: `parts` ranges at the most, each of so many keys at most.
+    pub keys: Option<(u32, u32)>,
     pub vertical: String,
     /// Milliseconds that a client waits.
     pub patience: u64,
@@ -234,8 +234,8 @@
     fn query(&self, left: u64) -> (Asked, String, Vec<u8>) {
         self.number.set(self.number.get() + 1);
         let text = format!("{:x}-{:x}-{:x}", self.load.seed, self.thread, self.number.get());
-        if let Some(keys) = self.load.keys {
-            let ranges = self.ranges(keys);
+        if let Some((keys, most)) = self.load.keys {
+            let ranges = self.ranges(keys, most);
             let (share, rest) = (1000 / ranges.len(), 1000 % ranges.len());
             let targets = ranges.iter().enumerate().map(|(i, keys)| {
                 let share = (share + usize::from(i < rest)) as f64 / 1e3;
@@ -261,14 +261,14 @@
         (Asked::Shards(shards), text, request)
     }
 
-    /// Ranges that do not meet, of up to a sixteenth of the keys each.
-    fn ranges(&self, keys: u32) -> Vec<Range> {
+    /// Ranges that do not meet.
+    fn ranges(&self, keys: u32, most: u32) -> Vec<Range> {
         let mut chance = self.chance.borrow_mut();
         let parts = 1 + (draw(&mut chance) * self.load.parts as f64) as u32;
         let each = keys / parts;
         (0..parts)
             .map(|part| {
-                let span = 1 + (draw(&mut chance) * f64::from((keys / 16).min(each) - 1)) as u32;
+                let span = 1 + (draw(&mut chance) * f64::from(most.clamp(1, each) - 1)) as u32;
                 let from = part * each + (draw(&mut chance) * f64::from(each - span + 1)) as u32;
                 Range::new(from, from + span)
             })
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -92,6 +92,16 @@
     /// Mean milliseconds that a part takes at a data node
     #[arg(long, default_value_t = 2.0)]
     service_ms: f64,
+    /// Data nodes, one a cell
+    #[arg(long, default_value_t = 8)]
+    nodes: u32,
+    #[arg(long, default_value_t = 4096)]
+    keys: u32,
+    #[arg(long, default_value_t = 32)]
+    shards: u32,
+    /// Most keys in a range that a query asks for; a sixteenth of all without it
+    #[arg(long)]
+    range: Option<u32>,
     /// Parts that may run once only
     #[arg(long)]
     once: bool,
@@ -111,9 +121,9 @@
                 path: self.program.clone().unwrap_or(beside("alderway")),
                 operator: Some(operator),
             },
-            nodes: 8,
-            keys: 4096,
-            shards: 32,
+            nodes: self.nodes,
+            keys: self.keys,
+            shards: self.shards,
             reach: 2,
             rate: self.rate,
             span: self.span,
@@ -126,6 +136,7 @@
             service: self.service_ms / 1e3,
             effect: if self.once { "at_most_once" } else { "idempotent" },
             fault: self.fault.clone(),
+            range: self.range.unwrap_or(self.keys / 16),
         };
         let machine = std::thread::available_parallelism().map_or(0, usize::from);
         println!(
@@ -158,6 +169,9 @@
     /// Each number of cores a second time with evidence kept to each core
     #[arg(long)]
     untold: bool,
+    /// Each number of cores a second time with the ring followed as a layout
+    #[arg(long)]
+    layouts: bool,
     /// Queries that may run once only: no copies, so whoever meets a slow node waits for it
     #[arg(long)]
     once: bool,
@@ -218,6 +232,10 @@
         }
         for &cores in &self.cores {
             subjects.push((format!("{cores} cores"), router(&program, operator(cores, "True"))));
+            if self.layouts {
+                let by_layout = operator(cores, "True").map(|text| text + "layouts()\n");
+                subjects.push((format!("{cores} cores, by layout"), router(&program, by_layout)));
+            }
             if self.untold && cores > 1 {
                 subjects.push((format!("{cores} cores, untold"), router(&program, operator(cores, "False"))));
             }
@@ -247,6 +265,7 @@
             seed: self.seed,
             nodes: self.nodes,
             make,
+            layout: self.layouts,
             node_threads: self.node_threads,
             setting: Setting {
                 slo_ms: self.slo_ms,
--- a/crates/lab/src/shuffle.rs
+++ b/crates/lab/src/shuffle.rs
@@ -166,6 +166,8 @@
     pub effect: &'static str,
     /// A fault that the router plays, for a check that has to fail.
     pub fault: Option<String>,
+    /// Most keys in a range that a query asks for.
+    pub range: u32,
 }
 
 /// Something that happens at a moment of a run.
@@ -188,6 +190,8 @@
     pub disowned: u64,
     /// Parts that came twice to a node where each was to run once.
     pub again: u64,
+    /// Microseconds of the processor for a query.
+    pub cpu: f64,
 }
 
 /// A run's events in their order; the layout it begins with; how many versions and faults it has.
@@ -286,12 +290,12 @@
         connections: 256,
         parts: 4,
         shards: run.shards,
-        keys: Some(run.keys),
+        keys: Some((run.keys, run.range)),
         vertical: "site-search".into(),
         patience: 4 * slo_ms,
         seed,
     };
-    let (to, began) = (program.address, clock.now());
+    let (to, began, cpu) = (program.address, clock.now(), program.cpu());
     let outcome = std::thread::scope(|scope| {
         let sent = scope.spawn(|| load::send(to, &load, clock));
         for (at, event) in events {
@@ -310,6 +314,7 @@
         }
         sent.join().expect("the load does not panic")
     });
+    let cpu = (program.cpu() - cpu) * 1e6 / outcome.sent.max(1) as f64;
     let sum = |of: &dyn Fn(&crate::fleet::Met) -> u64| fleet.nodes.iter().map(|n| of(&n.met)).sum::<u64>();
     Ok(Report {
         outcome,
@@ -319,6 +324,7 @@
         cold_load: fleet.nodes.iter().map(|n| n.met.cold_load.load(Relaxed)).max().unwrap_or(0) as f64 / 1e3,
         disowned: sum(&|met| met.disowned.load(Relaxed)),
         again: sum(&|met| met.again.load(Relaxed)),
+        cpu,
     })
 }
 
@@ -350,7 +356,7 @@
 pub fn table(name: &str, reports: Vec<Report>) -> (bool, String) {
     let (runs, mut all, mut counters) = (reports.len(), Outcome::default(), BTreeMap::<String, u64>::new());
     let (mut versions, mut faults, mut disowned, mut again, mut cold) = (0, 0, 0, 0, vec![]);
-    let mut not_merged = vec![];
+    let (mut not_merged, mut cpu) = (vec![], vec![]);
     for report in reports {
         let outcome = report.outcome;
         not_merged.push(
@@ -361,11 +367,13 @@
         (versions, faults, disowned) =
             (versions + report.versions, faults + report.faults, disowned + report.disowned);
         again += report.again;
+        cpu.push(report.cpu);
         cold.push(report.cold_load);
     }
     let counter = |name: &str| counters.get(name).copied().unwrap_or(0);
     let answers: u64 = all.statuses.values().sum();
     let (least, middle, most) = crate::trial::spread(not_merged);
+    let cpu = crate::trial::spread(cpu);
     let (_, cold_middle, cold_most) = crate::trial::spread(cold);
     let lines = [
         format!("{runs} runs, {} queries, {answers} answers, {versions} versions, {faults} faults", all.sent),
@@ -399,6 +407,7 @@
             counter("leaf_calls_sent{first}")
         ),
         format!("work to the newcomer against what it bore: {cold_middle:.2}, at most {cold_most:.2}"),
+        format!("processor for a query, microseconds: {:.0} [{:.0} .. {:.0}]", cpu.1, cpu.0, cpu.2),
         format!("generator behind at most {:.1} ms", all.behind * 1e3),
     ];
     let right = all.wrong + all.double + all.missing + all.lost + all.late + again == 0;
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -5,7 +5,8 @@
 use crate::load::{self, Load, Outcome, Pace};
 use crate::model::{Fault, Make};
 use crate::program::{Build, Program, Setting};
-use crate::{Clock, draw, relay};
+use crate::shuffle::Shuffle;
+use crate::{Clock, draw, inventory, relay};
 use rand_pcg::Pcg32;
 use std::fmt::Write;
 use std::net::SocketAddr;
@@ -52,6 +53,8 @@
     pub node_threads: usize,
     pub setting: Setting,
     pub load: Load,
+    /// Discovery tells the ring as a layout too, for routers that follow layouts.
+    pub layout: bool,
 }
 
 /// Nodes on loopback with an agent that tells of them.
@@ -76,6 +79,11 @@
         let fleet = Fleet::start(self.nodes, self.node_threads, &self.make, seed, clock, once);
         let fleet = fleet.map_err(|why| format!("data nodes: {why}"))?;
         let agent = Agent::start(self.entries(&fleet)).map_err(|why| format!("discovery: {why}"))?;
+        if self.layout {
+            let Setting { shards, cells, reach, .. } = self.setting;
+            let ring = Shuffle::new(100 * shards, shards, cells, reach, seed)?.layout;
+            agent.layout(inventory::whole(&ring), inventory::whole(&ring));
+        }
         Ok(Place { fleet, agent })
     }
 
--- a/crates/layouts/src/history.rs
+++ b/crates/layouts/src/history.rs
@@ -3,7 +3,7 @@
 //! not grow memory.
 //!
 //! Nobody sends by an old version. A part that is open while its shard goes keeps its keys, and goes on to whoever holds
-//! all of them now; where nobody does, it has to be divided. A data node that says that it does not hold a shard
+//! all of them now; where its keys lie with other cells here and there, it is better divided. A data node that says that it does not hold a shard
 //! (`disown`) is left out for it until this side knows what the node knows, or the node has had time to catch up.
 use crate::layout::{Change, Faulty, Layout, Shard};
 use crate::{Key, Range, ShardId, Version};
@@ -153,6 +153,15 @@
         covering.fold(first, |all, next| all.intersection(next).copied().collect()).into_iter().collect()
     }
 
+    /// Whether the keys of a shard that is gone lie with other cells here and there: then more data nodes can be asked
+    /// for pieces of it than for all.
+    pub fn is_scattered(&self, shard: ShardId) -> bool {
+        let Some(gone) = self.gone.get(&shard) else { return false };
+        let mut covering = self.newest.covering(gone.keys).map(|(_, s)| &s.holders);
+        let first = covering.next();
+        covering.any(|holders| Some(holders) != first)
+    }
+
     /// A part is made for a shard; `closed` gives it back.
     pub fn opened(&mut self, shard: ShardId) {
         *self.open.entry(shard).or_insert(0) += 1;
--- a/crates/layouts/tests/stories.rs
+++ b/crates/layouts/tests/stories.rs
@@ -57,11 +57,11 @@
     let followed = history.change(2, &[split], 1.0).expect("sound");
     assert_eq!((followed.gone, followed.new), (vec![1], vec![(10, vec![1]), (11, vec![1])]));
     assert_eq!(followed.held, [1, 10, 11]);
-    assert_eq!(history.holders(1), [1, 2]);
+    assert_eq!((history.holders(1), history.is_scattered(1)), (vec![1, 2], false));
     // One child is on its way: only the cell that has both holds all of the old shard, then none does.
     let to = |cells: &[u32]| Change::Move { shard: 11, holders: holders(cells) };
     assert_eq!(history.change(3, &[to(&[2, 3])], 1.5).expect("sound").held, [1, 11]);
-    assert_eq!(history.holders(1), [2]);
+    assert_eq!((history.holders(1), history.is_scattered(1)), (vec![2], true));
     history.change(4, &[to(&[3])], 1.6).expect("sound");
     assert!(history.holders(1).is_empty());
     assert_eq!(
--- a/crates/router/src/drive/discovery.rs
+++ b/crates/router/src/drive/discovery.rs
@@ -86,7 +86,9 @@
         let now = self.clock.now();
         let Some(ground) = &mut self.ground else { return Ok(()) };
         let shards = ground.take(news, now).inspect_err(|_| self.counters.one("layouts_refused"))?;
-        self.layout_changed(&shards);
+        if !shards.is_empty() {
+            self.layout_changed(&shards);
+        }
         Ok(())
     }
 }
--- a/crates/router/src/memory/desk.rs
+++ b/crates/router/src/memory/desk.rs
@@ -666,7 +666,11 @@
 /// The module's decisions, carried out as they are written.
 impl Writer for Desk {
     fn call(&mut self, part: &str, node: &str, limit: f64) {
-        let (now, others_out) = (self.clock.now(), !self.calls_for(&part.into()).is_empty());
+        let others_out = match &self.ground {
+            Some(_) => !self.calls_for(&part.into()).is_empty(),
+            None => !self.calls.of_part(part).is_empty(),
+        };
+        let now = self.clock.now();
         let Some(record) = self.queries.part(part) else { return self.counters.one("calls_of_parts_over") };
         let id = (record.id.clone(), record.calls);
         record.calls += 1;
--- a/crates/router/src/memory/ground.rs
+++ b/crates/router/src/memory/ground.rs
@@ -153,12 +153,13 @@
         heirs
     }
 
-    /// Whether an open part has to be divided: nobody holds all of it any more, or nothing was sent for it yet, so
-    /// that it may as well go by the newest layout.
+    /// Whether an open part is to be divided: its shard is gone, and its keys lie with other cells here and there, or
+    /// nothing was sent for it yet, so that it may as well go by the newest layout. Guards against a part whose one
+    /// common holder hangs or dies while each piece of it has another.
     pub fn is_to_divide(&self, part: &Part) -> bool {
         let (Some(history), Some(keys)) = (&self.history, part.keys) else { return false };
         let over = keys.single || keys.divided || keys.merged || !history.is_gone(part.shard);
-        !over && (part.calls == 0 || history.holders(part.shard).is_empty())
+        !over && (part.calls == 0 || history.is_scattered(part.shard))
     }
 
     pub fn opened(&mut self, part: &Part) {
--- a/crates/router/tests/layouts.rs
+++ b/crates/router/tests/layouts.rs
@@ -188,6 +188,23 @@
     assert_eq!(ground.history().expect("known").kept(), (1, 0, 0));
 }
 
+/// Guards against a part that only a node which hangs holds whole, while others hold each piece of it.
+#[rstest]
+fn a_part_is_divided_though_one_cell_still_holds_all_of_it() {
+    let mut desk = desk(100);
+    take(&mut desk, 0, 50);
+    let old = send(&mut desk, "n0", &["q.1.0-50"]);
+    write(&mut desk, &old);
+    told(&mut desk);
+    change(&mut desk, 2, vec![split(1, &[(3, 0), (4, 20)]), moved(3, &[0, 2]), moved(4, &[0, 3])]);
+    let told = told(&mut desk);
+    assert!(told.iter().any(|t| t.starts_with("q.1.0-50 into")), "{told:?}");
+    assert!(
+        told.contains(&"shard 3 [0, 2] without {}".into())
+            && told.contains(&"shard 4 [0, 3] without {}".into())
+    );
+}
+
 #[rstest]
 fn a_call_shared_by_heirs_is_given_up_only_when_none_waits() {
     let mut desk = desk(100);
