--- a/crates/alderway/tests/layouts.rs
+++ b/crates/alderway/tests/layouts.rs
@@ -146,6 +146,7 @@
         newcomer: true,
         floor: 0.5,
         service: 0.002,
+        node_cores: 4,
         effect,
         fault: None,
         range: 64,
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -95,6 +95,8 @@
     /// Data nodes, one a cell
     #[arg(long, default_value_t = 8)]
     nodes: u32,
+    #[arg(long, default_value_t = 4)]
+    node_cores: usize,
     #[arg(long, default_value_t = 4096)]
     keys: u32,
     #[arg(long, default_value_t = 32)]
@@ -134,6 +136,7 @@
             newcomer: !self.calm,
             floor: self.floor,
             service: self.service_ms / 1e3,
+            node_cores: self.node_cores,
             effect: if self.once { "at_most_once" } else { "idempotent" },
             fault: self.fault.clone(),
             range: self.range.unwrap_or(self.keys / 16),
--- a/crates/lab/src/shuffle.rs
+++ b/crates/lab/src/shuffle.rs
@@ -163,6 +163,7 @@
     pub newcomer: bool,
     pub floor: f64,
     pub service: f64,
+    pub node_cores: usize,
     pub effect: &'static str,
     /// A fault that the router plays, for a check that has to fail.
     pub fault: Option<String>,
@@ -249,7 +250,7 @@
 pub fn play(run: &Run, seed: u64) -> Result<Report, String> {
     let (first, events, versions, faults) = plan(run, seed)?;
     let clock = Clock::default();
-    let cores = 4;
+    let cores = run.node_cores;
     let make = Make { cores, service: run.service, cold: 3.0, warm_up: 1.0, ..Make::default() };
     let count = run.nodes as usize + usize::from(run.newcomer);
     let once = run.effect == "at_most_once";
--- a/crates/router/tests/layouts.rs
+++ b/crates/router/tests/layouts.rs
@@ -1,6 +1,7 @@
 //! Stories of a core whose shards split, merge and move while parts are out: what its desk sends, what it tells the
 //! module, and what it answers.
-use alderway::host::{Ending, Held, Intake, NodeState, Writer};
+use alderway::choice::Router;
+use alderway::host::*;
 use alderway_deployment as deployment;
 use alderway_layouts::history::News;
 use alderway_layouts::layout::{Change, Shard};
@@ -12,7 +13,11 @@
 use alderway_router::memory::ground::{Following, Ground, Target};
 use alderway_router::memory::queries::Query;
 use alderway_router::wire::{layout, query};
+use proptest::prelude::*;
+use proptest::test_runner::{RngSeed, TestRunner};
 use rstest::rstest;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 #[derive(Default)]
@@ -420,3 +425,285 @@
     let body = body.replace("\"share\"", "\"partition\":1,\"share\"");
     assert!(query::targets(body.as_bytes(), false, |_, _, _| Ok(())).is_ok());
 }
+
+/// The desk as the module writes to it.
+struct Pen<'a>(&'a RefCell<Desk>);
+
+impl Writer for Pen<'_> {
+    fn call(&mut self, part: &str, node: &str, limit: f64) {
+        self.0.borrow_mut().call(part, node, limit);
+    }
+    fn cancel(&mut self, part: &str, hop: usize) {
+        self.0.borrow_mut().cancel(part, hop);
+    }
+    fn answer(&mut self, query: &str, whole: bool) {
+        self.0.borrow_mut().answer(query, whole);
+    }
+    fn reject(&mut self, query: &str, come_back: Option<f64>) {
+        self.0.borrow_mut().reject(query, come_back);
+    }
+    fn abort(&mut self, query: &str) {
+        self.0.borrow_mut().abort(query);
+    }
+    fn alarm(&mut self, span: f64, tag: u64) {
+        Writer::alarm(&mut *self.0.borrow_mut(), span, tag);
+    }
+    fn follow_roster(&mut self) {}
+    fn remark(&mut self, _: &str) {}
+}
+
+fn module(effect: Effect) -> Router {
+    let vertical = Vertical {
+        slo: 2.0,
+        deadline: 6.0,
+        effect,
+        utility: 1.0,
+        late_share: 0.3,
+        need: 1.0,
+        floor: 0.5,
+        fetch: 0,
+    };
+    let placement = Placement { cells: 6, reach: 2, bundle: 8, call_work: 0.0, listed: None };
+    let allowance =
+        Allowance { cancel: true, parallel: true, calls: 4, come_back: None, follow: false, over_share: 0.1 };
+    Router::new(7, 1, vec![vertical], vec![], placement, allowance, None, None)
+}
+
+/// A call whose frame has gone out and that nobody has answered: node, connection, part, keys.
+type Out = (String, u64, String, Range);
+
+/// One core with its module and data nodes that a test plays.
+struct World {
+    desk: RefCell<Desk>,
+    router: Router,
+    /// How far the module's time is ahead of the clock.
+    ahead: f64,
+    out: Vec<Out>,
+    lines: Vec<(String, u64)>,
+    clients: Vec<(Rc<Client>, Range, bool)>,
+    next: ShardId,
+    /// Keys that were sent for, by query, where each may be had once.
+    ran: Vec<(String, Range)>,
+}
+
+impl World {
+    fn new(effect: Effect) -> World {
+        let mut desk = desk(10_000);
+        // Nothing is told yet.
+        desk.start_over();
+        World {
+            desk: RefCell::new(desk),
+            router: module(effect),
+            ahead: 0.0,
+            out: vec![],
+            lines: vec![],
+            clients: vec![],
+            next: 10,
+            ran: vec![],
+        }
+    }
+
+    fn round(&mut self) {
+        let now = self.desk.borrow().clock.now() + self.ahead;
+        let desk = &self.desk;
+        let tell = |intake: &mut dyn Intake| {
+            desk.borrow_mut().tell(now, intake);
+            Ok::<(), ()>(())
+        };
+        self.router.round(now, tell, &mut Pen(desk)).expect("a round");
+        self.lines.extend(self.desk.borrow_mut().post(now).into_iter().map(|dial| (dial.node, dial.line)));
+        for (node, line) in &self.lines {
+            let mut frame = vec![];
+            while self.desk.borrow_mut().next_frame(node, *line, &mut frame) {
+                let now = self.desk.borrow().clock.now();
+                if let Some(line) = self.desk.borrow_mut().roster.line(node, *line) {
+                    (line.up, _) = (true, line.written(now));
+                }
+                let text = String::from_utf8(frame.split_off(4)).expect("text");
+                frame.clear();
+                let Some(rest) = text.strip_prefix('S') else {
+                    self.out.retain(|out| text[1..] != out.2 || out.1 != *line);
+                    continue;
+                };
+                for part in rest.split("text").filter(|part| !part.is_empty()) {
+                    let mut words = part.split([' ', ',']);
+                    let id = words.next().expect("an id").to_string();
+                    let keys = words.find_map(|word| word.strip_prefix("k=")?.split_once('-')).expect("keys");
+                    let keys = Range::new(keys.0.parse().expect("a key"), keys.1.parse().expect("a key"));
+                    self.ran.push((id.split('.').next().expect("a query").to_string(), keys));
+                    self.out.push((node.clone(), *line, id, keys));
+                }
+            }
+        }
+    }
+
+    /// A call that is out ends, in one way or another.
+    fn reply(&mut self, which: usize, how: u8) {
+        if self.out.is_empty() {
+            return;
+        }
+        let (node, line, part, keys) = self.out.swap_remove(which % self.out.len());
+        let mut desk = self.desk.borrow_mut();
+        let (ending, report, value) = match how % 8 {
+            0 => (Ending::Full, "moved=99".to_string(), String::new()),
+            1 => (Ending::Full, "moved=1".to_string(), String::new()),
+            2 => (Ending::Error, "-".to_string(), String::new()),
+            3 => {
+                drop(desk);
+                self.out.retain(|out| out.1 != line);
+                return self.desk.borrow_mut().line_lost(&node, line);
+            }
+            _ => {
+                let value = format!("{}-{}", keys.from, keys.to);
+                (Ending::Success, format!("keys={value}"), value)
+            }
+        };
+        if ending == Ending::Full {
+            let query = part.split('.').next().expect("a query");
+            if let Some(at) = self.ran.iter().rposition(|ran| *ran == (query.to_string(), keys)) {
+                self.ran.remove(at);
+            }
+        }
+        assert!(
+            desk.answered(&node, line, &part, ending, &report, &value),
+            "an answer that was not asked for"
+        );
+    }
+
+    fn change(&mut self, kind: u8, at: Key) {
+        let layout = self.desk.borrow().ground.as_ref().and_then(|g| Some(g.history()?.newest().clone()));
+        let layout = layout.expect("known");
+        let shard = layout.of(at % 100).expect("covered");
+        let keys = layout.shard(shard).expect("known").keys;
+        let cells = |n: u32| moved(shard, &[n % 6, (n / 6) % 6]).clone();
+        self.next += 2;
+        let (a, b) = (self.next, self.next + 1);
+        let changes = match kind % 4 {
+            0 if keys.keys() > 1 => vec![split(shard, &[(a, keys.from), (b, keys.from + 1)])],
+            1 if keys.keys() > 1 => vec![
+                split(shard, &[(a, keys.from), (b, keys.to - 1)]),
+                moved(a, &[at % 6]),
+                moved(b, &[(at + 1) % 6, (at + 2) % 6]),
+            ],
+            2 if keys.to < 100 => {
+                let neighbour = layout.of(keys.to).expect("covered");
+                vec![
+                    moved(shard, &[at % 6]),
+                    moved(neighbour, &[at % 6]),
+                    Change::Merge { parents: vec![shard, neighbour], child: a },
+                ]
+            }
+            _ => vec![cells(at)],
+        };
+        change(&mut self.desk.borrow_mut(), layout.version() + 1, changes);
+    }
+
+    fn query(&mut self, n: usize, from: Key, keys: Key) {
+        let to = (from + keys).min(100);
+        let client = ask(&mut self.desk.borrow_mut(), &format!("q{n}"), &[(None, Some((from, to)), 1.0)]);
+        self.clients.push((client.expect("taken"), Range::new(from, to), false));
+    }
+}
+
+/// What must have happened over all cases, or they have shown nothing.
+const NAMES: [&str; 5] = [
+    "queries_merged{v}",
+    "queries_merged_in_part{v}",
+    "parts_divided",
+    "parts_disowned",
+    "leaf_calls_sent{copy}",
+];
+
+fn program_figures(desk: &Desk) -> BTreeMap<String, u64> {
+    let text = desk.figures();
+    let lines = text.lines().filter_map(|line| line.split_once(' '));
+    lines.filter_map(|(name, figure)| Some((name.to_string(), figure.parse().ok()?))).collect()
+}
+
+/// Whatever order queries, changes, answers, failures and time come in: each query has one answer, in which every key
+/// counts once and with its own value; what may have had an effect is not asked for again; and in the end nothing is
+/// held.
+#[rstest]
+fn any_order_of_changes_and_answers_ends_in_one_right_answer_for_each_query() {
+    let config = ProptestConfig {
+        cases: 400,
+        rng_seed: RngSeed::Fixed(20),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
+    let steps = prop::collection::vec((0..10u8, any::<u8>(), 0..100u32, 1..60u32), 20..120);
+    let totals: [Cell<u64>; NAMES.len()] = Default::default();
+    let played = TestRunner::new(config).run(&(steps, any::<bool>()), |(steps, once)| {
+        let mut world = World::new(if once { Effect::SideEffecting } else { Effect::Repeatable });
+        for (n, (step, kind, at, keys)) in steps.into_iter().enumerate() {
+            match step {
+                0..2 => world.query(n, at, keys),
+                2..4 => world.change(kind, at),
+                4..7 => world.reply(at as usize, kind),
+                7..9 => world.ahead += f64::from(kind) / 350.0,
+                _ => {
+                    let open =
+                        world.clients.iter_mut().filter(|c| c.0.query.get().is_some()).nth(at as usize % 8);
+                    if let Some(client) = open.filter(|_| kind % 4 == 0) {
+                        client.2 = true;
+                        let number = client.0.query.get().expect("open");
+                        world.desk.borrow_mut().client_left(number);
+                    }
+                }
+            }
+            world.round();
+        }
+        for _ in 0..40 {
+            world.ahead += 0.3;
+            world.reply(0, 4);
+            world.round();
+        }
+        for (client, asked, left) in &world.clients {
+            let text = String::from_utf8_lossy(&client.out.borrow()).to_string();
+            prop_assert_eq!(text.matches("HTTP/1.1 ").count(), usize::from(!left), "{}", text);
+            if !text.starts_with("HTTP/1.1 200") {
+                continue;
+            }
+            let body: serde_json::Value = serde_json::from_str(&body(client)).expect("readable");
+            let mut counted = std::collections::BTreeSet::new();
+            for result in body["results"].as_array().expect("results") {
+                let ends = [0, 1].map(|at| result["keys"][at].as_u64().expect("a key") as Key);
+                prop_assert_eq!(result["value"].as_str(), Some(&*format!("{}-{}", ends[0], ends[1])));
+                for key in ends[0]..ends[1] {
+                    prop_assert!(
+                        asked.covers(Range::new(key, key + 1)) && counted.insert(key),
+                        "key {}",
+                        key
+                    );
+                }
+            }
+            let share = counted.len() as f64 / asked.keys() as f64;
+            prop_assert!(share >= 0.4999, "under the floor: {}", share);
+            prop_assert_eq!(body["whole"].as_bool(), Some(counted.len() as u64 == asked.keys()));
+        }
+        if once {
+            for (n, (query, keys)) in world.ran.iter().enumerate() {
+                let again = world.ran[..n].iter().any(|(other, ran)| other == query && ran.meets(*keys));
+                prop_assert!(!again, "{} ran again for {:?}", query, keys);
+            }
+        }
+        let desk = world.desk.borrow();
+        let counted = program_figures(&desk);
+        for (total, name) in totals.iter().zip(NAMES) {
+            total.set(total.get() + counted.get(name).copied().unwrap_or(0));
+        }
+        prop_assert_eq!(
+            (desk.queries.held(), desk.calls.count_out(), desk.house.room.free()),
+            (0, 0, 10_000)
+        );
+        let ground = desk.ground.as_ref().expect("layouts");
+        prop_assert!(ground.families.is_empty());
+        prop_assert_eq!(ground.history().expect("known").kept().1, 0);
+        Ok(())
+    });
+    played.unwrap_or_else(|why| panic!("{why}"));
+    for (total, name) in totals.iter().zip(NAMES) {
+        eprintln!("{name} {}", total.get());
+        assert!(total.get() >= 10, "{name} {} times: the cases show too little", total.get());
+    }
+}
