Custody, membership, leases and wire of forwarders and planners, free of I/O

Begins the two levels: who decides for a query and what may be spent meanwhile has to hold through deaths, hangs and partitions. Nothing uses it yet; records taken over have a trait of their own.

--- a/crates/router/tests/desk.rs
+++ b/crates/router/tests/desk.rs
@@ -1,6 +1,6 @@
 //! Stories of what is kept: frames taken back, endings that prove what they say, connections with their places,
 //! descriptors given back; and of drivers that run in the test's own runtime, where an order of events is sure.
-use alderway::host::{Ending, Intake, NodeState, Writer};
+use alderway::host::{Ending, Intake, NodeState, Records, Writer};
 use alderway_deployment as deployment;
 use alderway_router::drive::{clients, nodes, rounds};
 use alderway_router::memory::clients::{Client, Clients};
@@ -18,6 +18,8 @@
 #[derive(Default)]
 struct Told(Vec<String>);
 
+impl Records for Told {}
+
 impl Intake for Told {
     fn roster_whole(&mut self) {
         self.0.push("whole".into());
--- a/crates/router/tests/layouts.rs
+++ b/crates/router/tests/layouts.rs
@@ -40,6 +40,9 @@
         self.0.push(format!("left {query}"));
     }
     fn alarm(&mut self, _: u64) {}
+}
+
+impl Records for Told {
     fn shard_held(&mut self, shard: u32, held: Held) {
         self.0.push(format!("shard {shard} {:?} without {:?}", held.cells, held.without));
     }
--- /dev/null
+++ b/crates/tier/src/frames.rs
@@ -0,0 +1,257 @@
+//! Their wire: four bytes of length, most significant first, four of CRC-32 over the rest, then one message. The first
+//! frame of each side is a hello, whose form never changes: a word, the protocol's version, and who it is. Fed bytes, in
+//! pieces of any size; whatever they are, an error or a message, never a panic.
+use crate::{Incarnation, Name};
+use alderway::host::Ending;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+pub const VERSION: u16 = 1;
+const WORD: [u8; 4] = *b"ALDT";
+const HEAD: usize = 8;
+/// The longest message: a query of some thousands of parts.
+pub const LONGEST: usize = 1024 * 1024;
+
+/// Who speaks; the first frame of a connection, in bytes that every version reads alike.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Hello {
+    pub version: u16,
+    pub planner: bool,
+    pub incarnation: Incarnation,
+    pub name: Name,
+}
+
+/// A leaf call as a forwarder made it, for a planner that takes a query over.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Tried {
+    pub node: String,
+    /// Seconds ago.
+    pub age: f64,
+    pub ending: Option<Ended>,
+}
+
+/// How a leaf call ended, as the wire has it.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Ended {
+    Success,
+    Error,
+    Full,
+    TimedOut,
+    Unreachable,
+    Reset,
+    Cancelled,
+    NeverSent,
+    Moved,
+}
+
+impl From<Ending> for Ended {
+    fn from(ending: Ending) -> Self {
+        match ending {
+            Ending::Success => Ended::Success,
+            Ending::Error => Ended::Error,
+            Ending::Full => Ended::Full,
+            Ending::TimedOut => Ended::TimedOut,
+            Ending::Unreachable => Ended::Unreachable,
+            Ending::Reset => Ended::Reset,
+            Ending::Cancelled => Ended::Cancelled,
+            Ending::NeverSent => Ended::NeverSent,
+            Ending::Moved => Ended::Moved,
+        }
+    }
+}
+
+impl From<Ended> for Ending {
+    fn from(ended: Ended) -> Self {
+        match ended {
+            Ended::Success => Ending::Success,
+            Ended::Error => Ending::Error,
+            Ended::Full => Ending::Full,
+            Ended::TimedOut => Ending::TimedOut,
+            Ended::Unreachable => Ending::Unreachable,
+            Ended::Reset => Ending::Reset,
+            Ended::Cancelled => Ending::Cancelled,
+            Ended::NeverSent => Ending::NeverSent,
+            Ended::Moved => Ending::Moved,
+        }
+    }
+}
+
+/// What follows a hello. Spans are seconds; no time of a clock is ever told.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// A forwarder asks a planner to decide for a query; `term` counts its askings, `left` is the client's time.
+    Take {
+        term: u64,
+        query: String,
+        vertical: u32,
+        customer: String,
+        left: f64,
+        parts: Vec<(String, u32, f64, Vec<Tried>)>,
+    },
+    Ended {
+        part: String,
+        hop: u32,
+        node: String,
+        ending: Ended,
+        latency: f64,
+    },
+    Left {
+        query: String,
+    },
+    /// A planner's decisions, each for the term in which it was asked.
+    Call {
+        term: u64,
+        part: String,
+        node: String,
+        limit: f64,
+    },
+    Cancel {
+        term: u64,
+        part: String,
+        hop: u32,
+    },
+    Answer {
+        term: u64,
+        query: String,
+        whole: bool,
+    },
+    Reject {
+        term: u64,
+        query: String,
+        come_back: Option<f64>,
+    },
+    Abort {
+        term: u64,
+        query: String,
+    },
+    /// Both: alive, with how far the roster is known, and whether more is taken.
+    Beat {
+        number: u64,
+        roster: u64,
+        able: bool,
+    },
+    /// The answer to a beat.
+    Heard {
+        number: u64,
+    },
+}
+
+/// Why bytes cannot be used, in one line that says what the peer did.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fault {
+    TooLong(usize),
+    Spoilt,
+    Unreadable,
+    NoHello,
+    Version { theirs: u16 },
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Fault::TooLong(length) => {
+                write!(out, "the peer sent a frame of {length} bytes; {LONGEST} at most")
+            }
+            Fault::Spoilt => write!(out, "the peer sent a frame whose checksum is not its own"),
+            Fault::Unreadable => write!(out, "the peer sent a frame that holds no message"),
+            Fault::NoHello => write!(out, "the peer does not speak this protocol"),
+            Fault::Version { theirs } => {
+                write!(out, "the peer speaks version {theirs} of the protocol, this side version {VERSION}")
+            }
+        }
+    }
+}
+
+impl std::error::Error for Fault {}
+
+fn frame(out: &mut Vec<u8>, body: &[u8]) {
+    out.extend_from_slice(&(body.len() as u32).to_be_bytes());
+    out.extend_from_slice(&crc32fast::hash(body).to_be_bytes());
+    out.extend_from_slice(body);
+}
+
+pub fn hello(out: &mut Vec<u8>, hello: &Hello) {
+    let mut body = WORD.to_vec();
+    body.extend_from_slice(&hello.version.to_be_bytes());
+    body.push(u8::from(hello.planner));
+    body.extend_from_slice(&hello.incarnation.to_be_bytes());
+    body.extend_from_slice(hello.name.as_bytes());
+    frame(out, &body);
+}
+
+/// Writes a message; one that is too long to be read is not written, and false.
+pub fn message(out: &mut Vec<u8>, message: &Message) -> bool {
+    let Ok(body) = postcard::to_stdvec(message) else { return false };
+    let fits = body.len() <= LONGEST;
+    if fits {
+        frame(out, &body);
+    }
+    fits
+}
+
+/// What one side reads: hello first, then messages.
+#[derive(Debug, Default)]
+pub struct Reader {
+    bytes: Vec<u8>,
+    used: usize,
+    greeted: bool,
+}
+
+/// One thing that was read.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Read {
+    Hello(Hello),
+    Message(Message),
+}
+
+impl Reader {
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.bytes.drain(..self.used);
+        self.used = 0;
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// The next whole thing; after an error the connection is of no further use.
+    pub fn next(&mut self) -> Result<Option<Read>, Fault> {
+        let rest = &self.bytes[self.used..];
+        let Some((head, rest)) = rest.split_at_checked(HEAD) else { return Ok(None) };
+        let word = |at: usize| u32::from_be_bytes([head[at], head[at + 1], head[at + 2], head[at + 3]]);
+        let length = word(0) as usize;
+        if length > LONGEST {
+            // Before a hello whatever comes is more likely no frame at all.
+            return Err(if self.greeted { Fault::TooLong(length) } else { Fault::NoHello });
+        }
+        let Some(body) = rest.get(..length) else { return Ok(None) };
+        if crc32fast::hash(body) != word(4) {
+            return Err(if self.greeted { Fault::Spoilt } else { Fault::NoHello });
+        }
+        let read = if self.greeted {
+            let (message, left) = postcard::take_from_bytes(body).map_err(|_| Fault::Unreadable)?;
+            if !left.is_empty() {
+                return Err(Fault::Unreadable);
+            }
+            Read::Message(message)
+        } else {
+            Read::Hello(read_hello(body)?)
+        };
+        self.greeted = true;
+        self.used += HEAD + length;
+        Ok(Some(read))
+    }
+}
+
+fn read_hello(body: &[u8]) -> Result<Hello, Fault> {
+    let (word, body) = body.split_first_chunk::<4>().ok_or(Fault::NoHello)?;
+    let (version, body) = body.split_first_chunk::<2>().ok_or(Fault::NoHello)?;
+    if *word != WORD {
+        return Err(Fault::NoHello);
+    }
+    let version = u16::from_be_bytes(*version);
+    if version != VERSION {
+        return Err(Fault::Version { theirs: version });
+    }
+    let (planner, body) = body.split_first_chunk::<1>().ok_or(Fault::NoHello)?;
+    let (incarnation, name) = body.split_first_chunk::<8>().ok_or(Fault::NoHello)?;
+    let name = std::str::from_utf8(name).map_err(|_| Fault::NoHello)?.to_string();
+    Ok(Hello { version, planner: planner[0] == 1, incarnation: u64::from_be_bytes(*incarnation), name })
+}
--- /dev/null
+++ b/crates/tier/src/lib.rs
@@ -0,0 +1,17 @@
+//! The two levels: forwarders hold clients, queries and connections to data nodes; planners hold the decision module and
+//! what was learnt. This package says what they say to each other and decides who decides for whom, free of I/O and
+//! clocks: bytes and times are passed in. It never chooses a data node; that is the decision module's, wherever it runs.
+//!
+//! - `frames`: their wire, versioned and checksummed.
+//! - `members`: which planners are there, by heartbeats with incarnations.
+//! - `custody`: which planner decides for a query, through deaths, hangs and partitions.
+//! - `leases`: shares of a stated amount with an end, so that the sum holds whoever cannot be reached.
+pub mod custody;
+pub mod frames;
+pub mod leases;
+pub mod members;
+
+/// A planner's or forwarder's name, as the operator's file gives it.
+pub type Name = String;
+/// How often a program of a name has started: a later one ends all that the earlier held.
+pub type Incarnation = u64;
--- /dev/null
+++ b/crates/tier/tests/stories.rs
@@ -0,0 +1,262 @@
+//! Stories of planners that die, hang, come back and speak again, of shares that end, and of bytes that are no frames.
+use alderway_tier::custody::{Asking, Custody, Decider};
+use alderway_tier::frames::{self, Ended, Fault, Hello, Message, Read, Reader, Tried};
+use alderway_tier::leases::{Dealer, Holder, Terms};
+use alderway_tier::members::{Change, Members, Watch};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rstest::rstest;
+
+fn planner(name: &str) -> Decider {
+    Decider::Planner(name.into())
+}
+
+fn names(of: &[&str]) -> Vec<String> {
+    of.iter().map(|name| name.to_string()).collect()
+}
+
+#[rstest]
+fn a_lost_planners_queries_go_to_another_and_its_words_count_no_more() {
+    let (mut custody, all) = (Custody::new("f-1"), names(&["p-1", "p-2"]));
+    let first = custody.open("q", all.iter()).expect("new");
+    assert_eq!(custody.accepts(&first.decider, first.term), Some("q"));
+    assert!(custody.open("q", all.iter()).is_none(), "one of that name is held");
+    let Decider::Planner(lost) = first.decider.clone() else { panic!("a planner was there") };
+    let again = custody.lost(&lost, all.iter());
+    assert!(again.len() == 1 && again[0].decider != first.decider && again[0].term > first.term);
+    // It was only paused, and speaks again; so does the first term by way of the other.
+    assert_eq!(custody.accepts(&first.decider, first.term), None);
+    assert_eq!(custody.accepts(&again[0].decider, first.term), None);
+    assert_eq!(custody.accepts(&first.decider, again[0].term), None);
+    assert_eq!(custody.accepts(&again[0].decider, again[0].term), Some("q"));
+    assert_eq!(custody.close("q"), Some(again[0].clone()));
+    assert_eq!((custody.accepts(&again[0].decider, again[0].term), custody.count()), (None, (0, 0)));
+}
+
+#[rstest]
+fn with_no_planner_left_the_own_module_decides_and_keeps_what_it_has() {
+    let (mut custody, all) = (Custody::new("f-1"), names(&["p-1"]));
+    custody.open("q", all.iter()).expect("new");
+    assert_eq!(
+        custody.lost("p-1", all.iter()),
+        [Asking { query: "q".into(), decider: Decider::Own, term: 2 }]
+    );
+    assert_eq!(custody.open("r", [].iter()).expect("new").decider, Decider::Own);
+    // Back again, it gets what is new; nobody takes from the own module what it has begun.
+    assert_eq!(custody.open("s", all.iter()).expect("new").decider, planner("p-1"));
+    assert_eq!(custody.count(), (3, 2));
+}
+
+#[rstest]
+fn forwarders_spread_over_planners_and_only_those_of_a_lost_one_move() {
+    let all = names(&["p-1", "p-2", "p-3"]);
+    let chosen = |n: usize, able: &[String]| Custody::new(&format!("f-{n}")).prefers(able.iter());
+    let of = |name: &str| (0..300).filter(|n| chosen(*n, &all) == planner(name)).count();
+    assert!(all.iter().all(|name| of(name) > 60), "{:?}", all.iter().map(|n| of(n)).collect::<Vec<_>>());
+    for n in 0..300 {
+        let before = chosen(n, &all);
+        let after = chosen(n, &all[..2]);
+        assert!(before == after || before == planner("p-3"));
+    }
+}
+
+const WATCH: Watch = Watch { beat: 0.05, patience: 0.2 };
+
+#[rstest]
+fn a_planner_that_hangs_is_lost_though_its_connection_stands() {
+    let mut members = Members::new(WATCH);
+    assert_eq!(members.greeted("p", 1, 0.0), Some(vec![]));
+    assert!(!members.may_ask("p", 0), "it has not said that it is able");
+    assert_eq!(members.beat("p", 1, 7, true), [Change::Able("p".into(), true)]);
+    assert!(members.may_ask("p", 7) && !members.may_ask("p", 8), "it must know the roster as far as we do");
+    assert_eq!(members.tick(0.0), (vec![("p".into(), 1)], vec![]));
+    members.heard("p", 1, 1);
+    assert_eq!(members.tick(0.05).0, [("p".into(), 2)]);
+    // From here on nothing comes back: also where only our words reach it, or only its own reach us.
+    members.beat("p", 1, 7, true);
+    assert_eq!(members.tick(0.24).1, []);
+    assert_eq!(members.tick(0.25).1, [Change::Lost("p".into())]);
+    assert!(!members.may_ask("p", 0));
+    assert_eq!(members.beat("p", 1, 9, true), [], "it is no member any more");
+}
+
+#[rstest]
+fn a_planner_started_again_takes_its_earlier_selfs_place_and_that_one_never_comes_back() {
+    let mut members = Members::new(WATCH);
+    members.greeted("p", 1, 0.0);
+    members.beat("p", 1, 0, true);
+    assert_eq!(members.greeted("p", 2, 1.0), Some(vec![Change::Lost("p".into())]));
+    assert_eq!((members.ended("p", 1), members.beat("p", 1, 0, true)), (vec![], vec![]));
+    assert_eq!(members.incarnation("p"), Some(2));
+    members.ended("p", 2);
+    assert_eq!(members.greeted("p", 1, 2.0), None, "a connection that the network held back");
+}
+
+const TERMS: Terms = Terms { amount: 10, window: 1.0, span: 2.0, drift: 0.01 };
+
+#[rstest]
+fn a_share_is_dealt_again_only_when_all_sent_by_it_has_left_the_window() {
+    let mut dealer = Dealer::new(TERMS, 1, 0.0, true);
+    let share = dealer.deal("a", 8, 0.0).expect("there");
+    assert_eq!((dealer.deal("b", 8, 0.0).map(|s| s.units), dealer.deal("b", 8, 1.0)), (Some(2), None));
+    let mut holder = Holder::default();
+    assert!(holder.take(share, 0.0) && holder.spend(3, 1.0) && !holder.spend(6, 1.0));
+    assert_eq!((holder.left(1.99), holder.left(2.0)), (5, 0));
+    assert_eq!((dealer.out(3.02), dealer.out(3.04)), (10, 0));
+}
+
+#[rstest]
+fn a_new_term_deals_nothing_until_the_earlier_ones_shares_have_ended() {
+    let mut old = Dealer::new(TERMS, 1, 0.0, true);
+    let share = old.deal("a", 10, 5.0).expect("there");
+    let mut new = Dealer::new(TERMS, 2, 5.0, false);
+    assert!(new.deal("b", 1, 7.9).is_none() && new.deal("b", 1, 8.04).is_some());
+    let mut holder = Holder::default();
+    assert!(holder.take(share, 5.0));
+    // A dealer that was paused comes back: whoever knows the later term takes nothing from it.
+    assert!(holder.take(new.deal("a", 1, 9.0).expect("there"), 9.0));
+    assert!(!holder.take(old.deal("a", 10, 9.1).expect("it does not know"), 9.1));
+    assert_eq!(holder.left(9.2), 1);
+}
+
+fn sent(messages: &[Message]) -> Vec<u8> {
+    let mut bytes = vec![];
+    frames::hello(
+        &mut bytes,
+        &Hello { version: frames::VERSION, planner: true, incarnation: 7, name: "p-1".into() },
+    );
+    messages.iter().for_each(|message| assert!(frames::message(&mut bytes, message)));
+    bytes
+}
+
+fn some() -> Vec<Message> {
+    let tried = Tried { node: "s-1".into(), age: 0.25, ending: Some(Ended::Reset) };
+    vec![
+        Message::Take {
+            term: 9,
+            query: "q".into(),
+            vertical: 1,
+            customer: String::new(),
+            left: 0.5,
+            parts: vec![("q.3".into(), 3, 0.5, vec![tried])],
+        },
+        Message::Call { term: 9, part: "q.3".into(), node: "s-2".into(), limit: 0.4 },
+        Message::Reject { term: 9, query: "q".into(), come_back: Some(0.1) },
+        Message::Beat { number: 3, roster: 41, able: true },
+    ]
+}
+
+#[rstest]
+#[case::at_once(usize::MAX)]
+#[case::byte_by_byte(1)]
+#[case::in_threes(3)]
+fn messages_are_read_wherever_they_are_cut(#[case] size: usize) {
+    let (bytes, mut reader, mut read) = (sent(&some()), Reader::default(), vec![]);
+    for piece in bytes.chunks(size.min(bytes.len())) {
+        reader.feed(piece);
+        while let Some(next) = reader.next().expect("sound") {
+            read.push(next);
+        }
+    }
+    let hello = Hello { version: frames::VERSION, planner: true, incarnation: 7, name: "p-1".into() };
+    let messages = some().into_iter().map(Read::Message);
+    assert_eq!(read, [Read::Hello(hello)].into_iter().chain(messages).collect::<Vec<_>>());
+}
+
+#[rstest]
+fn another_version_is_told_in_one_line() {
+    let mut bytes = vec![];
+    frames::hello(&mut bytes, &Hello { version: 2, planner: false, incarnation: 1, name: "f".into() });
+    let mut reader = Reader::default();
+    reader.feed(&bytes);
+    let why = reader.next().expect_err("another version");
+    assert_eq!(why.to_string(), "the peer speaks version 2 of the protocol, this side version 1");
+}
+
+#[rstest]
+fn whoever_speaks_something_else_is_told_so_at_once() {
+    let mut reader = Reader::default();
+    reader.feed(b"GET /up HTTP/1.1\r\n\r\n");
+    assert_eq!(reader.next(), Err(Fault::NoHello));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 500, rng_seed: RngSeed::Fixed(20), failure_persistence: None, ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn any_bytes_are_an_error_or_a_message(noise in prop::collection::vec(any::<u8>(), 0..200), at in 0..200usize) {
+        let mut bytes = sent(&some());
+        let at = at.min(bytes.len());
+        bytes.splice(at..(at + noise.len() / 2).min(bytes.len()), noise);
+        let mut reader = Reader::default();
+        reader.feed(&bytes);
+        while let Ok(Some(_)) = reader.next() {}
+    }
+
+    /// A spoilt byte is never a message of its own: the checksum tells.
+    #[test]
+    fn a_spoilt_byte_is_found_out(at in 0..1000usize, flip in 1..=255u8) {
+        let mut bytes = sent(&some());
+        let at = at % bytes.len();
+        bytes[at] ^= flip;
+        let (mut reader, mut read) = (Reader::default(), vec![]);
+        reader.feed(&bytes);
+        let mut ended = false;
+        loop {
+            match reader.next() {
+                Ok(Some(Read::Message(message))) => read.push(message),
+                Ok(Some(Read::Hello(_))) => {}
+                Ok(None) => break,
+                Err(_) => {
+                    ended = true;
+                    break;
+                }
+            }
+        }
+        prop_assert!(read.len() < some().len() || ended);
+        prop_assert!(some().starts_with(&read), "{:?}", read);
+    }
+
+    /// Two dealers one after the other, holders with clocks of their own, words lost: in no window more is spent than
+    /// is stated.
+    #[test]
+    fn no_window_sees_more_than_the_amount(
+        steps in prop::collection::vec((0..6u8, 0..3usize, 1..8u64, 0.0..0.6f64), 1..80),
+        skews in prop::collection::vec(-0.009..0.009f64, 3),
+    ) {
+        let mut now = 100.0;
+        let mut dealer = Dealer::new(TERMS, 1, now, true);
+        let mut term = 1;
+        let mut holders = vec![Holder::default(); 3];
+        let mut spent: Vec<(f64, u64)> = vec![];
+        // A steady clock of its own, which goes a little faster or slower.
+        let clock = |holder: usize, now: f64| 50.0 + now * (1.0 + skews[holder]);
+        for (step, who, units, wait) in steps {
+            match step {
+                0..2 => {
+                    let asked = clock(who, now);
+                    // The way there and back takes its time, or the answer is lost.
+                    let share = dealer.deal(&who.to_string(), units, now);
+                    now += wait / 4.0;
+                    if let Some(share) = share.filter(|_| units != 7) {
+                        holders[who].take(share, asked);
+                    }
+                }
+                2..4 => {
+                    if holders[who].spend(units, clock(who, now)) {
+                        spent.push((now, units));
+                    }
+                }
+                4 if units == 1 => {
+                    term += 1;
+                    dealer = Dealer::new(TERMS, term, now, false);
+                }
+                _ => now += wait,
+            }
+            let window: u64 = spent.iter().filter(|(at, _)| *at > now - TERMS.window).map(|(_, u)| u).sum();
+            prop_assert!(window <= TERMS.amount, "{} in a window", window);
+        }
+    }
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -383,24 +383,6 @@
         self.alarm_set = false;
     }
 
-    fn shard_held(&mut self, shard: u32, held: Held) {
-        if self.placement.listed.get_or_insert_default().insert(shard, held).is_none() {
-            self.serving.clear();
-        }
-    }
-
-    fn shard_follows(&mut self, shard: u32, parents: &[u32]) {
-        self.inherit(shard, parents, LEARNED);
-    }
-
-    fn shard_over(&mut self, shard: u32) {
-        self.forget(shard);
-    }
-
-    fn part_divided(&mut self, number: u64, part: &str, into: &[(&str, u32, f64)]) {
-        self.divide(number, part, into);
-    }
-
     fn evidence(&mut self, id: &str, seen: Evidence) {
         let (now, age) = (self.awake, self.now - seen.seen);
         let node = self.nodes.get_mut(id).filter(|n| n.started == seen.started);
--- a/src/choice/moves.rs
+++ b/src/choice/moves.rs
@@ -1,12 +1,38 @@
-//! How the module's records follow shards that change: a successor begins with what its parents showed, a part that is
-//! divided leaves its leaf calls to its heirs. Records only: nothing is decided here, and no value is chosen.
-use super::{Router, Shard};
-use crate::kept::{Part, Recent};
+//! How the module's records follow what changes outside: a successor of shards begins with what its parents showed, a
+//! part that is divided leaves its leaf calls to its heirs, a query that another decided for brings its calls along.
+//! Records only: nothing is decided here, and no value is chosen.
+use super::{LEARNED, Router, Shard};
+use crate::host::{Ending, Held, Records};
+use crate::kept::{Call, Part, Recent};
+
+impl Records for Router {
+    fn shard_held(&mut self, shard: u32, held: Held) {
+        if self.placement.listed.get_or_insert_default().insert(shard, held).is_none() {
+            self.serving.clear();
+        }
+    }
+
+    fn shard_follows(&mut self, shard: u32, parents: &[u32]) {
+        self.inherit(shard, parents, LEARNED);
+    }
+
+    fn shard_over(&mut self, shard: u32) {
+        self.forget(shard);
+    }
+
+    fn part_divided(&mut self, number: u64, part: &str, into: &[(&str, u32, f64)]) {
+        self.divide(number, part, into);
+    }
+
+    fn part_tried(&mut self, part: &str, node: &str, age: f64, ending: Option<Ending>) {
+        self.adopt(part, node, age, ending);
+    }
+}
 
 impl Router {
     /// What is known of a new shard before its first answer: its parents' latest latencies, and whose turn it is. A
     /// shard that was seen itself keeps what it showed.
-    pub(super) fn inherit(&mut self, shard: u32, parents: &[u32], keep: usize) {
+    fn inherit(&mut self, shard: u32, parents: &[u32], keep: usize) {
         let known: Vec<&Shard> = parents.iter().filter_map(|parent| self.shards.get(parent)).collect();
         let Some(turn) = known.first().map(|parent| parent.turn) else { return };
         let latest: Vec<&Recent> = known.iter().map(|parent| &parent.recent).collect();
@@ -14,7 +40,7 @@
         self.shards.entry(shard).or_insert(Shard { turn, recent });
     }
 
-    pub(super) fn forget(&mut self, shard: u32) {
+    fn forget(&mut self, shard: u32) {
         self.shards.remove(&shard);
         self.placement.listed.iter_mut().for_each(|listed| drop(listed.remove(&shard)));
     }
@@ -22,7 +48,7 @@
     /// Each heir has the old part's calls for its own, so that what was tried, what may have run and what was copied
     /// counts for it: guards against a second effect, a further budget or a fresh count of calls by way of a split.
     /// A call out burdens its node once, whoever waits for it.
-    pub(super) fn divide(&mut self, number: u64, part: &str, into: &[(&str, u32, f64)]) {
+    fn divide(&mut self, number: u64, part: &str, into: &[(&str, u32, f64)]) {
         let Some((_, at)) = self.parts.remove(part) else { return };
         let Some(query) = self.queries.get_mut(&number) else { return };
         let (vertical, old) = (query.vertical, &query.parts[at]);
@@ -54,4 +80,27 @@
         }
         query.look_at = 0.0;
     }
+
+    /// A call of the part as it was made elsewhere: it counts against the cap on calls, for what may have run, and, if it
+    /// is out, for its lateness and its node's room.
+    fn adopt(&mut self, part: &str, node: &str, age: f64, ending: Option<Ending>) {
+        let Some(&(number, at)) = self.parts.get(part) else { return };
+        let (now, since) = (self.now - age, self.awake - age);
+        let Some(query) = self.queries.get(&number) else { return };
+        let (vertical, shard) = (query.vertical, query.parts[at].shard);
+        let delay = self.delay(shard, self.verticals[vertical].slo);
+        let Some(record) = self.queries.get_mut(&number).map(|query| &mut query.parts[at]) else { return };
+        let (out, hop) = (ending.is_none(), record.calls.len());
+        record.copies += usize::from(out && record.calls.iter().any(|call| call.out));
+        record.merged |= ending == Some(Ending::Success);
+        let may_have_run = ending.is_none_or(|ending| !ending.never_ran());
+        let call = Call { node: node.into(), at: now, since, out, cancelled: false, may_have_run };
+        record.calls.push(call);
+        if out {
+            self.out.insert((shard, vertical), since, (number, at, hop));
+            if let Some(node) = self.nodes.get_mut(node) {
+                node.calls.insert((part.into(), hop), (since, delay));
+            }
+        }
+    }
 }
--- a/src/host.rs
+++ b/src/host.rs
@@ -252,8 +252,25 @@
     }
 }
 
+/// What a host tells of what was decided or learnt elsewhere: records that the module takes over as they are. A host
+/// whose shards lie in the ring and that decides everything by itself has none of these to tell.
+pub trait Records {
+    /// Who holds a shard from here on; the first of these puts the list in the place of the ring.
+    fn shard_held(&mut self, _shard: u32, _held: Held) {}
+    /// A shard has keys of others, which may be gone since: what was learnt of those is told of it too.
+    fn shard_follows(&mut self, _shard: u32, _parents: &[u32]) {}
+    /// A shard that no part is open for and none will be.
+    fn shard_over(&mut self, _shard: u32) {}
+    /// A part of an open query becomes several (id, shard, weight): nobody holds all of it any more. Each has the
+    /// leaf calls of the old one for its own; how those end is told for each.
+    fn part_divided(&mut self, _number: u64, _part: &str, _into: &[(&str, u32, f64)]) {}
+    /// A part of an open query was sent for before, by whoever decided until now; its calls are told in their order.
+    /// One that has not ended is this module's from here on. `age` in seconds.
+    fn part_tried(&mut self, _part: &str, _node: &str, _age: f64, _ending: Option<Ending>) {}
+}
+
 /// What a host tells the module; one call for each thing that came in, in order.
-pub trait Intake {
+pub trait Intake: Records {
     /// The roster that follows is the whole one: nodes that it does not name are gone.
     fn roster_whole(&mut self);
     fn roster_entry(&mut self, node: &str, cell: u32, state: NodeState, started: Option<f64>);
@@ -266,15 +283,6 @@
     fn alarm(&mut self, tag: u64);
     /// What another core of this query router saw of a data node.
     fn evidence(&mut self, _node: &str, _seen: Evidence) {}
-    /// Who holds a shard from here on; the first of these puts the list in the place of the ring.
-    fn shard_held(&mut self, _shard: u32, _held: Held) {}
-    /// A shard has keys of others, which may be gone since: what was learnt of those is told of it too.
-    fn shard_follows(&mut self, _shard: u32, _parents: &[u32]) {}
-    /// A shard that no part is open for and none will be.
-    fn shard_over(&mut self, _shard: u32) {}
-    /// A part of an open query becomes several (id, shard, weight): nobody holds all of it any more. Each has the
-    /// leaf calls of the old one for its own; how those end is told for each.
-    fn part_divided(&mut self, _number: u64, _part: &str, _into: &[(&str, u32, f64)]) {}
 }
 
 /// Where the module writes its decisions, in the order in which they are to happen.
