--- a/crates/alderway/src/main.rs
+++ b/crates/alderway/src/main.rs
@@ -1,6 +1,7 @@
 //! The command line: `alderway serve` runs a query router, `alderway check` reads what it would run by and says so.
-use alderway_operator::{self as operator, Count, LogForm, Operator};
+use alderway_operator::{self as operator, Count, KEPT_BACK, LogForm, Operator, Tier};
 use alderway_router::life::logger::{self, Form};
+use alderway_router::life::start::Role;
 use alderway_router::life::{serve, start};
 use alderway_router::memory::clock::Clock;
 use alderway_router::memory::descriptors;
@@ -62,12 +63,23 @@
 
 fn plan(files: &Files, clock: Clock) -> Result<Plan, String> {
     let (operator, text) = operator_at(files.operator.as_deref())?;
-    let mut station = start::read_at(&files.config, clock)?;
+    // Shares that all routers hold together: planners have most, forwarders keep some back.
+    let peers = match &operator.tier {
+        Tier::Alone => None,
+        Tier::Forwarder { count, .. } => Some(*count as f64 / KEPT_BACK),
+        Tier::Planner { count } => Some(*count as f64 / (1.0 - KEPT_BACK)),
+    };
+    let mut station = start::read_among(&files.config, clock, peers.map(|peers| peers.ceil() as u64))?;
     if let Some(path) = files.operator.clone() {
         let held = operator.clone();
         station.beside = Some(Arc::new(move || says_else(&path, &held, &text)));
     }
     station.layouts = operator.layouts.map(|l| Following { grace: l.late_clients, lag: l.lagging_nodes });
+    station.role = match operator.tier.clone() {
+        Tier::Alone => Role::Router,
+        Tier::Forwarder { planners, beat, patience, .. } => Role::Forwarder { planners, beat, patience },
+        Tier::Planner { .. } => Role::Planner,
+    };
     let cores = match operator.cores.count {
         Count::Cores(cores) => cores,
         Count::All => std::thread::available_parallelism().map_or(1, usize::from).min(operator::MOST_CORES),
@@ -91,6 +103,14 @@
     let Plan { station, sharing, operator, .. } = plan;
     let most = sharing.node_connections.map_or("as calls need".to_string(), |most| most.to_string());
     let told = if sharing.cores > 1 && sharing.evidence { "told between cores" } else { "each core's own" };
+    let role = match &operator.tier {
+        Tier::Alone => "a router that decides by itself".to_string(),
+        Tier::Forwarder { planners, count, .. } => {
+            let all: Vec<String> = planners.iter().map(ToString::to_string).collect();
+            format!("one of {count} forwarders; planners at {}", all.join(", "))
+        }
+        Tier::Planner { count } => format!("one of {count} planners"),
+    };
     let shards = match operator.layouts {
         None => "in the configuration's ring".to_string(),
         Some(layouts) => format!(
@@ -111,6 +131,7 @@
         ("connections to a data node", most),
         ("evidence of data nodes", told.to_string()),
         ("shards", shards),
+        ("role", role),
         ("log", format!("{:?}", operator.log).to_lowercase()),
     ]
     .map(|(what, value)| format!("{what}: {value}\n"))
--- /dev/null
+++ b/crates/alderway/tests/tier.rs
@@ -0,0 +1,304 @@
+//! Forwarders and planners over sockets, on loopback: planners that are killed, stopped, cut off from discovery, started
+//! anew, of another version, or not there at all. Every answer is counted and checked.
+mod common;
+use alderway_lab::Clock;
+use alderway_lab::agent::{Agent, Entry};
+use alderway_lab::fleet::Fleet;
+use alderway_lab::load::{self, Load, Outcome, Pace};
+use alderway_lab::model::{Fault, Make};
+use alderway_lab::program::{Build, Program, Setting};
+use alderway_tier::frames::{self, Hello, Message};
+use common::{Client, PATIENCE, until};
+use nix::sys::signal::Signal;
+use rstest::rstest;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::Ordering::Relaxed;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+struct House {
+    clock: Clock,
+    fleet: Fleet,
+    agent: Agent,
+    entries: Vec<Entry>,
+    setting: Setting,
+    planners: Vec<Program>,
+}
+
+fn build(operator: String) -> Build {
+    Build { path: env!("CARGO_BIN_EXE_alderway").into(), operator: Some(operator) }
+}
+
+/// Data nodes, discovery and so many planners.
+fn house(planners: usize, setting: Setting, make: Make) -> House {
+    let clock = Clock::default();
+    let once = setting.effect == "at_most_once";
+    let fleet = Fleet::start(6, 1, &make, 7, clock, once).expect("data nodes");
+    let entry = |n: &alderway_lab::fleet::Handle| Entry {
+        name: n.name.clone(),
+        address: n.address,
+        cell: 0,
+        status: "SERVING",
+        since_ms: 0,
+    };
+    let entries: Vec<Entry> = fleet.nodes.iter().map(entry).collect();
+    let agent = Agent::start(entries.clone()).expect("discovery");
+    let mut house = House { clock, fleet, agent, entries, setting, planners: vec![] };
+    for n in 0..planners {
+        let planner = house.planner(n, planners, house.agent.address, "127.0.0.1:0");
+        house.planners.push(planner);
+    }
+    house
+}
+
+fn quick() -> Make {
+    Make { service: 0.005, exponential: true, ..Make::default() }
+}
+
+impl House {
+    fn planner(&self, n: usize, count: usize, discovery: SocketAddr, listen: &str) -> Program {
+        let text = self.setting.configuration(discovery, &self.entries);
+        let text = text.replace("\"n0\"", &format!("\"p-{n}\"")).replace("127.0.0.1:0", listen);
+        let planner = Program::begin(&build(format!("planner(count = {count})\n")), &text);
+        planner.unwrap_or_else(|why| panic!("{why}"))
+    }
+
+    fn forwarder(&self, planners: &[SocketAddr]) -> Program {
+        let all: Vec<String> = planners.iter().map(|at| format!("\"{at}\"")).collect();
+        let operator = format!("forwarder(planners = [{}], count = 1, patience_ms = 200)\n", all.join(", "));
+        let text = self.setting.configuration(self.agent.address, &self.entries);
+        Program::start(&build(operator), &text).unwrap_or_else(|why| panic!("{why}"))
+    }
+
+    /// A forwarder that all planners take queries of.
+    fn met(&self) -> Program {
+        let planners: Vec<SocketAddr> = self.planners.iter().map(|p| p.address).collect();
+        let forwarder = self.forwarder(&planners);
+        until(&forwarder, "all planners are able", |c| {
+            c.get("planners_able") == Some(&(planners.len() as u64))
+        });
+        forwarder
+    }
+
+    fn load(&self, rate: f64, span: f64) -> Load {
+        Load {
+            pace: Pace::Open(rate),
+            span,
+            threads: 1,
+            connections: 64,
+            parts: 3,
+            shards: 64,
+            keys: None,
+            vertical: "site-search".into(),
+            patience: 2000,
+            seed: 5,
+        }
+    }
+}
+
+fn sound(outcome: &Outcome) {
+    assert_eq!((outcome.wrong, outcome.lost, outcome.late), (0, 0, 0), "{:?}", outcome.statuses);
+    assert_eq!(outcome.statuses.values().sum::<u64>(), outcome.sent);
+}
+
+/// Sends a load while something happens in its midst.
+fn during(house: &House, forwarder: &Program, load: &Load, happens: impl FnOnce()) -> Outcome {
+    let (to, clock) = (forwarder.address, house.clock);
+    std::thread::scope(|scope| {
+        let sent = scope.spawn(move || load::send(to, load, clock));
+        sleep(Duration::from_secs_f64(0.3 * load.span));
+        happens();
+        sent.join().expect("the load does not panic")
+    })
+}
+
+fn counted(program: &Program, name: &str) -> u64 {
+    program.counters().get(name).copied().unwrap_or(0)
+}
+
+fn logged(program: &Program, what: &str) {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        let line = program.log.recv_timeout(until.saturating_duration_since(Instant::now()));
+        if line.unwrap_or_else(|_| panic!("no line says `{what}`")).contains(what) {
+            return;
+        }
+    }
+}
+
+#[rstest]
+fn planners_decide_for_a_forwarder_and_its_answers_are_right() {
+    let house = house(2, Setting::default(), quick());
+    let forwarder = house.met();
+    let outcome = load::send(forwarder.address, &house.load(150.0, 1.5), house.clock);
+    sound(&outcome);
+    assert_eq!(outcome.merged(), outcome.sent);
+    assert_eq!(counted(&forwarder, "queries_decided{planner}"), outcome.sent);
+    assert_eq!(counted(&forwarder, "queries_decided{own}"), 0);
+    until(&forwarder, "nothing is left", |c| c["leaf_calls_open"] == 0 && c["queries_with_planners"] == 0);
+    assert_eq!(counted(&forwarder, "decisions_refused"), 0);
+}
+
+#[rstest]
+#[case::killed(Signal::SIGKILL)]
+#[case::stopped(Signal::SIGSTOP)]
+#[case::planned(Signal::SIGTERM)]
+fn a_planner_that_goes_in_the_midst_of_a_load_leaves_each_query_one_answer(#[case] signal: Signal) {
+    let house = house(2, Setting::default(), quick());
+    let forwarder = house.met();
+    let outcome = during(&house, &forwarder, &house.load(200.0, 3.0), || {
+        house.planners.iter().for_each(|p| p.signal(signal));
+        sleep(Duration::from_millis(700));
+        // One that was only stopped speaks again: what it decided for queries that it has lost counts no more.
+        house.planners.iter().for_each(|p| p.signal(Signal::SIGCONT));
+    });
+    sound(&outcome);
+    assert!(outcome.merged() as f64 > 0.95 * outcome.sent as f64, "{:?}", outcome.statuses);
+    assert!(
+        counted(&forwarder, "queries_decided{own}") > 0
+            && counted(&forwarder, "queries_decided{planner}") > 0
+    );
+    until(&forwarder, "nothing is left", |c| c["leaf_calls_open"] == 0 && c["queries_open"] == 0);
+}
+
+#[rstest]
+fn what_may_have_run_is_not_asked_for_again_by_whoever_takes_over() {
+    let setting = Setting { effect: "at_most_once", ..Setting::default() };
+    let house = house(2, setting, Make { service: 0.05, ..quick() });
+    let forwarder = house.met();
+    let first = &house.planners;
+    let outcome = during(&house, &forwarder, &house.load(60.0, 3.0), || {
+        first[0].signal(Signal::SIGKILL);
+        sleep(Duration::from_millis(600));
+        first[1].signal(Signal::SIGKILL);
+    });
+    sound(&outcome);
+    let again: u64 = house.fleet.nodes.iter().map(|n| n.met.again.load(Relaxed)).sum();
+    assert_eq!(again, 0);
+    assert!(counted(&forwarder, "queries_asked_anew") > 0, "nothing was held when a planner went");
+}
+
+#[rstest]
+fn with_all_planners_gone_the_forwarder_decides_by_itself_until_one_is_back() {
+    let mut house = house(1, Setting::default(), quick());
+    let at = house.planners[0].address;
+    let forwarder = house.met();
+    let gone = house.planners.remove(0);
+    gone.signal(Signal::SIGKILL);
+    drop(gone);
+    until(&forwarder, "it is lost", |c| c["planners_able"] == 0);
+    let mut client = Client::to(&forwarder);
+    client.query("alone", 1500);
+    assert_eq!(client.answer().0, 200);
+    assert_eq!(counted(&forwarder, "queries_decided{own}"), 1);
+    let back = house.planner(0, 1, house.agent.address, &at.to_string());
+    until(&forwarder, "it is back", |c| c["planners_able"] == 1);
+    client.query("led", 1500);
+    assert_eq!(client.answer().0, 200);
+    assert_eq!(counted(&forwarder, "queries_decided{planner}"), 1);
+    drop(back);
+}
+
+/// The planner follows a discovery that never hears of the drain.
+#[rstest]
+fn a_stale_plan_sends_nothing_to_a_node_that_drains() {
+    let mut house = house(0, Setting::default(), quick());
+    let deaf = Agent::start(house.entries.clone()).expect("discovery");
+    house.planners.push(house.planner(0, 1, deaf.address, "127.0.0.1:0"));
+    let forwarder = house.met();
+    let before = load::send(forwarder.address, &house.load(100.0, 0.5), house.clock);
+    sound(&before);
+    for entry in &house.entries[..3] {
+        house.agent.change(vec![Entry { status: "DRAINING", ..entry.clone() }]);
+    }
+    until(&forwarder, "it has heard", |c| c["roster_changes"] >= 3);
+    let told = house.clock.now();
+    let outcome = load::send(forwarder.address, &house.load(100.0, 2.0), house.clock);
+    sound(&outcome);
+    assert!(outcome.merged() as f64 > 0.9 * outcome.sent as f64, "{:?}", outcome.statuses);
+    for node in &house.fleet.nodes[..3] {
+        assert!(node.last_call() < told, "{} was sent something new", node.name);
+    }
+    assert!(counted(&forwarder, "calls_of_nodes_not_serving") > 0, "no plan was stale");
+    // Half the grace on it asks the planner no more.
+    until(&forwarder, "the planner is behind", |c| c["planners_able"] == 0);
+}
+
+#[rstest]
+fn a_slow_node_that_one_forwarder_meets_is_passed_over_by_the_planners_others() {
+    let house = house(1, Setting::default(), Make { service: 0.002, exponential: false, ..quick() });
+    let (one, other) = (house.met(), house.met());
+    sound(&load::send(one.address, &house.load(150.0, 1.0), house.clock));
+    house.fleet.nodes[0].set(Fault::Silent);
+    sound(&load::send(one.address, &house.load(150.0, 1.0), house.clock));
+    let before = house.fleet.nodes[0].met.parts.load(Relaxed);
+    let outcome = load::send(other.address, &house.load(100.0, 1.0), house.clock);
+    sound(&outcome);
+    let to_it = house.fleet.nodes[0].met.parts.load(Relaxed) - before;
+    assert!(to_it <= 3, "{to_it} parts of {} queries", outcome.sent);
+}
+
+/// Speaks the wire of planners, in another version or in none.
+#[rstest]
+#[case::another_version(Some(2), "the peer speaks version 2 of the protocol, this side version 1")]
+#[case::something_else(None, "the peer does not speak this protocol")]
+fn a_peer_that_is_no_planner_of_this_version_is_told_of_in_one_line(
+    #[case] version: Option<u16>,
+    #[case] why: &str,
+) {
+    let house = house(0, Setting::default(), quick());
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for stream in listener.incoming().take(2) {
+            let Ok(mut stream) = stream else { return };
+            let mut bytes = vec![];
+            match version {
+                Some(version) => {
+                    let name = "p-9".to_string();
+                    frames::hello(&mut bytes, &Hello { version, planner: true, incarnation: 1, name });
+                }
+                None => bytes.extend_from_slice(b"HTTP/1.1 400 Bad Request\r\n\r\n"),
+            }
+            let _ = stream.write_all(&bytes);
+            let _ = stream.read(&mut [0; 100]);
+        }
+    });
+    let forwarder = house.forwarder(&[at]);
+    logged(&forwarder, &format!("planner at {at}: {why}"));
+    let mut client = Client::to(&forwarder);
+    client.query("q", 1500);
+    assert_eq!(client.answer().0, 200);
+}
+
+/// A planner that takes queries and never decides, nor answers a beat, though its connection stands.
+#[rstest]
+fn a_planner_that_takes_queries_and_falls_silent_costs_them_no_more_than_its_patience() {
+    let house = house(0, Setting::default(), quick());
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = listener.local_addr().expect("an address");
+    let forwarder = std::thread::scope(|scope| {
+        scope.spawn(move || {
+            let (mut stream, _) = listener.accept().expect("a forwarder");
+            let mut bytes = vec![];
+            let name = "p-9".to_string();
+            frames::hello(
+                &mut bytes,
+                &Hello { version: frames::VERSION, planner: true, incarnation: 1, name },
+            );
+            assert!(frames::message(&mut bytes, &Message::Beat { number: 1, roster: 1_000_000, able: true }));
+            stream.write_all(&bytes).expect("written");
+            // Reads all, says nothing.
+            let mut space = [0; 4096];
+            while matches!(stream.read(&mut space), Ok(1..)) {}
+        });
+        let forwarder = house.forwarder(&[at]);
+        let mut client = Client::to(&forwarder);
+        client.query("q", 1900);
+        assert_eq!(client.answer().0, 200);
+        until(&forwarder, "it is lost", |c| c.get("planners_lost") == Some(&1));
+        forwarder
+    });
+    assert_eq!(counted(&forwarder, "queries_open"), 0);
+}
--- a/crates/lab/src/program.rs
+++ b/crates/lab/src/program.rs
@@ -126,7 +126,21 @@
 }
 
 impl Program {
+    /// Starts a router and waits until it is able to serve.
     pub fn start(build: &Build, configuration: &str) -> Result<Program, String> {
+        let until = Instant::now() + PATIENCE;
+        let program = Program::begin(build, configuration)?;
+        while program.get("/up").is_none_or(|(status, _)| status != 200) {
+            if Instant::now() > until {
+                return Err(format!("{}: it is not ready in time", build.path.display()));
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        Ok(program)
+    }
+
+    /// Starts a router or planner and waits until it says where it listens.
+    pub fn begin(build: &Build, configuration: &str) -> Result<Program, String> {
         let why = |why: std::io::Error| format!("{}: {why}", build.path.display());
         let config = scratch(configuration, "json").map_err(why)?;
         let mut files = vec![config.clone()];
@@ -150,14 +164,7 @@
             address = line.split("listens at ").nth(1).and_then(|rest| rest.split(": ").next()?.parse().ok());
         }
         let address = address.ok_or("no address")?;
-        let program = Program { child, address, log, files, config };
-        while program.get("/up").is_none_or(|(status, _)| status != 200) {
-            if Instant::now() > until {
-                return Err(format!("{}: it is not ready in time", build.path.display()));
-            }
-            std::thread::sleep(Duration::from_millis(10));
-        }
-        Ok(program)
+        Ok(Program { child, address, log, files, config })
     }
 
     pub fn id(&self) -> u32 {
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -11,8 +11,10 @@
 use starlark::starlark_module;
 use starlark::syntax::{AstModule, Dialect};
 use starlark::values::Value;
+use starlark::values::list::ListRef;
 use starlark::values::none::NoneType;
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::panic::{set_hook, take_hook};
 use std::sync::Once;
 use std::sync::mpsc::{RecvTimeoutError, channel};
@@ -69,6 +71,28 @@
     pub lagging_nodes: f64,
 }
 
+/// What the program is in an installation of two levels.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub enum Tier {
+    #[default]
+    Alone,
+    /// It holds clients and data nodes; planners decide, as far as any can be asked.
+    Forwarder {
+        planners: Vec<SocketAddr>,
+        /// How many forwarders the installation has.
+        count: usize,
+        /// In seconds: between two beats, and how long a planner may be silent.
+        beat: f64,
+        patience: f64,
+    },
+    /// It decides for forwarders; so many planners share what is stated.
+    Planner { count: usize },
+}
+
+/// What part of each share that all routers hold together forwarders keep for when no planner can be asked; planners have
+/// the rest. Fixed, so that whoever is cut off from whom, the sum holds.
+pub const KEPT_BACK: f64 = 0.25;
+
 /// All that an operator's file may say.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Operator {
@@ -76,6 +100,7 @@
     pub log: LogForm,
     /// None: shards lie in the ring of the configuration, and never change.
     pub layouts: Option<Layouts>,
+    pub tier: Tier,
 }
 
 /// What has been said so far.
@@ -84,6 +109,7 @@
     cores: RefCell<Option<Cores>>,
     log: RefCell<Option<LogForm>>,
     layouts: RefCell<Option<Layouts>>,
+    tier: RefCell<Option<Tier>>,
 }
 
 fn said<'a>(eval: &Evaluator<'_, 'a, '_>) -> anyhow::Result<&'a Said> {
@@ -161,6 +187,46 @@
         once(&said(eval)?.layouts, "layouts", Layouts { late_clients, lagging_nodes })
     }
 
+    /// That planners decide for this program.
+    fn forwarder<'v>(
+        #[starlark(require = named)] planners: Value<'v>,
+        #[starlark(require = named)] count: Value<'v>,
+        #[starlark(require = named)] beat_ms: Option<Value<'v>>,
+        #[starlark(require = named)] patience_ms: Option<Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        let wrong = || {
+            anyhow::anyhow!("`forwarder`: `planners` is a list of address:port, found {}", planners.to_repr())
+        };
+        let list = ListRef::from_value(planners).filter(|list| !list.is_empty()).ok_or_else(wrong)?;
+        let address = |v: &Value<'v>| v.unpack_str().and_then(|text| text.parse().ok());
+        let planners =
+            list.iter().map(|v| address(&v)).collect::<Option<Vec<SocketAddr>>>().ok_or_else(wrong)?;
+        if (1..planners.len()).any(|n| planners[..n].contains(&planners[n])) {
+            return Err(anyhow::anyhow!("`forwarder`: `planners` names one twice"));
+        }
+        let count = whole("forwarder", "count", count, 1, 10_000)?;
+        let span = |name, value: Option<Value<'v>>, usual, least, most| {
+            let value = value.map_or(Ok(usual), |value| whole("forwarder", name, value, least, most))?;
+            anyhow::Ok(value as f64 / 1e3)
+        };
+        let beat = span("beat_ms", beat_ms, 50, 5, 10_000)?;
+        let patience = span("patience_ms", patience_ms, 250, 10, 60_000)?;
+        if patience < 2.0 * beat {
+            return Err(anyhow::anyhow!("`forwarder`: `patience_ms` is under two beats"));
+        }
+        once(&said(eval)?.tier, "forwarder or planner", Tier::Forwarder { planners, count, beat, patience })
+    }
+
+    /// That this program decides for forwarders.
+    fn planner<'v>(
+        #[starlark(require = named)] count: Value<'v>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        let count = whole("planner", "count", count, 1, 1000)?;
+        once(&said(eval)?.tier, "forwarder or planner", Tier::Planner { count })
+    }
+
     /// How the log is written.
     fn log<'v>(
         #[starlark(require = named)] form: Value<'v>,
@@ -236,7 +302,14 @@
         eval.eval_module(ast, &globals).map(drop).map_err(|why| line(name, &why))
     })?;
     let (cores, log) = (said.cores.take().unwrap_or_default(), said.log.take().unwrap_or_default());
-    Ok(Operator { cores, log, layouts: said.layouts.take() })
+    let (layouts, tier) = (said.layouts.take(), said.tier.take().unwrap_or_default());
+    if tier != Tier::Alone && layouts.is_some() {
+        return Err(format!("{name}: `layouts` goes with neither `forwarder` nor `planner` yet"));
+    }
+    if tier != Tier::Alone && cores.count != Count::Cores(1) {
+        return Err(format!("{name}: `forwarder` and `planner` go with one core"));
+    }
+    Ok(Operator { cores, log, layouts, tier })
 }
 
 struct Silent;
--- a/crates/router/src/drive/mod.rs
+++ b/crates/router/src/drive/mod.rs
@@ -11,6 +11,6 @@
 use tokio::time::{Sleep, sleep_until};
 
 /// Sleeps until a time of the steady clock.
-fn until(clock: Clock, at: f64) -> Sleep {
+pub fn until(clock: Clock, at: f64) -> Sleep {
     sleep_until(clock.instant(at).into())
 }
--- a/crates/router/src/drive/rounds.rs
+++ b/crates/router/src/drive/rounds.rs
@@ -2,6 +2,8 @@
 use super::{nodes, until};
 use crate::memory::Shared;
 use crate::memory::descriptors::Share;
+use crate::tier::forwarder::Split;
+use crate::tier::links::Tier;
 use alderway::choice::Router;
 use alderway::host::{Evidence, Intake, Writer};
 use std::convert::Infallible;
@@ -9,23 +11,38 @@
 use std::sync::Arc;
 use tokio::task::spawn_local;
 
-/// The desk as the module writes to it.
-struct Pen<'a>(&'a Shared);
+/// The desk as the module writes to it; a forwarder notes what its own module decides.
+pub struct Pen<'a>(&'a Shared, Option<&'a Tier>);
+
+impl<'a> Pen<'a> {
+    /// For decisions that a forwarder has noted already.
+    pub fn bare(desk: &'a Shared) -> Self {
+        Pen(desk, None)
+    }
+
+    fn finished(&self, query: &str) {
+        self.1.iter().for_each(|tier| tier.borrow_mut().own_finished(query));
+    }
+}
 
 impl Writer for Pen<'_> {
     fn call(&mut self, part: &str, node: &str, limit: f64) {
+        self.1.iter().for_each(|tier| tier.borrow_mut().own_called(part, node));
         self.0.borrow_mut().call(part, node, limit);
     }
     fn cancel(&mut self, part: &str, hop: usize) {
         self.0.borrow_mut().cancel(part, hop);
     }
     fn answer(&mut self, query: &str, whole: bool) {
+        self.finished(query);
         self.0.borrow_mut().answer(query, whole);
     }
     fn reject(&mut self, query: &str, come_back: Option<f64>) {
+        self.finished(query);
         self.0.borrow_mut().reject(query, come_back);
     }
     fn abort(&mut self, query: &str) {
+        self.finished(query);
         self.0.borrow_mut().abort(query);
     }
     fn evidence(&mut self, node: &str, seen: Evidence) {
@@ -42,6 +59,15 @@
     }
 }
 
+/// Gives calls their places on connections, and dials those that this takes.
+pub fn post(desk: &Shared, share: &Arc<Share>) {
+    let now = desk.borrow().clock.now();
+    let dials = desk.borrow_mut().post(now);
+    for dial in dials {
+        spawn_local(nodes::run(desk.clone(), dial, share.clone()));
+    }
+}
+
 /// Plays rounds for as long as the program runs, the settings' tick apart at least. `module` makes the module,
 /// at the start and again if it has failed; returns only where that is impossible.
 pub async fn run<E>(
@@ -60,6 +86,7 @@
         Ok(router)
     };
     let mut router = module()?;
+    let tier = desk.borrow().tier.clone();
     loop {
         let due = desk.borrow().next_due();
         tokio::select! {
@@ -69,25 +96,28 @@
         let now = clock.now();
         desk.borrow_mut().expire(now);
         let tell = |intake: &mut dyn Intake| {
-            desk.borrow_mut().tell(now, intake);
+            match &tier {
+                None => desk.borrow_mut().tell(now, intake),
+                Some(tier) => {
+                    let mut tier = tier.borrow_mut();
+                    let mut split = Split::begin(&mut tier, intake);
+                    desk.borrow_mut().tell(now, &mut split);
+                    split.end();
+                }
+            }
             Ok::<(), Infallible>(())
         };
-        let round = AssertUnwindSafe(|| router.round(now, tell, &mut Pen(&desk)));
+        let round = AssertUnwindSafe(|| router.round(now, tell, &mut Pen(&desk, tier.as_ref())));
         // Guards against a fault of the module that some rare query brings out: what is open is aborted, and
         // the router goes on with a module that has yet to learn, as after a restart.
         if catch_unwind(round).is_err() {
             tracing::error!(target: "failure", "the module failed: open queries are aborted, it starts anew");
             router = module()?;
+            tier.iter().for_each(|tier| tier.borrow_mut().start_over());
             desk.borrow_mut().start_over();
         }
-        let dials = {
-            let mut desk = desk.borrow_mut();
-            desk.counters.one("rounds");
-            desk.post(now)
-        };
-        for dial in dials {
-            spawn_local(nodes::run(desk.clone(), dial, share.clone()));
-        }
+        desk.borrow_mut().counters.one("rounds");
+        post(&desk, &share);
         until(clock, now + tick).await;
     }
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod life;
 pub mod memory;
 pub mod requests;
+pub mod tier;
 pub mod wire;
--- a/crates/router/src/life/serve.rs
+++ b/crates/router/src/life/serve.rs
@@ -1,6 +1,6 @@
 //! Runs a query router as it was started: on one core in this thread, or on several with this thread as their lead.
 use super::reload::Was;
-use super::start::Station;
+use super::start::{Role, Station};
 use super::{logger, reload, stop};
 use crate::drive::{arrival, clients, discovery, lead, rounds};
 use crate::memory::clock::Clock;
@@ -8,6 +8,9 @@
 use crate::memory::desk::Desk;
 use crate::memory::ground::Ground;
 use crate::memory::house::{House, Sharing};
+use crate::tier::forwarder::Forwarder;
+use crate::tier::{links, post};
+use alderway_tier::members::Watch;
 use std::cell::RefCell;
 use std::io;
 use std::rc::Rc;
@@ -21,7 +24,9 @@
 pub fn serve(station: Station, sharing: Sharing, clock: Clock) -> io::Result<()> {
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let local = LocalSet::new();
-    if sharing.cores > 1 {
+    if station.role == Role::Planner {
+        local.block_on(&runtime, post::run(station, clock))
+    } else if sharing.cores > 1 {
         local.block_on(&runtime, lead::run(station, sharing, clock))
     } else {
         local.block_on(&runtime, alone(station, sharing, clock))
@@ -43,6 +48,12 @@
     let (at, known) = (listener.local_addr()?, desk.roster.nodes.len());
     tracing::info!(target: "start", "{name} listens at {at}: {known} data nodes known");
     let desk = Rc::new(RefCell::new(desk));
+    if let Role::Forwarder { planners, beat, patience } = &station.role {
+        let (watch, came) = (Watch { beat: *beat, patience: *patience }, desk.borrow().came.clone());
+        let tier = Rc::new(RefCell::new(Forwarder::new(&name, post::incarnation(), watch, clock, came)));
+        desk.borrow_mut().tier = Some(tier.clone());
+        links::start(&desk, &tier, planners, &for_nodes, post::incarnation());
+    }
     let close = Rc::default();
     let rounds = spawn_local(rounds::run(desk.clone(), move || module(), for_nodes));
     let (agent, at) = watch::channel(discovery);
--- a/crates/router/src/life/start.rs
+++ b/crates/router/src/life/start.rs
@@ -36,6 +36,20 @@
     pub fixed: Fixed,
     /// Whether shards lie by layouts that change, and how those are followed; the ring where not.
     pub layouts: Option<Following>,
+    /// What this program is in an installation of two levels.
+    pub role: Role,
+}
+
+/// What a program is for.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub enum Role {
+    /// It decides by itself.
+    #[default]
+    Router,
+    /// Planners decide for it, as far as any can be asked.
+    Forwarder { planners: Vec<SocketAddr>, beat: f64, patience: f64 },
+    /// It decides for forwarders.
+    Planner,
 }
 
 /// A second reading of other files: an error, or whether anything that it was started by has changed.
@@ -58,15 +72,29 @@
 
 /// Reads one file.
 pub fn read_at(path: &Path, clock: Clock) -> Read<Station> {
+    read_among(path, clock, None)
+}
+
+/// The same for one of so many that share what is stated for all, where that is not as the settings say.
+pub fn read_among(path: &Path, clock: Clock, peers: Option<u64>) -> Read<Station> {
     let text =
         std::fs::read_to_string(path).map_err(|why| format!("`PROXY_CONFIG` {}: {why}", path.display()))?;
-    let mut station = station(&text, |key| std::env::var(key).ok(), clock)?;
+    let mut station = station_among(&text, |key| std::env::var(key).ok(), clock, peers)?;
     station.path = path.to_path_buf();
     Ok(station)
 }
 
 /// A station as the configuration's text describes it; `told` gives the variables of the environment.
 pub fn station(text: &str, told: impl Fn(&str) -> Option<String>, clock: Clock) -> Read<Station> {
+    station_among(text, told, clock, None)
+}
+
+fn station_among(
+    text: &str,
+    told: impl Fn(&str) -> Option<String>,
+    clock: Clock,
+    peers: Option<u64>,
+) -> Read<Station> {
     let all: Value = serde_json::from_str(text).map_err(|why| format!("configuration: not JSON ({why})"))?;
     let word = |key: &str, variable: &str| {
         let value = match all.get(key) {
@@ -108,13 +136,17 @@
         memory: limit("memory_mb", MEMORY_MB, 1)? as usize * 1024 * 1024,
         roster: known(all.get("known"), clock).map_err(|why| format!("key `known`: {why}"))?,
         module: Arc::new({
-            let settings = settings.clone();
+            let mut settings = settings.clone();
+            if let Some(peers) = peers {
+                settings["ReplicasOfMe"] = Value::from(peers);
+            }
             move || deployment::router(seed, &settings).map(|made| made.0)
         }),
         verticals,
         trunk,
         room,
         layouts: None,
+        role: Role::Router,
         fixed: ["name", "listen", "limits", "settings"].map(|key| (key, all[key].clone())),
     })
 }
--- a/crates/router/src/memory/desk.rs
+++ b/crates/router/src/memory/desk.rs
@@ -9,6 +9,7 @@
 use super::lines::{Frame, Line, Place};
 use super::queries::{self, Queries, Query};
 use super::roster::Roster;
+use crate::tier::links::Tier;
 use crate::wire::http::Refusal;
 use crate::wire::{answer, frames};
 use alderway::host::{Ending, Evidence, Intake, NodeState, Writer};
@@ -52,6 +53,8 @@
     pub board: Board,
     /// Where shards lie, where layouts are followed.
     pub ground: Option<Ground>,
+    /// What stands between desk and module, on a forwarder.
+    pub tier: Option<Tier>,
     heard: BTreeMap<String, Evidence>,
     /// What a test has this core do at its next beat.
     #[cfg(feature = "faults")]
@@ -98,6 +101,7 @@
             fenced: false,
             board: Board::default(),
             ground: None,
+            tier: None,
             heard: BTreeMap::new(),
             #[cfg(feature = "faults")]
             fault: None,
@@ -133,7 +137,7 @@
     /// What this core counted, and what is open on it now.
     pub fn own_figures(&self) -> Figures {
         let lines: usize = self.roster.nodes.values().map(|n| n.lines.len()).sum();
-        let open = vec![
+        let mut open = vec![
             ("queries_open", self.queries.len() as u64),
             ("queries_and_parts_held", self.queries.held() as u64),
             ("leaf_calls_open", self.calls.count_out() as u64),
@@ -141,7 +145,13 @@
             ("clients_open", self.clients.len() as u64),
             ("nodes_known", self.roster.nodes.len() as u64),
         ];
-        Figures { counters: self.counters.clone(), open }
+        let mut counters = self.counters.clone();
+        if let Some(tier) = &self.tier {
+            let tier = tier.borrow();
+            counters.join(&tier.counters);
+            open.extend(tier.figures());
+        }
+        Figures { counters, open }
     }
 
     /// All counters, and what is open now, on all cores.
@@ -681,13 +691,17 @@
         });
         self.calls.start(id.clone(), node, now, now + limit);
         match self.roster.nodes.get_mut(node) {
-            Some(there) => {
+            // Guards against a planner that has not heard of a drain: its decision is no more than a wish.
+            Some(there) if there.state == NodeState::Serving => {
                 if there.fresh.is_empty() {
                     self.sending.insert(node.to_string());
                 }
                 there.fresh.push(id);
             }
-            None => self.end(&id, Ending::NeverSent),
+            _ => {
+                self.counters.one("calls_of_nodes_not_serving");
+                self.end(&id, Ending::NeverSent);
+            }
         }
     }
 
--- /dev/null
+++ b/crates/router/src/tier/forwarder.rs
@@ -0,0 +1,451 @@
+//! A forwarder's part between desk and module: queries go to a planner or to the own module, endings of leaf calls to
+//! whoever has to know them, and decisions to the desk only from whoever decides. What was tried for a part is kept
+//! here, so that whoever takes a query over knows what may have run. No sockets.
+use super::Outbox;
+use crate::memory::clock::Clock;
+use crate::memory::counters::Counters;
+use alderway::host::{Ending, Evidence, Held, Intake, NodeState, Records, Writer};
+use alderway_tier::custody::{Asking, Custody, Decider};
+use alderway_tier::frames::{Hello, Message, Tried, VERSION};
+use alderway_tier::members::{Change, Members, Watch};
+use alderway_tier::{Incarnation, Name};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// For how long a planner may know less of the roster than this side before it is asked no more: half the grace.
+const BEHIND: f64 = 1.0;
+
+struct Part {
+    id: String,
+    shard: u32,
+    weight: f64,
+    /// Its leaf calls: where to, when, and how they ended.
+    calls: Vec<(String, f64, Option<Ending>)>,
+}
+
+struct Query {
+    number: u64,
+    vertical: usize,
+    customer: String,
+    not_after: f64,
+    parts: Vec<Part>,
+}
+
+pub struct Forwarder {
+    name: Name,
+    incarnation: Incarnation,
+    clock: Clock,
+    custody: Custody,
+    members: Members,
+    links: BTreeMap<Name, Outbox>,
+    queries: BTreeMap<String, Query>,
+    parts: BTreeMap<String, (String, usize)>,
+    /// Leaf calls that are out, or were when their query ended, by a planner's word: it has to hear how they end.
+    calls: BTreeMap<(String, usize), Name>,
+    /// Queries asked of a planner in this round, once all their parts are known.
+    fresh: Vec<Asking>,
+    /// Queries that the own module takes over in the next round.
+    own_due: Vec<String>,
+    heard: Vec<(String, Evidence)>,
+    /// The roster's version here, and the one that planners must know by now.
+    roster: (u64, f64),
+    due: u64,
+    /// When data nodes started, by the clock here.
+    starts: BTreeMap<String, Option<f64>>,
+    pub counters: Counters,
+    pub came: Rc<Notify>,
+}
+
+impl Forwarder {
+    pub fn new(name: &str, incarnation: Incarnation, watch: Watch, clock: Clock, came: Rc<Notify>) -> Self {
+        Forwarder {
+            name: name.into(),
+            incarnation,
+            clock,
+            custody: Custody::new(name),
+            members: Members::new(watch),
+            links: BTreeMap::new(),
+            queries: BTreeMap::new(),
+            parts: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            fresh: vec![],
+            own_due: vec![],
+            heard: vec![],
+            roster: (0, 0.0),
+            due: 0,
+            starts: BTreeMap::new(),
+            counters: Counters::default(),
+            came,
+        }
+    }
+
+    pub fn hello(&self) -> Hello {
+        Hello { version: VERSION, planner: false, incarnation: self.incarnation, name: self.name.clone() }
+    }
+
+    fn able(&self) -> Vec<Name> {
+        self.members.names().filter(|name| self.members.may_ask(name, self.due)).cloned().collect()
+    }
+
+    fn send(&mut self, planner: &str, message: &Message) {
+        if let Some(link) = self.links.get_mut(planner) {
+            link.send(message);
+        }
+    }
+
+    /// What the desk knows of the roster now.
+    pub fn knows(&mut self, roster: u64) {
+        let now = self.clock.now();
+        if now - self.roster.1 >= BEHIND {
+            self.due = self.roster.0;
+        }
+        if roster != self.roster.0 {
+            self.roster = (roster, now);
+        }
+    }
+
+    // Planners.
+
+    /// A planner has said hello on a new connection; false where that is an earlier self of one that is known.
+    pub fn greeted(&mut self, hello: &Hello) -> Option<Rc<Notify>> {
+        let changes = self.members.greeted(&hello.name, hello.incarnation, self.clock.now())?;
+        self.changed(changes);
+        let outbox = Outbox::new(&self.hello());
+        let wake = outbox.wake.clone();
+        self.links.insert(hello.name.clone(), outbox);
+        tracing::info!(target: "tier", "planner {} is met: incarnation {}", hello.name, hello.incarnation);
+        Some(wake)
+    }
+
+    /// A connection to a planner has ended.
+    pub fn ended(&mut self, hello: &Hello) {
+        let changes = self.members.ended(&hello.name, hello.incarnation);
+        self.changed(changes);
+    }
+
+    pub fn outbox(&mut self, hello: &Hello) -> Option<&mut Outbox> {
+        if self.members.incarnation(&hello.name) != Some(hello.incarnation) {
+            return None;
+        }
+        self.links.get_mut(&hello.name).filter(|link| !link.over)
+    }
+
+    /// Beats that are due, and planners that were silent too long.
+    pub fn tick(&mut self) {
+        let (beats, changes) = self.members.tick(self.clock.now());
+        for (planner, number) in beats {
+            let roster = self.roster.0;
+            self.send(&planner, &Message::Beat { number, roster, able: true });
+        }
+        self.changed(changes);
+    }
+
+    fn changed(&mut self, changes: Vec<Change>) {
+        for change in changes {
+            match change {
+                Change::Able(name, able) => {
+                    let word = if able { "decides" } else { "takes nothing new" };
+                    tracing::info!(target: "tier", "planner {name} {word}: {} able", self.able().len());
+                }
+                Change::Lost(name) => self.lost(&name),
+            }
+        }
+    }
+
+    /// Everything that a planner held is asked of another now, or of the own module.
+    fn lost(&mut self, name: &str) {
+        if let Some(link) = self.links.remove(name) {
+            // Its driver ends the connection.
+            link.wake.notify_one();
+        }
+        let able = self.able();
+        let askings = self.custody.lost(name, able.iter());
+        let left = able.len();
+        let held = askings.len();
+        tracing::warn!(target: "tier", "planner {name} is lost: {held} queries asked anew, {left} planners able");
+        self.counters.one("planners_lost");
+        self.counters.add("queries_asked_anew", held);
+        self.calls.retain(|_, planner| planner != name);
+        for asking in askings {
+            self.ask(asking);
+        }
+    }
+
+    /// Asks whoever is to decide, with all that was tried.
+    fn ask(&mut self, asking: Asking) {
+        let Asking { query, decider, term } = asking;
+        let Decider::Planner(planner) = decider else {
+            self.counters.one("queries_decided{own}");
+            self.own_due.push(query);
+            return self.came.notify_one();
+        };
+        let now = self.clock.now();
+        let Some(record) = self.queries.get(&query) else { return };
+        let mut out = vec![];
+        let tried = |(node, at, ending): &(String, f64, Option<Ending>)| Tried {
+            node: node.clone(),
+            age: now - at,
+            ending: ending.map(Into::into),
+        };
+        let part = |part: &Part| {
+            (part.id.clone(), part.shard, part.weight, part.calls.iter().map(tried).collect::<Vec<_>>())
+        };
+        for part in &record.parts {
+            let still = part.calls.iter().enumerate().filter(|(_, call)| call.2.is_none());
+            out.extend(still.map(|(hop, _)| (part.id.clone(), hop)));
+        }
+        let take = Message::Take {
+            term,
+            vertical: record.vertical as u32,
+            customer: record.customer.clone(),
+            left: record.not_after - now,
+            parts: record.parts.iter().map(part).collect(),
+            query,
+        };
+        out.into_iter().for_each(|call| drop(self.calls.insert(call, planner.clone())));
+        self.counters.one("queries_decided{planner}");
+        self.send(&planner, &take);
+    }
+
+    // What comes from planners.
+
+    /// Takes a planner's message in; its decisions go to the desk if it is the one that decides.
+    pub fn read(&mut self, hello: &Hello, message: Message, desk: &mut dyn Writer) {
+        let from = Decider::Planner(hello.name.clone());
+        match message {
+            Message::Beat { number, roster, able } => {
+                self.send(&hello.name, &Message::Heard { number });
+                let changes = self.members.beat(&hello.name, hello.incarnation, roster, able);
+                self.changed(changes);
+            }
+            Message::Heard { number } => self.members.heard(&hello.name, hello.incarnation, number),
+            Message::Evidence { node, started, late, far, sick } => {
+                let seen = self.clock.now();
+                // Two readings of one start differ by a little: it is this side's that the own module knows.
+                let Some(here) = self.starts.get(&node).copied() else { return };
+                let same = match (here, started) {
+                    (Some(here), Some(age)) => (seen - age - here).abs() < 1.0,
+                    (here, there) => here.is_none() && there.is_none(),
+                };
+                if same {
+                    self.heard.push((node, Evidence { started: here, seen, late, far, sick }));
+                    self.counters.one("evidence_heard{planner}");
+                }
+            }
+            Message::Call { term, part, node, limit } => {
+                let query = self.custody.accepts(&from, term);
+                let known = self.parts.get(&part).filter(|(of, _)| Some(of.as_str()) == query).cloned();
+                let Some((query, at)) = known else { return self.counters.one("decisions_refused") };
+                let now = self.clock.now();
+                if let Some(record) = self.queries.get_mut(&query).map(|query| &mut query.parts[at]) {
+                    self.calls.insert((part.clone(), record.calls.len()), hello.name.clone());
+                    record.calls.push((node.clone(), now, None));
+                    desk.call(&part, &node, limit);
+                }
+            }
+            Message::Cancel { part, hop, .. } => {
+                // After the final answer as well: the losers of its race.
+                match self.calls.get(&(part.clone(), hop as usize)) {
+                    Some(planner) if *planner == hello.name => desk.cancel(&part, hop as usize),
+                    _ => self.counters.one("decisions_refused"),
+                }
+            }
+            Message::Answer { term, query, whole } => {
+                if self.finish(&from, term, &query) {
+                    desk.answer(&query, whole);
+                }
+            }
+            Message::Reject { term, query, come_back } => {
+                if self.finish(&from, term, &query) {
+                    desk.reject(&query, come_back);
+                }
+            }
+            Message::Abort { term, query } => {
+                if self.finish(&from, term, &query) {
+                    desk.abort(&query);
+                }
+            }
+            Message::Take { .. } | Message::Ended { .. } | Message::Left { .. } => {
+                self.counters.one("decisions_refused");
+            }
+        }
+    }
+
+    fn finish(&mut self, from: &Decider, term: u64, query: &str) -> bool {
+        let decides = self.custody.accepts(from, term) == Some(query);
+        if decides {
+            self.forget(query);
+        } else {
+            self.counters.one("decisions_refused");
+        }
+        decides
+    }
+
+    fn forget(&mut self, query: &str) -> Option<Asking> {
+        if let Some(record) = self.queries.remove(query) {
+            record.parts.iter().for_each(|part| drop(self.parts.remove(&part.id)));
+        }
+        self.custody.close(query)
+    }
+
+    // What the own module decides.
+
+    pub fn own_called(&mut self, part: &str, node: &str) {
+        let now = self.clock.now();
+        if let Some((query, at)) = self.parts.get(part)
+            && let Some(query) = self.queries.get_mut(query)
+        {
+            query.parts[*at].calls.push((node.into(), now, None));
+        }
+    }
+
+    pub fn own_finished(&mut self, query: &str) {
+        self.forget(query);
+    }
+
+    /// Everything is over, as after a failure of the own module.
+    pub fn start_over(&mut self) {
+        let open: Vec<String> = self.queries.keys().cloned().collect();
+        for query in open {
+            if let Some(Asking { decider: Decider::Planner(planner), .. }) = self.forget(&query) {
+                self.send(&planner, &Message::Left { query });
+            }
+        }
+        self.own_due.clear();
+        self.fresh.clear();
+    }
+
+    /// Queries held, and those that the own module decides for.
+    pub fn figures(&self) -> [(&'static str, u64); 3] {
+        let (held, own) = self.custody.count();
+        [
+            ("planners_able", self.able().len() as u64),
+            ("queries_with_planners", (held - own) as u64),
+            ("queries_with_own_module", own as u64),
+        ]
+    }
+}
+
+/// What the desk tells, on its way to whoever decides.
+pub struct Split<'a> {
+    forwarder: &'a mut Forwarder,
+    own: &'a mut dyn Intake,
+    /// The query whose parts are told now, and whether the own module decides for it.
+    told: (String, bool),
+}
+
+impl<'a> Split<'a> {
+    /// Begins a round: what the own module takes over comes first.
+    pub fn begin(forwarder: &'a mut Forwarder, own: &'a mut dyn Intake) -> Self {
+        let now = forwarder.clock.now();
+        for (node, seen) in std::mem::take(&mut forwarder.heard) {
+            own.evidence(&node, seen);
+        }
+        for id in std::mem::take(&mut forwarder.own_due) {
+            let Some(query) = forwarder.queries.get(&id) else { continue };
+            own.query(query.number, &id, query.vertical, &query.customer, query.not_after);
+            for part in &query.parts {
+                own.part(query.number, &part.id, part.shard, part.weight);
+                for (node, at, ending) in &part.calls {
+                    own.part_tried(&part.id, node, now - at, *ending);
+                }
+            }
+        }
+        Split { forwarder, own, told: (String::new(), false) }
+    }
+
+    /// Ends a round: what is asked of planners goes out.
+    pub fn end(self) {
+        for asking in std::mem::take(&mut self.forwarder.fresh) {
+            // Its planner may have been lost in the round, and the query asked anew.
+            if self.forwarder.custody.accepts(&asking.decider, asking.term).is_some() {
+                self.forwarder.ask(asking);
+            }
+        }
+    }
+}
+
+impl Records for Split<'_> {
+    fn shard_held(&mut self, shard: u32, held: Held) {
+        self.own.shard_held(shard, held);
+    }
+}
+
+impl Intake for Split<'_> {
+    fn roster_whole(&mut self) {
+        self.own.roster_whole();
+    }
+
+    fn roster_entry(&mut self, node: &str, cell: u32, state: NodeState, started: Option<f64>) {
+        if state == NodeState::Gone {
+            self.forwarder.starts.remove(node);
+        } else {
+            self.forwarder.starts.insert(node.into(), started);
+        }
+        self.own.roster_entry(node, cell, state, started);
+    }
+
+    fn roster_failed(&mut self) {
+        self.own.roster_failed();
+    }
+
+    fn query(&mut self, number: u64, id: &str, vertical: usize, customer: &str, not_after: f64) {
+        let able = self.forwarder.able();
+        let Some(asking) = self.forwarder.custody.open(id, able.iter()) else { return };
+        let query = Query { number, vertical, customer: customer.into(), not_after, parts: vec![] };
+        self.forwarder.queries.insert(id.into(), query);
+        self.told = (id.into(), asking.decider == Decider::Own);
+        if asking.decider == Decider::Own {
+            self.forwarder.counters.one("queries_decided{own}");
+            self.own.query(number, id, vertical, customer, not_after);
+        } else {
+            self.forwarder.fresh.push(asking);
+        }
+    }
+
+    fn part(&mut self, number: u64, id: &str, shard: u32, weight: f64) {
+        // A query's parts follow on it.
+        let (name, own) = &self.told;
+        let Some(query) = self.forwarder.queries.get_mut(name).filter(|q| q.number == number) else { return };
+        query.parts.push(Part { id: id.into(), shard, weight, calls: vec![] });
+        self.forwarder.parts.insert(id.into(), (name.clone(), query.parts.len() - 1));
+        if *own {
+            self.own.part(number, id, shard, weight);
+        }
+    }
+
+    fn call_ended(&mut self, part: &str, hop: usize, node: &str, ending: Ending, latency: f64) {
+        if let Some((query, at)) = self.forwarder.parts.get(part)
+            && let Some(query) = self.forwarder.queries.get_mut(query)
+            && let Some(call) = query.parts[*at].calls.get_mut(hop)
+        {
+            call.2 = Some(ending);
+        }
+        match self.forwarder.calls.remove(&(part.into(), hop)) {
+            Some(planner) => {
+                let (part, node) = (part.into(), node.into());
+                let ended = Message::Ended { part, hop: hop as u32, node, ending: ending.into(), latency };
+                self.forwarder.send(&planner, &ended);
+            }
+            None => self.own.call_ended(part, hop, node, ending, latency),
+        }
+    }
+
+    fn client_left(&mut self, query: &str) {
+        match self.forwarder.forget(query).map(|asking| asking.decider) {
+            Some(Decider::Planner(planner)) => {
+                self.forwarder.send(&planner, &Message::Left { query: query.into() });
+            }
+            _ => self.own.client_left(query),
+        }
+    }
+
+    fn alarm(&mut self, tag: u64) {
+        self.own.alarm(tag);
+    }
+
+    fn evidence(&mut self, node: &str, seen: Evidence) {
+        self.own.evidence(node, seen);
+    }
+}
--- /dev/null
+++ b/crates/router/src/tier/links.rs
@@ -0,0 +1,179 @@
+//! The drivers of a forwarder's connections to planners: each is dialled again and again, with waits drawn by chance
+//! that grow, so that forwarders do not come back all at once to a planner that has just started.
+use super::Outbox;
+use super::forwarder::Forwarder;
+use crate::drive::rounds::{self, Pen};
+use crate::memory::Shared;
+use crate::memory::descriptors::Share;
+use alderway_tier::frames::{Hello, Read, Reader};
+use rand_pcg::Pcg32;
+use rand_pcg::rand_core::Rng;
+use std::cell::RefCell;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
+
+pub type Tier = Rc<RefCell<Forwarder>>;
+
+/// Waits between two dials: from the least, doubled each time up to the most, each drawn between half of it and all.
+const LEAST: f64 = 0.05;
+const MOST: f64 = 1.0;
+/// For a dial and the hello.
+const PATIENCE: Duration = Duration::from_millis(500);
+/// How often beats and silences are looked at.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Keeps up connections to all planners, for as long as the program runs.
+pub fn start(desk: &Shared, tier: &Tier, planners: &[SocketAddr], share: &Arc<Share>, seed: u64) {
+    for (n, planner) in planners.iter().enumerate() {
+        let (desk, tier, share, planner) = (desk.clone(), tier.clone(), share.clone(), *planner);
+        spawn_local(async move { keep(desk, tier, planner, share, seed ^ (n as u64) << 17).await });
+    }
+    let (tier, desk) = (tier.clone(), desk.clone());
+    spawn_local(async move {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let index = desk.borrow().roster.index.unwrap_or(0);
+            let mut tier = tier.borrow_mut();
+            tier.knows(index);
+            tier.tick();
+        }
+    });
+}
+
+async fn keep(desk: Shared, tier: Tier, planner: SocketAddr, share: Arc<Share>, seed: u64) {
+    let (mut chance, mut wait) = (Pcg32::new(seed, 1), LEAST);
+    loop {
+        if let Ok(Ok(stream)) = timeout(PATIENCE, TcpStream::connect(planner)).await {
+            let _ = stream.set_nodelay(true);
+            match speak(&desk, &tier, &stream, &share).await {
+                // It was met: the next dial comes soon.
+                Ok(()) => wait = LEAST,
+                Err(why) => tracing::warn!(target: "tier", "planner at {planner}: {why}"),
+            }
+        }
+        sleep(Duration::from_secs_f64(wait * (0.5 + f64::from(chance.next_u32()) / 8_589_934_592.0))).await;
+        wait = (2.0 * wait).min(MOST);
+    }
+}
+
+/// Speaks until the connection ends; an error if it was of no use.
+async fn speak(desk: &Shared, tier: &Tier, stream: &TcpStream, share: &Arc<Share>) -> Result<(), String> {
+    let mut first = Outbox::new(&tier.borrow().hello()).bytes;
+    let (mut reader, mut space) = (Reader::default(), vec![0; 64 * 1024]);
+    let hello = timeout(PATIENCE, greet(stream, &mut first, &mut reader, &mut space));
+    let hello = hello.await.map_err(|_| "no hello in time".to_string())??;
+    if !hello.planner {
+        return Err("it is no planner".into());
+    }
+    let Some(wake) = tier.borrow_mut().greeted(&hello) else {
+        return Err(format!("incarnation {} of {} is an earlier one", hello.incarnation, hello.name));
+    };
+    // The hello has gone out already.
+    if let Some(outbox) = tier.borrow_mut().outbox(&hello) {
+        outbox.bytes.clear();
+    }
+    let ended = talk(desk, tier, stream, share, &hello, &wake, reader, space).await;
+    tier.borrow_mut().ended(&hello);
+    desk.borrow().came.notify_one();
+    match ended {
+        Some(why) => Err(why),
+        None => Ok(()),
+    }
+}
+
+async fn greet(
+    stream: &TcpStream,
+    out: &mut Vec<u8>,
+    reader: &mut Reader,
+    space: &mut [u8],
+) -> Result<Hello, String> {
+    loop {
+        if !out.is_empty() {
+            stream.writable().await.map_err(|why| why.to_string())?;
+            match stream.try_write(out) {
+                Ok(count) => drop(out.drain(..count)),
+                Err(why) if why.kind() == ErrorKind::WouldBlock => {}
+                Err(why) => return Err(why.to_string()),
+            }
+            continue;
+        }
+        match reader.next().map_err(|why| why.to_string())? {
+            Some(Read::Hello(hello)) => return Ok(hello),
+            Some(Read::Message(_)) => return Err("no hello came first".into()),
+            None => {}
+        }
+        stream.readable().await.map_err(|why| why.to_string())?;
+        match stream.try_read(space) {
+            Ok(0) => return Err("it ended before its hello".into()),
+            Ok(count) => reader.feed(&space[..count]),
+            Err(why) if why.kind() == ErrorKind::WouldBlock => {}
+            Err(why) => return Err(why.to_string()),
+        }
+    }
+}
+
+/// Writes what waits and reads what comes; returns what was wrong with the peer, if anything.
+#[allow(clippy::too_many_arguments)]
+async fn talk(
+    desk: &Shared,
+    tier: &Tier,
+    stream: &TcpStream,
+    share: &Arc<Share>,
+    hello: &Hello,
+    wake: &Rc<Notify>,
+    mut reader: Reader,
+    mut space: Vec<u8>,
+) -> Option<String> {
+    loop {
+        let mut waits = false;
+        {
+            let mut tier = tier.borrow_mut();
+            // Lost, replaced by a later self, or too slow: this connection decides nothing more.
+            let outbox = tier.outbox(hello)?;
+            if !outbox.bytes.is_empty() {
+                match stream.try_write(&outbox.bytes) {
+                    Ok(count) => drop(outbox.bytes.drain(..count)),
+                    Err(why) if why.kind() == ErrorKind::WouldBlock => {}
+                    Err(_) => return None,
+                }
+                waits = !outbox.bytes.is_empty();
+            }
+        }
+        let mut called = false;
+        loop {
+            match reader.next() {
+                Ok(Some(Read::Message(message))) => {
+                    called = true;
+                    tier.borrow_mut().read(hello, message, &mut Pen::bare(desk));
+                }
+                Ok(Some(Read::Hello(_))) => return Some("it says hello twice".into()),
+                Ok(None) => break,
+                Err(why) => return Some(why.to_string()),
+            }
+        }
+        if called {
+            rounds::post(desk, share);
+            continue;
+        }
+        tokio::select! {
+            ready = stream.readable() => if ready.is_err() { return None },
+            _ = stream.writable(), if waits => continue,
+            () = wake.notified() => continue,
+        }
+        match stream.try_read(&mut space) {
+            Ok(0) => return None,
+            Ok(count) => reader.feed(&space[..count]),
+            Err(why) if why.kind() == ErrorKind::WouldBlock => {}
+            Err(_) => return None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/tier/planner.rs
@@ -0,0 +1,444 @@
+//! A planner: the decision module for many forwarders. It follows discovery by itself, takes queries with what was tried
+//! for them, and tells each forwarder the decisions for its own. What a forwarder that is gone had out ends here with its
+//! session, so that nothing of it weighs on a data node for ever. No sockets.
+use super::Outbox;
+use crate::drive::discovery::Follower;
+use crate::memory::clock::Clock;
+use crate::memory::counters::Counters;
+use crate::memory::roster::Roster;
+use alderway::choice::Router;
+use alderway::host::{Ending, Evidence, Intake, NodeState, Writer};
+use alderway_tier::frames::{Hello, Message, Tried};
+use std::collections::{BTreeMap, BTreeSet};
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use tokio::sync::Notify;
+
+pub type SessionId = u64;
+
+/// A forwarder's connection.
+struct Session {
+    outbox: Outbox,
+    queries: BTreeSet<u64>,
+    /// Leaf calls that it has out by this planner's word: part and number, with the node and since when.
+    calls: BTreeMap<(String, u32), (String, f64)>,
+    /// The oldest beat of ours that it has not answered, and the last one.
+    unanswered: Option<f64>,
+    next: u64,
+}
+
+struct Query {
+    session: SessionId,
+    /// As the forwarder calls it, and its parts as the module does.
+    id: String,
+    term: u64,
+    parts: Vec<String>,
+}
+
+/// Something that came in since the last round.
+enum Came {
+    Query {
+        number: u64,
+        vertical: usize,
+        customer: String,
+        not_after: f64,
+        parts: Vec<(String, u32, f64, Vec<Tried>)>,
+    },
+    Ended {
+        part: String,
+        hop: usize,
+        node: String,
+        ending: Ending,
+        latency: f64,
+    },
+    Left(String),
+    Alarm(u64),
+}
+
+/// All but the module, which writes into it.
+pub struct Planner {
+    pub clock: Clock,
+    dial: f64,
+    verticals: usize,
+    deadline: f64,
+    room: usize,
+    pub roster: Roster,
+    sessions: BTreeMap<SessionId, Session>,
+    queries: BTreeMap<u64, Query>,
+    /// By the module's names, which hold the session's number.
+    ids: BTreeMap<String, u64>,
+    /// With how many leaf calls each part has had.
+    parts: BTreeMap<String, (u64, u32)>,
+    held: usize,
+    came: Vec<Came>,
+    alarms: Vec<(f64, u64)>,
+    last: u64,
+    starts: BTreeMap<String, Option<f64>>,
+    pub stopping: bool,
+    pub counters: Counters,
+    pub wake: Rc<Notify>,
+    asked: Arc<Notify>,
+}
+
+/// The module's name of what a forwarder calls by its own.
+fn named(session: SessionId, name: &str) -> String {
+    format!("{session}/{name}")
+}
+
+/// The session and the forwarder's name.
+fn unnamed(name: &str) -> Option<(SessionId, &str)> {
+    let (session, name) = name.split_once('/')?;
+    Some((session.parse().ok()?, name))
+}
+
+impl Planner {
+    pub fn new(
+        clock: Clock,
+        dial: f64,
+        verticals: usize,
+        deadline: f64,
+        room: usize,
+        roster: Roster,
+    ) -> Self {
+        Planner {
+            clock,
+            dial,
+            verticals,
+            deadline,
+            room,
+            roster,
+            sessions: BTreeMap::new(),
+            queries: BTreeMap::new(),
+            ids: BTreeMap::new(),
+            parts: BTreeMap::new(),
+            held: 0,
+            came: vec![],
+            alarms: vec![],
+            last: 0,
+            starts: BTreeMap::new(),
+            stopping: false,
+            counters: Counters::default(),
+            wake: Rc::default(),
+            asked: Arc::default(),
+        }
+    }
+
+    pub fn open(&self) -> usize {
+        self.queries.len()
+    }
+
+    /// Whether new queries are taken: data nodes are known, there is room, and no stop has begun.
+    fn able(&self) -> bool {
+        self.roster.names_any() && !self.stopping && self.held < self.room
+    }
+
+    // Forwarders.
+
+    pub fn begin(&mut self, hello: &Hello) -> (SessionId, Rc<Notify>) {
+        self.last += 1;
+        let outbox = Outbox::new(hello);
+        let wake = outbox.wake.clone();
+        let (queries, calls) = Default::default();
+        self.sessions.insert(self.last, Session { outbox, queries, calls, unanswered: None, next: 0 });
+        self.counters.one("forwarders{met}");
+        (self.last, wake)
+    }
+
+    pub fn outbox(&mut self, session: SessionId) -> Option<&mut Outbox> {
+        self.sessions.get_mut(&session).map(|session| &mut session.outbox).filter(|outbox| !outbox.over)
+    }
+
+    /// The connection has ended: the module hears that its clients have left and its calls are given up.
+    pub fn end(&mut self, id: SessionId) {
+        let Some(session) = self.sessions.remove(&id) else { return };
+        let now = self.clock.now();
+        for number in session.queries {
+            if let Some(query) = self.forget(number) {
+                self.came.push(Came::Left(named(id, &query.id)));
+            }
+        }
+        for ((part, hop), (node, at)) in session.calls {
+            let (part, hop) = (named(id, &part), hop as usize);
+            self.came.push(Came::Ended { part, hop, node, ending: Ending::Cancelled, latency: now - at });
+        }
+        self.counters.one("forwarders{gone}");
+        self.wake.notify_one();
+    }
+
+    fn send(&mut self, session: SessionId, message: &Message) {
+        if let Some(session) = self.sessions.get_mut(&session) {
+            session.outbox.send(message);
+        }
+    }
+
+    fn forget(&mut self, number: u64) -> Option<Query> {
+        let query = self.queries.remove(&number)?;
+        self.ids.remove(&named(query.session, &query.id));
+        for part in &query.parts {
+            self.parts.remove(part);
+        }
+        self.held -= 1 + query.parts.len();
+        if let Some(session) = self.sessions.get_mut(&query.session) {
+            session.queries.remove(&number);
+        }
+        Some(query)
+    }
+
+    /// Takes a forwarder's message in; false where it is none that a forwarder sends.
+    pub fn read(&mut self, id: SessionId, message: Message) -> bool {
+        match message {
+            Message::Beat { number, .. } => {
+                self.send(id, &Message::Heard { number });
+                return true;
+            }
+            Message::Heard { .. } => {
+                self.sessions.get_mut(&id).into_iter().for_each(|session| session.unanswered = None);
+                return true;
+            }
+            Message::Take { term, query, vertical, customer, left, parts } => {
+                self.take(id, term, query, vertical as usize, customer, left, parts);
+            }
+            Message::Ended { part, hop, node, ending, latency } => {
+                let out = self.sessions.get_mut(&id).and_then(|s| s.calls.remove(&(part.clone(), hop)));
+                if out.is_some() {
+                    let (part, hop, ending) = (named(id, &part), hop as usize, ending.into());
+                    self.came.push(Came::Ended { part, hop, node, ending, latency });
+                }
+            }
+            Message::Left { query } => {
+                let name = named(id, &query);
+                if let Some(number) = self.ids.get(&name).copied() {
+                    self.forget(number);
+                    self.came.push(Came::Left(name));
+                }
+            }
+            _ => return false,
+        }
+        self.wake.notify_one();
+        true
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn take(
+        &mut self,
+        session: SessionId,
+        term: u64,
+        id: String,
+        vertical: usize,
+        customer: String,
+        left: f64,
+        parts: Vec<(String, u32, f64, Vec<Tried>)>,
+    ) {
+        let name = named(session, &id);
+        let tried = parts.iter().any(|part| !part.3.is_empty());
+        let fits = self.held + 1 + parts.len() <= self.room && !self.ids.contains_key(&name);
+        // Guards against a queue that nobody reads in time: past its room a planner turns away at once. What was
+        // tried may have run; it is taken beyond the room, so that the module judges it.
+        if vertical >= self.verticals || left.is_nan() || !(fits || tried) {
+            self.counters.one("queries_turned_away");
+            return self.send(session, &Message::Reject { term, query: id, come_back: None });
+        }
+        let (now, number) = (self.clock.now(), self.last + 1);
+        self.last = number;
+        self.held += 1 + parts.len();
+        let names: Vec<String> = parts.iter().map(|part| named(session, &part.0)).collect();
+        for (name, part) in names.iter().zip(&parts) {
+            self.parts.insert(name.clone(), (number, part.3.len() as u32));
+        }
+        self.ids.insert(name, number);
+        if let Some(there) = self.sessions.get_mut(&session) {
+            there.queries.insert(number);
+            for (part, _, _, tried) in &parts {
+                for (hop, call) in tried.iter().enumerate().filter(|(_, call)| call.ending.is_none()) {
+                    there.calls.insert((part.clone(), hop as u32), (call.node.clone(), now - call.age));
+                }
+            }
+        }
+        self.counters.one(if tried { "queries_taken{over}" } else { "queries_taken{new}" });
+        self.queries.insert(number, Query { session, id, term, parts: names });
+        let not_after = now + left.min(self.deadline);
+        self.came.push(Came::Query { number, vertical, customer, not_after, parts });
+    }
+
+    /// Says how this planner is to every forwarder; those that answered nothing for so long are over.
+    pub fn beat(&mut self, patience: f64) {
+        let (able, roster, now) = (self.able(), self.roster.index.unwrap_or(0), self.clock.now());
+        for session in self.sessions.values_mut() {
+            session.next += 1;
+            session.outbox.send(&Message::Beat { number: session.next, roster, able });
+            let since = *session.unanswered.get_or_insert(now);
+            if now - since > patience {
+                session.outbox.over = true;
+                session.outbox.wake.notify_one();
+            }
+        }
+    }
+
+    // Rounds.
+
+    pub fn next_due(&self) -> f64 {
+        self.alarms.iter().map(|alarm| alarm.0).fold(f64::INFINITY, f64::min)
+    }
+
+    fn tell(&mut self, now: f64, module: &mut dyn Intake) {
+        if std::mem::take(&mut self.roster.failed) {
+            module.roster_failed();
+        }
+        if std::mem::take(&mut self.roster.whole) {
+            module.roster_whole();
+        }
+        for name in std::mem::take(&mut self.roster.changed) {
+            if let Some(node) = self.roster.nodes.get(&name) {
+                module.roster_entry(&name, node.cell, node.state, node.started);
+                if node.state == NodeState::Gone {
+                    self.starts.remove(&name);
+                } else {
+                    self.starts.insert(name, node.started);
+                }
+            }
+        }
+        self.roster.forget_gone();
+        let due: Vec<u64> = self.alarms.extract_if(.., |alarm| alarm.0 <= now).map(|alarm| alarm.1).collect();
+        self.came.extend(due.into_iter().map(Came::Alarm));
+        for came in std::mem::take(&mut self.came) {
+            match came {
+                Came::Query { number, vertical, customer, not_after, parts } => {
+                    let Some(query) = self.queries.get(&number) else { continue };
+                    module.query(number, &named(query.session, &query.id), vertical, &customer, not_after);
+                    for ((_, shard, weight, tried), name) in parts.iter().zip(&query.parts) {
+                        module.part(number, name, *shard, *weight);
+                        for call in tried {
+                            module.part_tried(
+                                name,
+                                &call.node,
+                                call.age.max(0.0),
+                                call.ending.map(Into::into),
+                            );
+                        }
+                    }
+                }
+                Came::Ended { part, hop, node, ending, latency } => {
+                    module.call_ended(&part, hop, &node, ending, latency);
+                }
+                Came::Left(query) => module.client_left(&query),
+                Came::Alarm(tag) => module.alarm(tag),
+            }
+        }
+    }
+
+    /// The forwarder's session and term of a query.
+    fn of(&self, number: u64) -> Option<(SessionId, u64)> {
+        let query = self.queries.get(&number)?;
+        Some((query.session, query.term))
+    }
+
+    fn finish(&mut self, query: &str, message: impl FnOnce(u64, String) -> Message) {
+        let Some(number) = self.ids.get(query).copied() else { return };
+        if let Some(query) = self.forget(number) {
+            self.send(query.session, &message(query.term, query.id));
+        }
+    }
+}
+
+/// One round: all that came in is told, and decisions go to their forwarders.
+pub fn round(planner: &std::cell::RefCell<Planner>, module: &mut Router) {
+    let now = planner.borrow().clock.now();
+    let tell = |intake: &mut dyn Intake| {
+        planner.borrow_mut().tell(now, intake);
+        Ok::<(), Infallible>(())
+    };
+    let Ok(()) = module.round(now, tell, &mut Pen(planner));
+    planner.borrow_mut().counters.one("rounds");
+}
+
+struct Pen<'a>(&'a std::cell::RefCell<Planner>);
+
+impl Writer for Pen<'_> {
+    fn call(&mut self, part: &str, node: &str, limit: f64) {
+        let mut planner = self.0.borrow_mut();
+        let Some((number, calls)) = planner.parts.get_mut(part) else { return };
+        let (number, hop) = (*number, *calls);
+        *calls += 1;
+        let (Some((session, term)), Some((_, name))) = (planner.of(number), unnamed(part)) else { return };
+        let now = planner.clock.now();
+        let (name, node) = (name.to_string(), node.to_string());
+        if let Some(session) = planner.sessions.get_mut(&session) {
+            session.calls.insert((name.clone(), hop), (node.clone(), now));
+        }
+        planner.counters.one("leaf_calls_decided");
+        planner.send(session, &Message::Call { term, part: name, node, limit });
+    }
+
+    fn cancel(&mut self, part: &str, hop: usize) {
+        let mut planner = self.0.borrow_mut();
+        let number = planner.parts.get(part).map(|part| part.0);
+        let term = number.and_then(|number| planner.of(number)).map_or(0, |of| of.1);
+        let Some((session, name)) = unnamed(part) else { return };
+        planner.send(session, &Message::Cancel { term, part: name.into(), hop: hop as u32 });
+    }
+
+    fn answer(&mut self, query: &str, whole: bool) {
+        self.0.borrow_mut().finish(query, |term, query| Message::Answer { term, query, whole });
+    }
+
+    fn reject(&mut self, query: &str, come_back: Option<f64>) {
+        self.0.borrow_mut().finish(query, |term, query| Message::Reject { term, query, come_back });
+    }
+
+    fn abort(&mut self, query: &str) {
+        self.0.borrow_mut().finish(query, |term, query| Message::Abort { term, query });
+    }
+
+    fn alarm(&mut self, span: f64, tag: u64) {
+        let mut planner = self.0.borrow_mut();
+        let at = planner.clock.now() + span;
+        planner.alarms.push((at, tag));
+    }
+
+    fn follow_roster(&mut self) {
+        self.0.borrow().asked.notify_one();
+    }
+
+    fn remark(&mut self, text: &str) {
+        tracing::info!(target: "module", "{text}");
+    }
+
+    fn evidence(&mut self, node: &str, seen: Evidence) {
+        let mut planner = self.0.borrow_mut();
+        let now = planner.clock.now();
+        let started = planner.starts.get(node).copied().flatten().map(|at| now - at);
+        let Evidence { late, far, sick, .. } = seen;
+        let message = Message::Evidence { node: node.into(), started, late, far, sick };
+        let sessions: Vec<SessionId> = planner.sessions.keys().copied().collect();
+        sessions.into_iter().for_each(|session| planner.send(session, &message));
+    }
+}
+
+impl Follower for Planner {
+    fn clock(&self) -> Clock {
+        self.clock
+    }
+    fn dial(&self) -> f64 {
+        self.dial
+    }
+    fn follows(&self) -> bool {
+        false
+    }
+    fn asked(&self) -> Arc<Notify> {
+        self.asked.clone()
+    }
+    fn roster(&mut self) -> &mut Roster {
+        &mut self.roster
+    }
+    fn changed(&mut self) {
+        self.counters.one("roster_changes");
+        self.wake.notify_one();
+    }
+    fn watch_lost(&mut self) {
+        self.counters.one("discovery_watches_lost");
+    }
+    fn moved(&mut self) {
+        self.counters.one("discovery_moves");
+    }
+}
--- /dev/null
+++ b/crates/router/src/tier/post.rs
@@ -0,0 +1,164 @@
+//! A planner's drivers: the listener for forwarders, a task a connection, discovery, and the rounds of its module.
+use super::planner::{self, Planner};
+use crate::drive::{discovery, until};
+use crate::life::reload::{self, Was};
+use crate::life::start::Station;
+use crate::life::{logger, stop};
+use crate::memory::clock::Clock;
+use alderway::host::Common;
+use alderway_tier::frames::{Hello, Read, Reader, VERSION};
+use std::cell::RefCell;
+use std::io::{self, ErrorKind};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::task::{spawn_local, yield_now};
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
+
+type Shared = Rc<RefCell<Planner>>;
+
+const BEAT: Duration = Duration::from_millis(50);
+/// A forwarder that answers no beat for so long is gone; its own patience is shorter.
+const PATIENCE: f64 = 1.0;
+const GREETING: Duration = Duration::from_millis(500);
+
+/// A later start has a larger one.
+pub fn incarnation() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64
+}
+
+/// Runs a planner until SIGTERM has been seen through: it takes nothing new, and what it holds ends first.
+pub async fn run(station: Station, clock: Clock) -> io::Result<()> {
+    let Station { path, beside, name, listen, discovery, roster, module, fixed, .. } = station;
+    let (mut terms, hangups) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
+    let mut router = module().map_err(io::Error::other)?;
+    // It tells forwarders what it sees of data nodes, as one core tells others.
+    router.join(Common::new(2).of(0));
+    let (dial, verticals) = (station.trunk.dial, station.verticals.len());
+    let (deadline, room) = (station.room.deadline, station.room.room);
+    let shared = Rc::new(RefCell::new(Planner::new(clock, dial, verticals, deadline, room, roster)));
+    let listener = TcpListener::bind(listen).await?;
+    let at = listener.local_addr()?;
+    tracing::info!(target: "start", "{name} listens at {at}: a planner");
+    let (agent, address) = watch::channel(discovery);
+    spawn_local(discovery::run(shared.clone(), address));
+    spawn_local(reload::at_sighup(hangups, Was { path, beside, fixed }, agent, clock));
+    let hello = Hello { version: VERSION, planner: true, incarnation: incarnation(), name };
+    spawn_local(accept(shared.clone(), listener, hello));
+    spawn_local(beats(shared.clone()));
+    let mut rounds = spawn_local(rounds(shared.clone(), router));
+    tokio::select! {
+        _ = terms.recv() => {}
+        ended = &mut rounds => return Err(io::Error::other(format!("the rounds ended: {ended:?}"))),
+    }
+    shared.borrow_mut().stopping = true;
+    shared.borrow_mut().beat(PATIENCE);
+    let over = clock.now() + stop::limit(deadline);
+    while shared.borrow().open() > 0 && clock.now() < over {
+        sleep(Duration::from_millis(10)).await;
+    }
+    // Decisions on their way go out.
+    sleep(Duration::from_millis(50)).await;
+    tracing::info!(target: "stop", "ended: {} queries open", shared.borrow().open());
+    logger::last_words(&shared.borrow().counters.text());
+    Ok(())
+}
+
+async fn rounds(planner: Shared, mut router: alderway::choice::Router) {
+    let (clock, wake) = (planner.borrow().clock, planner.borrow().wake.clone());
+    loop {
+        let due = planner.borrow().next_due();
+        tokio::select! {
+            () = wake.notified() => {}
+            () = until(clock, due), if due.is_finite() => {}
+        }
+        // Whatever else has come by now is told in the same round.
+        yield_now().await;
+        planner::round(&planner, &mut router);
+    }
+}
+
+async fn beats(planner: Shared) {
+    let mut beats = interval(BEAT);
+    beats.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        beats.tick().await;
+        planner.borrow_mut().beat(PATIENCE);
+    }
+}
+
+async fn accept(planner: Shared, listener: TcpListener, hello: Hello) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let (planner, hello) = (planner.clone(), hello.clone());
+        spawn_local(async move {
+            let _ = stream.set_nodelay(true);
+            if let Err(why) = speak(&planner, &stream, &hello).await {
+                tracing::warn!(target: "tier", "a forwarder: {why}");
+            }
+        });
+    }
+}
+
+async fn speak(planner: &Shared, stream: &TcpStream, hello: &Hello) -> Result<(), String> {
+    let (mut reader, mut space) = (Reader::default(), vec![0; 64 * 1024]);
+    let (session, wake) = planner.borrow_mut().begin(hello);
+    let mut greeted = false;
+    let ended = loop {
+        let mut waits = false;
+        {
+            let mut planner = planner.borrow_mut();
+            let Some(outbox) = planner.outbox(session) else { break Err("it does not read".to_string()) };
+            if !outbox.bytes.is_empty() {
+                match stream.try_write(&outbox.bytes) {
+                    Ok(count) => drop(outbox.bytes.drain(..count)),
+                    Err(why) if why.kind() == ErrorKind::WouldBlock => {}
+                    Err(_) => break Ok(()),
+                }
+                waits = !outbox.bytes.is_empty();
+            }
+        }
+        match reader.next() {
+            Ok(Some(Read::Hello(theirs))) if theirs.planner => break Err("it is a planner".into()),
+            Ok(Some(Read::Hello(theirs))) => {
+                tracing::info!(target: "tier", "forwarder {} is met", theirs.name);
+                greeted = true;
+                continue;
+            }
+            Ok(Some(Read::Message(message))) => {
+                if !planner.borrow_mut().read(session, message) {
+                    break Err("it sends what only planners send".into());
+                }
+                continue;
+            }
+            Ok(None) => {}
+            Err(why) => break Err(why.to_string()),
+        }
+        let ready = async {
+            tokio::select! {
+                ready = stream.readable() => ready.is_ok(),
+                _ = stream.writable(), if waits => true,
+                () = wake.notified() => true,
+            }
+        };
+        let ready = if greeted { Ok(ready.await) } else { timeout(GREETING, ready).await };
+        match ready {
+            Ok(true) => {}
+            Ok(false) => break Ok(()),
+            Err(_) => break Err("no hello in time".into()),
+        }
+        match stream.try_read(&mut space) {
+            Ok(0) => break Ok(()),
+            Ok(count) => reader.feed(&space[..count]),
+            Err(why) if why.kind() == ErrorKind::WouldBlock => {}
+            Err(_) => break Ok(()),
+        }
+    };
+    planner.borrow_mut().end(session);
+    ended
+}
--- a/crates/tier/src/frames.rs
+++ b/crates/tier/src/frames.rs
@@ -134,6 +134,14 @@
     Heard {
         number: u64,
     },
+    /// What a planner saw of a data node, which started so many seconds ago, if that is known; the spans count from now.
+    Evidence {
+        node: String,
+        started: Option<f64>,
+        late: f64,
+        far: f64,
+        sick: f64,
+    },
 }
 
 /// Why bytes cannot be used, in one line that says what the peer did.
--- a/crates/tier/src/members.rs
+++ b/crates/tier/src/members.rs
@@ -114,8 +114,8 @@
         (beats, lost.into_iter().map(Change::Lost).collect())
     }
 
-    /// Whether a planner may be asked: it says so, and it knows the roster at least as far as we do, less what it may
-    /// lack for a moment. Guards against a planner that was cut off from discovery and sends to nodes that drain.
+    /// Whether a planner may be asked: it says so, and it knows the roster as far as it must by now. Guards against a
+    /// planner that was cut off from discovery and goes on sending to nodes that drain.
     pub fn may_ask(&self, name: &str, roster: u64) -> bool {
         self.planners.get(name).is_some_and(|planner| planner.able && planner.roster >= roster)
     }
