--- a/crates/alderway/tests/tier.rs
+++ b/crates/alderway/tests/tier.rs
@@ -302,3 +302,53 @@
     });
     assert_eq!(counted(&forwarder, "queries_open"), 0);
 }
+
+/// Guards against queues that nobody reads in time: past its room a planner turns queries away at once, with words that
+/// reach the client as a rejection.
+#[rstest]
+fn a_planner_past_its_room_turns_queries_away_at_once() {
+    let setting = Setting { room: 8, ..Setting::default() };
+    let house = house(1, setting.clone(), quick());
+    // The forwarder itself has room enough.
+    let planners: Vec<SocketAddr> = house.planners.iter().map(|p| p.address).collect();
+    let wide = House { setting: Setting { room: 20_000, ..setting }, ..house };
+    let forwarder = wide.forwarder(&planners);
+    until(&forwarder, "the planner is able", |c| c.get("planners_able") == Some(&1));
+    wide.fleet.nodes.iter().for_each(|n| n.set(Fault::Silent));
+    let mut clients: Vec<Client> = (0..8).map(|_| Client::to(&forwarder)).collect();
+    let began = Instant::now();
+    clients.iter_mut().enumerate().for_each(|(n, client)| client.query(&format!("q{n}"), 1800));
+    until(&forwarder, "some are rejected", |c| {
+        c.get("queries_rejected{site-search}").is_some_and(|n| *n >= 1)
+    });
+    let in_time = began.elapsed() < Duration::from_millis(1000);
+    assert!(in_time, "rejected after {:?}", began.elapsed());
+    let statuses: Vec<u16> = clients.iter_mut().map(|client| client.answer().0).collect();
+    assert!(statuses.contains(&503), "{statuses:?}");
+}
+
+/// All planners, then all forwarders, one after the other, as a rolling deploy does it.
+#[rstest]
+fn a_rolling_restart_of_planners_and_forwarders_loses_nothing() {
+    let mut house = house(2, Setting::default(), quick());
+    let forwarder = house.met();
+    let ats: Vec<SocketAddr> = house.planners.iter().map(|p| p.address).collect();
+    let load = house.load(150.0, 4.0);
+    let (to, clock) = (forwarder.address, house.clock);
+    let outcome = std::thread::scope(|scope| {
+        let sent = scope.spawn(|| load::send(to, &load, clock));
+        for (n, at) in ats.iter().enumerate() {
+            sleep(Duration::from_millis(300));
+            // It ends by itself, once what it holds has ended.
+            drop(house.planners.remove(0).stop());
+            let next = house.planner(n, 2, house.agent.address, &at.to_string());
+            house.planners.push(next);
+            until(&forwarder, "both are able", |c| c.get("planners_able") == Some(&2));
+        }
+        sent.join().expect("the load does not panic")
+    });
+    sound(&outcome);
+    assert_eq!(outcome.merged(), outcome.sent, "{:?}", outcome.statuses);
+    let log = forwarder.stop();
+    assert!(log.iter().any(|line| line.contains("ended after")), "{log:?}");
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,7 +2,8 @@
 //! sockets: a queue, cores, service times and faults, fed events and times. `fleet` puts many of them on sockets,
 //! `agent` is discovery's, `load` sends queries on a schedule or in a loop and checks every answer, `relay` is the bare
 //! limit of the machine, `inventory` knows what every key is worth and checks answers by it, `shuffle` changes layouts
-//! under load, `program` runs and watches what is measured, `trial` compares. What is drawn is seeded; load
+//! under load, `tiers` sets two levels against lone routers,
+//! `program` runs and watches what is measured, `trial` compares. What is drawn is seeded; load
 //! goes to loopback only and ends by itself; a stand-in never decides anything for the router.
 pub mod agent;
 pub mod fleet;
@@ -12,6 +13,7 @@
 pub mod program;
 pub mod relay;
 pub mod shuffle;
+pub mod tiers;
 pub mod trial;
 
 /// Seconds since the laboratory's clock began; one for all threads of a trial.
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 use alderway_lab::model::Make;
 use alderway_lab::program::{Build, Setting, beside};
 use alderway_lab::shuffle::{self, Run};
+use alderway_lab::tiers::{self, Day};
 use alderway_lab::trial::{self, Subject, Trial};
 use clap::{Args, Parser, Subcommand};
 use std::path::PathBuf;
@@ -47,6 +48,8 @@
     },
     /// Shards split, merge and move under load: every answer is checked key by key
     Layouts(Shards),
+    /// Forwarders and planners against lone routers, or planners killed under load
+    Tiers(Tiers),
     /// Data nodes drain one after the other: when the last new call reached each
     Drain {
         #[command(flatten)]
@@ -158,6 +161,79 @@
     }
 }
 
+#[derive(Args, Clone)]
+struct Tiers {
+    #[arg(long, default_value_t = 8)]
+    routers: usize,
+    #[arg(long, default_value_t = 2)]
+    planners: usize,
+    #[arg(long, default_value_t = 60)]
+    nodes: usize,
+    #[arg(long, default_value_t = 10)]
+    parts: usize,
+    /// Queries a second of all routers together
+    #[arg(long, default_value_t = 80.0)]
+    rate: f64,
+    #[arg(long, default_value_t = 8.0)]
+    span: f64,
+    #[arg(long, default_value_t = 10.0)]
+    service_ms: f64,
+    #[arg(long, default_value_t = 500)]
+    slo_ms: u64,
+    /// Times that a tenth of the nodes take as long, from a third of the span on; 1 for none
+    #[arg(long, default_value_t = 100.0)]
+    slow: f64,
+    /// Nodes are deployed anew, one after the other
+    #[arg(long)]
+    deploy: bool,
+    /// Planners are killed, so many seconds apart; no comparison then
+    #[arg(long)]
+    kills: Option<f64>,
+    /// Parts that may run once only
+    #[arg(long)]
+    once: bool,
+    #[arg(long, default_value_t = 5)]
+    repeats: u64,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
+impl Tiers {
+    fn run(&self) -> Result<bool, String> {
+        let day = Day {
+            program: beside("alderway"),
+            routers: self.routers,
+            planners: self.planners,
+            nodes: self.nodes,
+            parts: self.parts,
+            rate: self.rate,
+            span: self.span,
+            service: self.service_ms / 1e3,
+            slo_ms: self.slo_ms,
+            slow: Some(self.slow).filter(|times| *times > 1.0 && self.kills.is_none()),
+            deploy: self.deploy,
+            kills: self.kills,
+            effect: if self.once { "at_most_once" } else { "idempotent" },
+        };
+        let machine = std::thread::available_parallelism().map_or(0, usize::from);
+        println!(
+            "machine: {machine} processors; seed {}; {} routers, {} planners, {} data nodes, {} queries a second of {} parts \
+             for {} s",
+            self.seed, self.routers, self.planners, self.nodes, self.rate, self.parts, self.span
+        );
+        if self.kills.is_some() {
+            let (sound, text) = tiers::kills(&day, self.repeats, self.seed)?;
+            print!("{text}");
+            return Ok(sound);
+        }
+        let lone = Day { planners: 0, ..day.clone() };
+        let days = [("lone routers".to_string(), lone), ("forwarders and planners".to_string(), day)];
+        let rows = tiers::compare(&days, self.repeats, self.seed)?;
+        print!("{}", trial::table(&rows));
+        Ok(rows.iter().flat_map(|r| &r.1).flatten().all(|f| !f.0.starts_with("answers wrong") || f.1 == 0.0))
+    }
+}
+
 #[derive(Args, Clone)]
 struct Common {
     /// Numbers of cores to run with
@@ -288,18 +364,21 @@
 
 fn main() -> ExitCode {
     let line = Line::parse();
-    if let What::Layouts(shards) = &line.trial {
-        return match shards.run() {
-            Ok(true) => ExitCode::SUCCESS,
-            Ok(false) => {
-                eprintln!("alderway-lab: not every answer was right");
-                ExitCode::FAILURE
-            }
-            Err(why) => {
-                eprintln!("alderway-lab: {why}");
-                ExitCode::FAILURE
-            }
-        };
+    let ended = |right: Result<bool, String>| match right {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => {
+            eprintln!("alderway-lab: not every answer was right");
+            ExitCode::FAILURE
+        }
+        Err(why) => {
+            eprintln!("alderway-lab: {why}");
+            ExitCode::FAILURE
+        }
+    };
+    match &line.trial {
+        What::Layouts(shards) => return ended(shards.run()),
+        What::Tiers(tiers) => return ended(tiers.run()),
+        _ => {}
     }
     let (What::Cores { common, .. }
     | What::Slow { common, .. }
@@ -314,7 +393,7 @@
         What::Slow { times, rate, .. } => trial::slow_node(trial, subject, seed, *times, *rate),
         What::Cost { rate, .. } => trial::cost(trial, subject, seed, *rate),
         What::Drain { rate, .. } => trial::drain(trial, subject, seed, *rate),
-        What::Layouts(_) => Err("not a trial of subjects".into()),
+        What::Layouts(_) | What::Tiers(_) => Err("not a trial of subjects".into()),
     });
     let machine = std::thread::available_parallelism().map_or(0, usize::from);
     println!(
--- a/crates/lab/src/shuffle.rs
+++ b/crates/lab/src/shuffle.rs
@@ -195,8 +195,10 @@
     pub cpu: f64,
 }
 
-/// A run's events in their order; the layout it begins with; how many versions and faults it has.
-fn plan(run: &Run, seed: u64) -> Result<(Layout, Vec<(f64, Event)>, u64, u64), String> {
+/// The layout that a run begins with, its events in their order, and how many versions and faults it has.
+type Plan = (Layout, Vec<(f64, Event)>, u64, u64);
+
+fn plan(run: &Run, seed: u64) -> Result<Plan, String> {
     let mut shuffle = Shuffle::new(run.keys, run.shards, run.nodes, run.reach, seed)?;
     let (first, mut chance) = (shuffle.layout.clone(), Pcg32::new(seed, 20));
     let (mut events, mut versions, mut faults) = (vec![], 0, 0);
--- a/crates/router/src/tier/links.rs
+++ b/crates/router/src/tier/links.rs
@@ -106,7 +106,7 @@
             }
             continue;
         }
-        match reader.next().map_err(|why| why.to_string())? {
+        match reader.read().map_err(|why| why.to_string())? {
             Some(Read::Hello(hello)) => return Ok(hello),
             Some(Read::Message(_)) => return Err("no hello came first".into()),
             None => {}
@@ -150,7 +150,7 @@
         }
         let mut called = false;
         loop {
-            match reader.next() {
+            match reader.read() {
                 Ok(Some(Read::Message(message))) => {
                     called = true;
                     tier.borrow_mut().read(hello, message, &mut Pen::bare(desk));
--- a/crates/router/src/tier/planner.rs
+++ b/crates/router/src/tier/planner.rs
@@ -9,6 +9,7 @@
 use alderway::choice::Router;
 use alderway::host::{Ending, Evidence, Intake, NodeState, Writer};
 use alderway_tier::frames::{Hello, Message, Tried};
+use alderway_tier::ramp;
 use std::collections::{BTreeMap, BTreeSet};
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -17,9 +18,14 @@
 
 pub type SessionId = u64;
 
+/// Seconds in which a planner that has just started comes to take every forwarder's queries.
+const RAMP: f64 = 1.0;
+
 /// A forwarder's connection.
 struct Session {
     outbox: Outbox,
+    /// As its hello says.
+    name: Option<String>,
     queries: BTreeSet<u64>,
     /// Leaf calls that it has out by this planner's word: part and number, with the node and since when.
     calls: BTreeMap<(String, u32), (String, f64)>,
@@ -76,6 +82,8 @@
     last: u64,
     starts: BTreeMap<String, Option<f64>>,
     pub stopping: bool,
+    /// When it could first serve.
+    since: Option<f64>,
     pub counters: Counters,
     pub wake: Rc<Notify>,
     asked: Arc<Notify>,
@@ -118,6 +126,7 @@
             last: 0,
             starts: BTreeMap::new(),
             stopping: false,
+            since: None,
             counters: Counters::default(),
             wake: Rc::default(),
             asked: Arc::default(),
@@ -140,11 +149,19 @@
         let outbox = Outbox::new(hello);
         let wake = outbox.wake.clone();
         let (queries, calls) = Default::default();
-        self.sessions.insert(self.last, Session { outbox, queries, calls, unanswered: None, next: 0 });
+        self.sessions
+            .insert(self.last, Session { outbox, name: None, queries, calls, unanswered: None, next: 0 });
         self.counters.one("forwarders{met}");
         (self.last, wake)
     }
 
+    /// Its hello has come.
+    pub fn greeted(&mut self, session: SessionId, name: &str) {
+        if let Some(session) = self.sessions.get_mut(&session) {
+            session.name = Some(name.into());
+        }
+    }
+
     pub fn outbox(&mut self, session: SessionId) -> Option<&mut Outbox> {
         self.sessions.get_mut(&session).map(|session| &mut session.outbox).filter(|outbox| !outbox.over)
     }
@@ -264,9 +281,14 @@
     /// Says how this planner is to every forwarder; those that answered nothing for so long are over.
     pub fn beat(&mut self, patience: f64) {
         let (able, roster, now) = (self.able(), self.roster.index.unwrap_or(0), self.clock.now());
+        if self.since.is_none() && self.roster.names_any() {
+            self.since = Some(now);
+        }
         for session in self.sessions.values_mut() {
             session.next += 1;
-            session.outbox.send(&Message::Beat { number: session.next, roster, able });
+            let name = session.name.as_deref();
+            let taken = name.zip(self.since).is_some_and(|(name, since)| ramp::takes(name, since, RAMP, now));
+            session.outbox.send(&Message::Beat { number: session.next, roster, able: able && taken });
             let since = *session.unanswered.get_or_insert(now);
             if now - since > patience {
                 session.outbox.over = true;
--- a/crates/router/src/tier/post.rs
+++ b/crates/router/src/tier/post.rs
@@ -123,10 +123,11 @@
                 waits = !outbox.bytes.is_empty();
             }
         }
-        match reader.next() {
+        match reader.read() {
             Ok(Some(Read::Hello(theirs))) if theirs.planner => break Err("it is a planner".into()),
             Ok(Some(Read::Hello(theirs))) => {
                 tracing::info!(target: "tier", "forwarder {} is met", theirs.name);
+                planner.borrow_mut().greeted(session, &theirs.name);
                 greeted = true;
                 continue;
             }
--- a/crates/tier/src/frames.rs
+++ b/crates/tier/src/frames.rs
@@ -220,7 +220,7 @@
     }
 
     /// The next whole thing; after an error the connection is of no further use.
-    pub fn next(&mut self) -> Result<Option<Read>, Fault> {
+    pub fn read(&mut self) -> Result<Option<Read>, Fault> {
         let rest = &self.bytes[self.used..];
         let Some((head, rest)) = rest.split_at_checked(HEAD) else { return Ok(None) };
         let word = |at: usize| u32::from_be_bytes([head[at], head[at + 1], head[at + 2], head[at + 3]]);
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -5,11 +5,13 @@
 //! - `frames`: their wire, versioned and checksummed.
 //! - `members`: which planners are there, by heartbeats with incarnations.
 //! - `custody`: which planner decides for a query, through deaths, hangs and partitions.
+//! - `ramp`: how a planner that has just started takes load.
 //! - `leases`: shares of a stated amount with an end, so that the sum holds whoever cannot be reached.
 pub mod custody;
 pub mod frames;
 pub mod leases;
 pub mod members;
+pub mod ramp;
 
 /// A planner's or forwarder's name, as the operator's file gives it.
 pub type Name = String;
--- a/crates/tier/tests/stories.rs
+++ b/crates/tier/tests/stories.rs
@@ -3,6 +3,7 @@
 use alderway_tier::frames::{self, Ended, Fault, Hello, Message, Read, Reader, Tried};
 use alderway_tier::leases::{Dealer, Holder, Terms};
 use alderway_tier::members::{Change, Members, Watch};
+use alderway_tier::ramp;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rstest::rstest;
@@ -92,6 +93,15 @@
     assert_eq!(members.greeted("p", 1, 2.0), None, "a connection that the network held back");
 }
 
+#[rstest]
+fn a_planner_that_has_just_started_takes_forwarders_one_after_the_other() {
+    let taken = |now: f64| (0..400).filter(|n| ramp::takes(&format!("f-{n}"), 10.0, 2.0, now)).count();
+    assert_eq!((taken(9.9), taken(12.0)), (0, 400));
+    assert!((60..140).contains(&taken(10.5)) && (160..240).contains(&taken(11.0)), "{}", taken(11.0));
+    assert!((0..400).all(|n| !ramp::takes(&format!("f-{n}"), 10.0, 2.0, 10.5)
+        || ramp::takes(&format!("f-{n}"), 10.0, 2.0, 11.0)));
+}
+
 const TERMS: Terms = Terms { amount: 10, window: 1.0, span: 2.0, drift: 0.01 };
 
 #[rstest]
@@ -154,7 +164,7 @@
     let (bytes, mut reader, mut read) = (sent(&some()), Reader::default(), vec![]);
     for piece in bytes.chunks(size.min(bytes.len())) {
         reader.feed(piece);
-        while let Some(next) = reader.next().expect("sound") {
+        while let Some(next) = reader.read().expect("sound") {
             read.push(next);
         }
     }
@@ -169,7 +179,7 @@
     frames::hello(&mut bytes, &Hello { version: 2, planner: false, incarnation: 1, name: "f".into() });
     let mut reader = Reader::default();
     reader.feed(&bytes);
-    let why = reader.next().expect_err("another version");
+    let why = reader.read().expect_err("another version");
     assert_eq!(why.to_string(), "the peer speaks version 2 of the protocol, this side version 1");
 }
 
@@ -177,7 +187,7 @@
 fn whoever_speaks_something_else_is_told_so_at_once() {
     let mut reader = Reader::default();
     reader.feed(b"GET /up HTTP/1.1\r\n\r\n");
-    assert_eq!(reader.next(), Err(Fault::NoHello));
+    assert_eq!(reader.read(), Err(Fault::NoHello));
 }
 
 proptest! {
@@ -192,7 +202,7 @@
         bytes.splice(at..(at + noise.len() / 2).min(bytes.len()), noise);
         let mut reader = Reader::default();
         reader.feed(&bytes);
-        while let Ok(Some(_)) = reader.next() {}
+        while let Ok(Some(_)) = reader.read() {}
     }
 
     /// A spoilt byte is never a message of its own: the checksum tells.
@@ -205,7 +215,7 @@
         reader.feed(&bytes);
         let mut ended = false;
         loop {
-            match reader.next() {
+            match reader.read() {
                 Ok(Some(Read::Message(message))) => read.push(message),
                 Ok(Some(Read::Hello(_))) => {}
                 Ok(None) => break,
--- a/deploy/operator.star
+++ b/deploy/operator.star
@@ -7,5 +7,9 @@
 # Shards that split, merge and move as discovery tells; without it they lie in the configuration's ring.
 # layouts(late_clients_ms = 2000, lagging_nodes_ms = 250)
 
+# Two levels: a program that decides for others, or one that asks them. docs/operators.md, 'Forwarders and planners'.
+# planner(count = 2)
+# forwarder(planners = ["10.0.0.5:6000", "10.0.0.6:6000"], count = 8, beat_ms = 50, patience_ms = 250)
+
 # How the log is written: "text" or "json".
 # log(form = "json")
--- a/src/choice/moves.rs
+++ b/src/choice/moves.rs
@@ -91,6 +91,10 @@
         let delay = self.delay(shard, self.verticals[vertical].slo);
         let Some(record) = self.queries.get_mut(&number).map(|query| &mut query.parts[at]) else { return };
         let (out, hop) = (ending.is_none(), record.calls.len());
+        if hop == 0 {
+            // It has earned for its part where it was decided until now.
+            self.common.earn(-self.purse.ratio, self.purse.capacity);
+        }
         record.copies += usize::from(out && record.calls.iter().any(|call| call.out));
         record.merged |= ending == Some(Ending::Success);
         let may_have_run = ending.is_none_or(|ending| !ending.never_ran());
