--- a/crates/operator/tests/stories.rs
+++ b/crates/operator/tests/stories.rs
@@ -1,5 +1,5 @@
 //! Stories of operator's files: what they may say, and what is told of faulty ones.
-use alderway_operator::{Count, LogForm, Operator, read};
+use alderway_operator::{Count, LogForm, Operator, Tier, read};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rstest::rstest;
@@ -19,6 +19,58 @@
     assert_eq!(said.log, LogForm::Json);
 }
 
+#[rstest]
+fn layouts_have_spans_in_seconds_that_a_file_may_leave_out() {
+    let usual = read("f", "layouts()").expect("a good file").layouts.expect("said");
+    assert_eq!((usual.late_clients, usual.lagging_nodes), (2.0, 0.25));
+    let said = read("f", "layouts(late_clients_ms = 0, lagging_nodes_ms = 100)").expect("a good file");
+    assert_eq!(said.layouts.map(|l| (l.late_clients, l.lagging_nodes)), Some((0.0, 0.1)));
+}
+
+#[rstest]
+fn a_program_is_one_of_the_two_levels_or_neither() {
+    let said =
+        read("f", "forwarder(planners = [\"10.0.0.5:6000\", \"[::1]:7\"], count = 8)").expect("a good file");
+    let Tier::Forwarder { planners, count: 8, beat, patience } = said.tier else { panic!("{:?}", said.tier) };
+    assert_eq!((planners.len(), beat, patience), (2, 0.05, 0.25));
+    assert_eq!(read("f", "planner(count = 2)").expect("a good file").tier, Tier::Planner { count: 2 });
+}
+
+#[rstest]
+#[case::no_planners(
+    "forwarder(planners = [], count = 1)",
+    "f:1: `forwarder`: `planners` is a list of address:port, found []"
+)]
+#[case::a_name(
+    "forwarder(planners = [\"p-1:60\"], count = 1)",
+    "f:1: `forwarder`: `planners` is a list of address:port"
+)]
+#[case::twice(
+    "forwarder(planners = [\"1.1.1.1:1\", \"1.1.1.1:1\"], count = 1)",
+    "f:1: `forwarder`: `planners` names one twice"
+)]
+#[case::impatient(
+    "forwarder(planners = [\"1.1.1.1:1\"], count = 1, beat_ms = 50, patience_ms = 60)",
+    "f:1: `forwarder`: `patience_ms` is under two beats"
+)]
+#[case::both(
+    "planner(count = 1)\nforwarder(planners = [\"1.1.1.1:1\"], count = 1)",
+    "f:2: `forwarder or planner`: said twice"
+)]
+#[case::cores("planner(count = 1)\ncores(count = 2)", "f: `forwarder` and `planner` go with one core")]
+#[case::layouts(
+    "layouts()\nplanner(count = 1)",
+    "f: `layouts` goes with neither `forwarder` nor `planner` yet"
+)]
+#[case::too_quick(
+    "layouts(lagging_nodes_ms = 1)",
+    "f:1: `layouts`: `lagging_nodes_ms` is a whole number from 10 to 60000, found 1"
+)]
+fn what_does_not_go_together_is_refused(#[case] text: &str, #[case] why: &str) {
+    let found = read("f", text).expect_err("faulty");
+    assert!(found.starts_with(why), "{found}");
+}
+
 #[rstest]
 #[case::unknown_subject("colours(count = 4)", "f:1: Variable `colours` not found")]
 #[case::unknown_name("x = 1\ncores(cuont = 4)", "f:2: Missing named-only parameter `count`")]
