Mapping costs a query less: open parts are looked through at a change, not kept by shard

Lists by shard were kept for each part, a node's report read twice, and heirs looked for where there are none.

--- a/crates/layouts/src/history.rs
+++ b/crates/layouts/src/history.rs
@@ -167,6 +167,11 @@
         *self.open.entry(shard).or_insert(0) += 1;
     }
 
+    /// Shards with parts open.
+    pub fn open(&self) -> impl Iterator<Item = ShardId> {
+        self.open.keys().copied()
+    }
+
     pub fn closed(&mut self, shard: ShardId) {
         if let Some(open) = self.open.get_mut(&shard) {
             *open -= 1;
--- a/crates/router/src/memory/desk.rs
+++ b/crates/router/src/memory/desk.rs
@@ -225,10 +225,12 @@
     /// node that does not hold their keys any more are taken back; open parts that nobody holds whole are divided.
     pub fn layout_changed(&mut self, shards: &[ShardId]) {
         self.counters.one("layout_changes");
+        // A change is rare, a query is not: what is open is looked through here, not kept by shard.
+        let open = self.queries.parts_in(shards);
         for &shard in shards {
             let Some(ground) = &self.ground else { return };
-            let (holders, parts) = (ground.holders(shard), ground.open_in(shard));
-            for part in parts {
+            let holders = ground.holders(shard);
+            for part in open.get(&shard).into_iter().flatten().cloned() {
                 for id in self.calls_for(&part) {
                     let Some(call) = self.calls.get(&id) else { continue };
                     let Some(node) = self.roster.nodes.get(&call.node) else { continue };
@@ -307,9 +309,13 @@
         value: &str,
     ) -> bool {
         let mut ending = ending;
-        if let (Some(ground), Some(record)) = (&mut self.ground, self.queries.part(part)) {
-            let keys = frames::keys(report).unwrap_or(Some((0, 0)));
-            let judged = ground.judge(node, record, ending, frames::moved(report), keys, self.clock.now());
+        if let Some(ground) = &mut self.ground
+            && let Some(record) = self.queries.part(part)
+        {
+            let success = ending == Ending::Success;
+            let keys = if success { frames::keys(report).unwrap_or(Some((0, 0))) } else { None };
+            let moved = if success { None } else { frames::moved(report) };
+            let judged = ground.judge(node, record, ending, moved, keys, self.clock.now());
             if judged == Ending::Moved {
                 self.counters.one("parts_disowned");
             } else if judged != ending {
@@ -677,8 +683,8 @@
 impl Writer for Desk {
     fn call(&mut self, part: &str, node: &str, limit: f64) {
         let others_out = match &self.ground {
-            Some(_) => !self.calls_for(&part.into()).is_empty(),
-            None => !self.calls.of_part(part).is_empty(),
+            Some(ground) if !ground.families.is_empty() => !self.calls_for(&part.into()).is_empty(),
+            _ => !self.calls.of_part(part).is_empty(),
         };
         let now = self.clock.now();
         let Some(record) = self.queries.part(part) else { return self.counters.one("calls_of_parts_over") };
--- a/crates/router/src/memory/ground.rs
+++ b/crates/router/src/memory/ground.rs
@@ -8,7 +8,7 @@
 use alderway_layouts::history::{Followed, History, News};
 use alderway_layouts::layout::{Faulty, Layout};
 use alderway_layouts::{Range, ShardId, Version};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 /// How layouts are followed.
@@ -32,7 +32,6 @@
 pub struct Ground {
     following: Following,
     history: Option<History>,
-    open: BTreeMap<ShardId, BTreeSet<Rc<str>>>,
     pub families: Families<Rc<str>>,
     /// For tests: every answer counts, whatever keys it is for.
     #[cfg(feature = "faults")]
@@ -45,11 +44,10 @@
 
 impl Ground {
     pub fn new(following: Following) -> Self {
-        let (history, open, families, follows, held, divided) = Default::default();
+        let (history, families, follows, held, divided) = Default::default();
         Ground {
             following,
             history,
-            open,
             families,
             #[cfg(feature = "faults")]
             by_answers: false,
@@ -112,7 +110,7 @@
         self.divided.clear();
         if let Some(history) = &self.history {
             self.held.extend(history.newest().shards().map(|(id, _)| id));
-            self.held.extend(self.open.keys());
+            self.held.extend(history.open());
         }
     }
 
@@ -123,7 +121,9 @@
         for &(shard, keys, share) in targets {
             match (shard, keys) {
                 (Some(shard), None) => {
-                    let range = history.keys(shard).filter(|_| !history.holders(shard).is_empty());
+                    let range = history
+                        .keys(shard)
+                        .filter(|_| !history.is_gone(shard) || !history.holders(shard).is_empty());
                     let range = range.ok_or((400, "`partition` is no shard here"))?;
                     let mut part = Part::new(format!("{id}.{shard}").into(), shard, share);
                     part.keys = Some(Piece::new(range, true));
@@ -163,27 +163,18 @@
     }
 
     pub fn opened(&mut self, part: &Part) {
-        if let Some(history) = self.history.as_mut().filter(|_| part.keys.is_some())
-            && self.open.entry(part.shard).or_default().insert(part.id.clone())
-        {
+        if let Some(history) = self.history.as_mut().filter(|_| part.keys.is_some()) {
             history.opened(part.shard);
         }
     }
 
+    /// One that was divided has been closed by that.
     pub fn closed(&mut self, part: &Part) {
-        let Some(open) = self.open.get_mut(&part.shard) else { return };
-        if open.remove(&part.id) {
-            if open.is_empty() {
-                self.open.remove(&part.shard);
-            }
-            self.history.iter_mut().for_each(|history| history.closed(part.shard));
+        if let Some(history) = self.history.as_mut().filter(|_| part.keys.is_some_and(|keys| !keys.divided)) {
+            history.closed(part.shard);
         }
     }
 
-    pub fn open_in(&self, shard: ShardId) -> Vec<Rc<str>> {
-        self.open.get(&shard).into_iter().flatten().cloned().collect()
-    }
-
     pub fn holders(&self, shard: ShardId) -> Vec<u32> {
         self.history.as_ref().map_or(vec![], |history| history.holders(shard))
     }
@@ -261,6 +252,9 @@
     /// Those to whom the end of a call is told in its part's place: heirs that still wait for it, or all of them
     /// where it brought an answer; none where the part is what it was.
     pub fn told_of(&self, call: &super::CallId, ending: Ending) -> Option<Vec<Rc<str>>> {
+        if self.families.is_empty() {
+            return None;
+        }
         let heirs = self.families.heirs(&call.0);
         let waits = |heir: &&Rc<str>| ending == Ending::Success || self.families.waits(call, heir);
         (!heirs.is_empty()).then(|| heirs.iter().filter(waits).cloned().collect())
--- a/crates/router/src/memory/queries.rs
+++ b/crates/router/src/memory/queries.rs
@@ -5,7 +5,7 @@
 use alderway_cores::pool::Taken;
 use alderway_layouts::coverage::Coverage;
 use alderway_layouts::{Range, ShardId};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 pub struct Part {
@@ -131,6 +131,18 @@
         self.due.by(now).copied().collect()
     }
 
+    /// Parts of these shards that may still go out.
+    pub fn parts_in(&self, shards: &[ShardId]) -> BTreeMap<ShardId, Vec<Rc<str>>> {
+        let wanted: BTreeSet<ShardId> = shards.iter().copied().collect();
+        let mut found: BTreeMap<ShardId, Vec<Rc<str>>> = BTreeMap::new();
+        for part in self.open.values().flat_map(|query| &query.parts) {
+            if wanted.contains(&part.shard) && !part.is_divided() {
+                found.entry(part.shard).or_default().push(part.id.clone());
+            }
+        }
+        found
+    }
+
     /// Whether a part is one of an open query.
     pub fn knows(&self, part: &str) -> bool {
         self.parts.contains_key(part)
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -607,7 +607,8 @@
     /// Nodes that hold a shard and serve, in the order in which they take turns.
     fn holders(&self, shard: u32) -> Vec<&str> {
         let holding = self.placement.holding(shard).filter_map(|c| self.serving.get(&c)).flatten();
-        holding.map(String::as_str).filter(|id| self.placement.owns(id, shard)).collect()
+        let without = self.placement.without(shard);
+        holding.map(String::as_str).filter(|id| without.is_none_or(|w| !w.contains(*id))).collect()
     }
 
     /// Turns away by chance under overload, the cheaper more often. Pressure is the expected latency over
--- a/src/host.rs
+++ b/src/host.rs
@@ -83,15 +83,14 @@
         (0..count).map(move |step| listed.map_or((first + step) % cells, |listed| listed[step as usize]))
     }
 
-    /// Whether a node of a cell that holds a shard is not one of those that do not.
-    pub fn owns(&self, node: &str, shard: u32) -> bool {
-        let held = self.listed.as_ref().and_then(|listed| listed.get(&shard));
-        held.is_none_or(|held| !held.without.contains(node))
+    /// The nodes of its cells that do not hold a shard by their own word.
+    pub fn without(&self, shard: u32) -> Option<&BTreeSet<String>> {
+        Some(&self.listed.as_ref()?.get(&shard)?.without)
     }
 
     pub fn holds(&self, node: &str, cell: u32, shard: u32) -> bool {
         match self.listed(shard) {
-            Some(listed) => listed.contains(&cell) && self.owns(node, shard),
+            Some(listed) => listed.contains(&cell) && self.without(shard).is_none_or(|w| !w.contains(node)),
             None => self.steps(cell, shard) < self.reach,
         }
     }
