--- a/crates/router/src/memory/desk.rs
+++ b/crates/router/src/memory/desk.rs
@@ -230,8 +230,8 @@
         for &shard in shards {
             let Some(ground) = &self.ground else { return };
             let holders = ground.holders(shard);
-            for part in open.get(&shard).into_iter().flatten().cloned() {
-                for id in self.calls_for(&part) {
+            for part in open.get(&shard).into_iter().flatten() {
+                for id in self.calls_for(part) {
                     let Some(call) = self.calls.get(&id) else { continue };
                     let Some(node) = self.roster.nodes.get(&call.node) else { continue };
                     let line = call.line.and_then(|line| node.lines.get(&line));
@@ -242,7 +242,7 @@
                         self.give_up(&id, Ending::NeverSent);
                     }
                 }
-                self.divide(&part);
+                self.divide(part);
             }
         }
         self.came.notify_one();
