--- a/crates/alderway/tests/layouts.rs
+++ b/crates/alderway/tests/layouts.rs
@@ -289,8 +289,9 @@
     let mut clients: Vec<Client> = (0..2).map(|_| Client::to(&place.program)).collect();
     clients.iter_mut().enumerate().for_each(|(n, client)| right(client, &format!("before{n}"), 0, 100));
     let before = place.parts(0);
-    clients[0].fault("hang 1200");
-    until(&place.program, "the hang is seen", |c| c["cores_hung"] == 1);
+    clients[0].fault("hang 3000");
+    // By the log: a connection that asks for the counters could come to the core that hangs, and wait with it.
+    place.logged("hangs since");
     clients[0].ask("held", 6000, r#"{"keys":[0,100],"share":1}"#);
     place.change(&[moved(1, &[3])]);
     place.nodes_follow();
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -300,8 +300,19 @@
         let patience = Duration::from_millis(line.load.patience);
         let left = patience.saturating_sub(Duration::from_secs_f64(behind.max(0.0)));
         let (asked_for, text, request) = line.query(left.as_millis().max(1) as u64);
-        let asked =
-            timeout(left + Duration::from_millis(500), ask(&mut stream, to, &mut buffer, &request)).await;
+        // PROTOCOL: where a router's close of a kept connection crosses a request that it has not read, the client
+        // sends that once more on a new connection. Once read, an end without an answer is a loss.
+        let asked = timeout(left + Duration::from_millis(500), async {
+            let kept = stream.is_some();
+            match ask(&mut stream, to, &mut buffer, &request).await {
+                None if kept && buffer.is_empty() => {
+                    stream = None;
+                    ask(&mut stream, to, &mut buffer, &request).await
+                }
+                answer => answer,
+            }
+        })
+        .await;
         let now = line.clock.now();
         let mut outcome = line.outcome.borrow_mut();
         match asked {
