Stories of cores that hang wait by the log, not on a connection that may hang too

A connection that asks for the counters may be dealt to the core that hangs, in the half second until the lead sees it: under load the wait ended with the hang.

--- a/crates/alderway/tests/common/mod.rs
+++ b/crates/alderway/tests/common/mod.rs
@@ -16,6 +16,18 @@
     }
 }
 
+/// Waits for a line of the log. Where a core hangs this is what to wait by: a connection that asks for the counters
+/// could come to that core, and wait until the hang is over.
+pub fn logged(program: &Program, what: &str) {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        let line = program.log.recv_timeout(until.saturating_duration_since(Instant::now()));
+        if line.unwrap_or_else(|_| panic!("no line says `{what}`")).contains(what) {
+            return;
+        }
+    }
+}
+
 pub struct Client(BufReader<TcpStream>);
 
 impl Client {
