--- a/crates/alderway/tests/cores.rs
+++ b/crates/alderway/tests/cores.rs
@@ -30,14 +30,7 @@
 fn said(operator: &str, nodes: usize, setting: &Setting) -> House {
     let (clock, make) = (Clock::default(), Make { service: 0.0005, ..Make::default() });
     let fleet = Fleet::start(nodes, 1, &make, 7, clock, false).expect("data nodes");
-    let entry = |n: &alderway_lab::fleet::Handle| Entry {
-        name: n.name.clone(),
-        address: n.address,
-        cell: 0,
-        status: "SERVING",
-        since_ms: 0,
-    };
-    let entries: Vec<Entry> = fleet.nodes.iter().map(entry).collect();
+    let entries = fleet.entries(|_| 0);
     let agent = Agent::start(entries.clone()).expect("discovery");
     let build = Build { path: env!("CARGO_BIN_EXE_alderway").into(), operator: Some(operator.into()) };
     let program = Program::start(&build, &setting.configuration(agent.address, &entries));
--- a/crates/alderway/tests/layouts.rs
+++ b/crates/alderway/tests/layouts.rs
@@ -36,14 +36,7 @@
     let (clock, make, layout) =
         (Clock::default(), Make { service: 0.001, exponential: false, ..Make::default() }, layout(shards));
     let fleet = Fleet::start(4, 1, &make, 7, clock, false).expect("data nodes");
-    let entry = |(n, node): (usize, &alderway_lab::fleet::Handle)| Entry {
-        name: node.name.clone(),
-        address: node.address,
-        cell: n as u32,
-        status: "SERVING",
-        since_ms: 0,
-    };
-    let entries: Vec<Entry> = fleet.nodes.iter().enumerate().map(entry).collect();
+    let entries = fleet.entries(|n| n);
     let agent = Agent::start(entries.clone()).expect("discovery");
     agent.layout(inventory::whole(&layout), inventory::whole(&layout));
     let operator = Some(format!("cores(count = {cores})\nlayouts()\n"));
--- a/crates/alderway/tests/tier.rs
+++ b/crates/alderway/tests/tier.rs
@@ -35,14 +35,7 @@
     let clock = Clock::default();
     let once = setting.effect == "at_most_once";
     let fleet = Fleet::start(6, 1, &make, 7, clock, once).expect("data nodes");
-    let entry = |n: &alderway_lab::fleet::Handle| Entry {
-        name: n.name.clone(),
-        address: n.address,
-        cell: 0,
-        status: "SERVING",
-        since_ms: 0,
-    };
-    let entries: Vec<Entry> = fleet.nodes.iter().map(entry).collect();
+    let entries = fleet.entries(|_| 0);
     let agent = Agent::start(entries.clone()).expect("discovery");
     let mut house = House { clock, fleet, agent, entries, setting, planners: vec![] };
     for n in 0..planners {
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -1,5 +1,6 @@
 //! Data nodes on sockets: each listens on a port of its own, many share a thread. They count what came to each, and
 //! when a call last did.
+use crate::agent::Entry;
 use crate::model::{Fault, Job, Make, Node, Verdict};
 use crate::{Clock, inventory, value};
 use alderway_layouts::Range;
@@ -123,6 +124,20 @@
     }
 }
 
+impl Fleet {
+    /// How discovery names the nodes, each in the cell that its number gives.
+    pub fn entries(&self, cell: impl Fn(u32) -> u32) -> Vec<Entry> {
+        let entry = |(n, node): (usize, &Handle)| Entry {
+            name: node.name.clone(),
+            address: node.address,
+            cell: cell(n as u32),
+            status: "SERVING",
+            since_ms: 0,
+        };
+        self.nodes.iter().enumerate().map(entry).collect()
+    }
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         self.stop.store(true, Relaxed);
--- a/crates/lab/src/shuffle.rs
+++ b/crates/lab/src/shuffle.rs
@@ -258,14 +258,8 @@
     let once = run.effect == "at_most_once";
     let fleet =
         Fleet::start(count, 1, &make, seed, clock, once).map_err(|why| format!("data nodes: {why}"))?;
-    let entry = |n: usize| Entry {
-        name: fleet.nodes[n].name.clone(),
-        address: fleet.nodes[n].address,
-        cell: n as u32,
-        status: "SERVING",
-        since_ms: 0,
-    };
-    let entries: Vec<Entry> = (0..run.nodes as usize).map(entry).collect();
+    let all = fleet.entries(|n| n);
+    let entries = all[..run.nodes as usize].to_vec();
     for (n, node) in fleet.nodes.iter().enumerate() {
         node.tell(Order::Layout(n as u32, first.clone()));
     }
@@ -311,7 +305,7 @@
                     let bears = 2.5 * cores as f64 / run.service;
                     fleet.nodes[n].tell(Order::Cold { warm_up, bears });
                     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-                    agent.change(vec![Entry { since_ms: since.as_millis() as u64, ..entry(n) }]);
+                    agent.change(vec![Entry { since_ms: since.as_millis() as u64, ..all[n].clone() }]);
                 }
             }
         }
--- a/crates/lab/src/tiers.rs
+++ b/crates/lab/src/tiers.rs
@@ -1,7 +1,7 @@
 //! Two levels against lone routers on the same data nodes and load: what each loses on a calm day and where nodes turn
 //! slow and are deployed anew; and planners killed under load, with every answer counted.
 use crate::agent::{Agent, Entry};
-use crate::fleet::{Fleet, Handle};
+use crate::fleet::Fleet;
 use crate::load::{self, Load, Outcome, Pace};
 use crate::model::{Fault, Make};
 use crate::program::{Build, Program, Setting};
@@ -78,14 +78,7 @@
     let once = day.effect == "at_most_once";
     let fleet =
         Fleet::start(day.nodes, 1, &make, seed, clock, once).map_err(|why| format!("data nodes: {why}"))?;
-    let entry = |(n, node): (usize, &Handle)| Entry {
-        name: node.name.clone(),
-        address: node.address,
-        cell: n as u32,
-        status: "SERVING",
-        since_ms: 0,
-    };
-    let entries: Vec<Entry> = fleet.nodes.iter().enumerate().map(entry).collect();
+    let entries = fleet.entries(|n| n);
     let agent = Agent::start(entries.clone()).map_err(|why| format!("discovery: {why}"))?;
     let setting = Setting {
         slo_ms: day.slo_ms,
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -65,14 +65,7 @@
 
 impl Trial {
     pub fn entries(&self, fleet: &Fleet) -> Vec<Entry> {
-        let entry = |(n, node): (usize, &crate::fleet::Handle)| Entry {
-            name: node.name.clone(),
-            address: node.address,
-            cell: n as u32 % self.setting.cells,
-            status: "SERVING",
-            since_ms: 0,
-        };
-        fleet.nodes.iter().enumerate().map(entry).collect()
+        fleet.entries(|n| n % self.setting.cells)
     }
 
     pub fn place(&self, seed: u64, clock: Clock, once: bool) -> Result<Place, String> {
--- a/crates/router/src/memory/desk.rs
+++ b/crates/router/src/memory/desk.rs
@@ -541,17 +541,7 @@
             self.ready = true;
             tracing::info!(target: "ready", "serves: {} data nodes known", self.roster.nodes.len());
         }
-        if std::mem::take(&mut self.roster.failed) {
-            module.roster_failed();
-        }
-        if std::mem::take(&mut self.roster.whole) {
-            module.roster_whole();
-        }
-        for name in std::mem::take(&mut self.roster.changed) {
-            if let Some(node) = self.roster.nodes.get(&name) {
-                module.roster_entry(&name, node.cell, node.state, node.started);
-            }
-        }
+        self.roster.tell(module);
         for (node, seen) in std::mem::take(&mut self.heard) {
             module.evidence(&node, seen);
         }
--- a/crates/router/src/memory/roster.rs
+++ b/crates/router/src/memory/roster.rs
@@ -1,7 +1,7 @@
 //! The data nodes as discovery names them: one record each, found by its name, with its connections.
 use super::CallId;
 use super::lines::Line;
-use alderway::host::NodeState;
+use alderway::host::{Intake, NodeState};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -113,6 +113,21 @@
         }
     }
 
+    /// Tells the module what has changed since it was last told.
+    pub fn tell(&mut self, module: &mut dyn Intake) {
+        if std::mem::take(&mut self.failed) {
+            module.roster_failed();
+        }
+        if std::mem::take(&mut self.whole) {
+            module.roster_whole();
+        }
+        for name in std::mem::take(&mut self.changed) {
+            if let Some(node) = self.nodes.get(&name) {
+                module.roster_entry(&name, node.cell, node.state, node.started);
+            }
+        }
+    }
+
     pub fn line(&mut self, node: &str, line: u64) -> Option<&mut Line> {
         self.nodes.get_mut(node)?.lines.get_mut(&line)
     }
--- a/crates/router/src/tier/planner.rs
+++ b/crates/router/src/tier/planner.rs
@@ -7,7 +7,7 @@
 use crate::memory::counters::Counters;
 use crate::memory::roster::Roster;
 use alderway::choice::Router;
-use alderway::host::{Ending, Evidence, Intake, NodeState, Writer};
+use alderway::host::{Ending, Evidence, Intake, Writer};
 use alderway_tier::frames::{Hello, Message, Tried};
 use alderway_tier::ramp;
 use std::collections::{BTreeMap, BTreeSet};
@@ -80,7 +80,6 @@
     came: Vec<Came>,
     alarms: Vec<(f64, u64)>,
     last: u64,
-    starts: BTreeMap<String, Option<f64>>,
     pub stopping: bool,
     /// When it could first serve.
     since: Option<f64>,
@@ -124,7 +123,6 @@
             came: vec![],
             alarms: vec![],
             last: 0,
-            starts: BTreeMap::new(),
             stopping: false,
             since: None,
             counters: Counters::default(),
@@ -304,22 +302,7 @@
     }
 
     fn tell(&mut self, now: f64, module: &mut dyn Intake) {
-        if std::mem::take(&mut self.roster.failed) {
-            module.roster_failed();
-        }
-        if std::mem::take(&mut self.roster.whole) {
-            module.roster_whole();
-        }
-        for name in std::mem::take(&mut self.roster.changed) {
-            if let Some(node) = self.roster.nodes.get(&name) {
-                module.roster_entry(&name, node.cell, node.state, node.started);
-                if node.state == NodeState::Gone {
-                    self.starts.remove(&name);
-                } else {
-                    self.starts.insert(name, node.started);
-                }
-            }
-        }
+        self.roster.tell(module);
         self.roster.forget_gone();
         let due: Vec<u64> = self.alarms.extract_if(.., |alarm| alarm.0 <= now).map(|alarm| alarm.1).collect();
         self.came.extend(due.into_iter().map(Came::Alarm));
@@ -429,7 +412,7 @@
     fn evidence(&mut self, node: &str, seen: Evidence) {
         let mut planner = self.0.borrow_mut();
         let now = planner.clock.now();
-        let started = planner.starts.get(node).copied().flatten().map(|at| now - at);
+        let started = planner.roster.nodes.get(node).and_then(|node| node.started).map(|at| now - at);
         let Evidence { late, far, sick, .. } = seen;
         let message = Message::Evidence { node: node.into(), started, late, far, sick };
         let sessions: Vec<SessionId> = planner.sessions.keys().copied().collect();
