--- a/crates/router/src/tier/forwarder.rs
+++ b/crates/router/src/tier/forwarder.rs
@@ -2,6 +2,7 @@
 //! whoever has to know them, and decisions to the desk only from whoever decides. What was tried for a part is kept
 //! here, so that whoever takes a query over knows what may have run. No sockets.
 use super::Outbox;
+use super::planner::same_start;
 use crate::memory::clock::Clock;
 use crate::memory::counters::Counters;
 use alderway::host::{Ending, Evidence, Held, Intake, NodeState, Records, Writer};
@@ -220,16 +221,25 @@
                 self.changed(changes);
             }
             Message::Heard { number } => self.members.heard(&hello.name, hello.incarnation, number),
-            Message::Evidence { node, started, late, far, sick } => {
+            Message::Evidence { node, started, late, far, sick, relay } => {
+                // Planners learn from each other by way of one of their forwarders; what is heard is not told on, so
+                // nothing goes round.
+                if relay {
+                    let others: Vec<Name> =
+                        self.links.keys().filter(|name| **name != hello.name).cloned().collect();
+                    for other in others {
+                        let node = node.clone();
+                        self.send(
+                            &other,
+                            &Message::Evidence { node, started, late, far, sick, relay: false },
+                        );
+                        self.counters.one("evidence_relayed");
+                    }
+                }
                 let seen = self.clock.now();
-                // Two readings of one start differ by a little: it is this side's that the own module knows.
                 let Some(here) = self.starts.get(&node).copied() else { return };
-                let same = match (here, started) {
-                    (Some(here), Some(age)) => (seen - age - here).abs() < 1.0,
-                    (here, there) => here.is_none() && there.is_none(),
-                };
-                if same {
-                    self.heard.push((node, Evidence { started: here, seen, late, far, sick }));
+                if let Some(started) = same_start(here, started, seen) {
+                    self.heard.push((node, Evidence { started, seen, late, far, sick }));
                     self.counters.one("evidence_heard{planner}");
                 }
             }
--- a/crates/router/src/tier/planner.rs
+++ b/crates/router/src/tier/planner.rs
@@ -60,6 +60,8 @@
     },
     Left(String),
     Alarm(u64),
+    /// What another planner saw.
+    Evidence(String, Evidence),
 }
 
 /// All but the module, which writes into it.
@@ -88,6 +90,16 @@
     asked: Arc<Notify>,
 }
 
+/// The start of a data node as this side has it, if it is the one that another side has seen so many seconds ago: two
+/// readings of one start differ by a little.
+pub fn same_start(here: Option<f64>, ago: Option<f64>, now: f64) -> Option<Option<f64>> {
+    let same = match (here, ago) {
+        (Some(here), Some(ago)) => (now - ago - here).abs() < 1.0,
+        (here, ago) => here.is_none() && ago.is_none(),
+    };
+    same.then_some(here)
+}
+
 /// The module's name of what a forwarder calls by its own.
 fn named(session: SessionId, name: &str) -> String {
     format!("{session}/{name}")
@@ -228,6 +240,14 @@
                     self.came.push(Came::Left(name));
                 }
             }
+            Message::Evidence { node, started, late, far, sick, .. } => {
+                let seen = self.clock.now();
+                let Some(here) = self.roster.nodes.get(&node).map(|node| node.started) else { return true };
+                if let Some(started) = same_start(here, started, seen) {
+                    self.counters.one("evidence_heard");
+                    self.came.push(Came::Evidence(node, Evidence { started, seen, late, far, sick }));
+                }
+            }
             _ => return false,
         }
         self.wake.notify_one();
@@ -328,6 +348,7 @@
                 }
                 Came::Left(query) => module.client_left(&query),
                 Came::Alarm(tag) => module.alarm(tag),
+                Came::Evidence(node, seen) => module.evidence(&node, seen),
             }
         }
     }
@@ -414,9 +435,10 @@
         let now = planner.clock.now();
         let started = planner.roster.nodes.get(node).and_then(|node| node.started).map(|at| now - at);
         let Evidence { late, far, sick, .. } = seen;
-        let message = Message::Evidence { node: node.into(), started, late, far, sick };
-        let sessions: Vec<SessionId> = planner.sessions.keys().copied().collect();
-        sessions.into_iter().for_each(|session| planner.send(session, &message));
+        for (n, session) in planner.sessions.values_mut().enumerate() {
+            let (node, relay) = (node.into(), n == 0);
+            session.outbox.send(&Message::Evidence { node, started, late, far, sick, relay });
+        }
     }
 }
 
--- a/crates/tier/src/frames.rs
+++ b/crates/tier/src/frames.rs
@@ -135,12 +135,14 @@
         number: u64,
     },
     /// What a planner saw of a data node, which started so many seconds ago, if that is known; the spans count from now.
+    /// The forwarder that gets it to relay passes it on to the other planners.
     Evidence {
         node: String,
         started: Option<f64>,
         late: f64,
         far: f64,
         sick: f64,
+        relay: bool,
     },
 }
 
