Queries go too where a part is left with sick nodes beside a full one

Cause: open_to counted sick holders, which next_node never asks beside sounder ones, so a part turned away by its last sound holder waited beside them and the rest of its query ran in vain. Unreachable calls were excluded as the cause: they end after the 250 ms of the dial, past the span in which a node counts as having turned a part away.

Change: sick holders count only where all are sick and the part has no call yet, as in next_node.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,7 +1,7 @@
 //! The decision module: which data node each part of a query goes to, when a copy or another leaf call
-//! follows, when an answer goes back, and what is rejected. A host makes one `Router` for each query router, or
-//! for each core of one, and calls `round` once for all that came in at one moment; decisions go straight into
-//! the writer. Why things are as they are is in `docs/design.md`; the interface is in `src/host.rs`.
+//! follows, when an answer goes back, and what is rejected. A host makes one `Router` for each query router,
+//! or for each core of one, and calls `round` once for all that came in at one moment; decisions go straight
+//! into the writer. Why things are as they are is in `docs/design.md`; the interface is in `src/host.rs`.
 
 use crate::host::*;
 use crate::kept::{ByAge, Call, Part, Pcg, Recent};
@@ -30,8 +30,7 @@
     common: Common,
     purse: Purse,
     nodes: BTreeMap<String, Node>,
-    /// Ids of serving nodes by cell, made anew after a roster change: a part's cost follows its holders.
-    serving: BTreeMap<u32, Vec<String>>,
+    serving: BTreeMap<u32, Vec<String>>, // Ids of serving nodes by cell, made anew after a roster change.
     shards: BTreeMap<u32, Shard>,
     /// Shards for which no holder has room in this round for a first call of a vertical.
     full: BTreeSet<(u32, usize)>,
@@ -41,8 +40,7 @@
     out: ByAge<(u32, usize)>, // Calls that may still be out, by shard and vertical.
     parts: BTreeMap<String, (u64, usize)>,
     longest_try: Vec<f64>,
-    /// Queries given up or left, of which clients may come again.
-    unserved: f64,
+    unserved: f64, // Queries given up or left, of which clients may come again.
     dearest: f64,
     /// Smoothed odds of rejection, and whether they are high enough to say so.
     jam: f64,
@@ -153,8 +151,8 @@
         at(hearsay.sick_until, 3).max(at(hearsay.far_until, 2)).max(at(hearsay.late_until, 1))
     }
 
-    /// Takes in what another core saw, `age` seconds ago; what one saw oneself since outranks it (guards against
-    /// wrong word on a node that answers here). Word of an answer in time ends what was held against the node.
+    /// Takes in what another core saw, `age` seconds ago; what one saw oneself since outranks it (guards
+    /// against wrong word on a node that answers here). Word of an answer in time ends what was held against it.
     fn hear(&mut self, now: f64, age: f64, word: Evidence) {
         let (seen, sound) = (now - age, word.late.max(word.far).max(word.sick) <= 0.0);
         let own = if sound { self.noted } else { self.heard };
@@ -521,8 +519,8 @@
         self.usual[vertical].quantile(0.5, 5).unwrap_or(0.25 * slo).max(0.001)
     }
 
-    /// Work of one part alone, for the cold rule: the lowest median seen, as in a jam latencies are waiting; of
-    /// a vertical not seen yet, the same share of its SLO time as of the heaviest.
+    /// Work of one part alone, for the cold rule: the lowest median seen, as in a jam latencies are waiting;
+    /// of a vertical not seen yet, the same share of its SLO time as of the heaviest.
     fn bare_work(&self, vertical: usize) -> f64 {
         let share = |v: usize| Some(self.bare[v] / self.verticals[v].slo).filter(|share| share.is_finite());
         let heaviest = || (0..self.bare.len()).filter_map(share).reduce(f64::max);
@@ -575,14 +573,16 @@
         }
     }
 
-    /// Whether any holder could still take a part in time: not one that turned it away, nor a cold one with
-    /// room only later. Guards against queries that keep nodes at work though a shard's last warm one is full.
+    /// Whether any holder could still take a part in time: none that turned it away or is sick, no cold one
+    /// with room only later. Guards against queries that keep nodes at work where a shard's last one is full.
     fn open_to(&self, q: &Query, part: &Part) -> bool {
         let (work, holders) = (self.bare_work(q.vertical), self.holders(part.shard));
+        let sound = |id: &&str| self.nodes[*id].standing < 3;
+        let all_sick = part.calls.is_empty() && !holders.iter().any(sound);
         let open = |id: &&str| {
             let (room, span) = self.nodes[*id].room(self.now, work, self.peers, self.cold, 1);
             let soon = room > 0 || span < q.not_after - self.now;
-            soon && !part.turned_away(id, self.awake, work)
+            (all_sick || sound(id)) && soon && !part.turned_away(id, self.awake, work)
         };
         holders.is_empty() || holders.iter().any(open)
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -479,6 +479,30 @@
     assert_eq!(host.count("reject q0"), 1, "a fourth leaf call is allowed, but nobody is left to take it");
 }
 
+#[rstest]
+fn sick_nodes_beside_a_full_one_do_not_keep_a_query_waiting() {
+    let mut host = with(|_| ());
+    for (n, node) in [(0, "n0"), (1, "n1")] {
+        host.round(|r| {
+            for shut in ["n0", "n1", "n2"].iter().filter(|other| **other != node) {
+                r.roster_entry(shut, shut[1..].parse().expect("a cell"), NodeState::Draining, None);
+            }
+        });
+        host.query(n, &[0]);
+        host.ends(&format!("p{n}.0"), 0, node, Ending::Unreachable, 0.25);
+        host.wait(0.6);
+        host.ends(&format!("p{n}.0"), 1, node, Ending::Unreachable, 0.25);
+        host.round(|r| {
+            for cell in 0..3 {
+                r.roster_entry(&format!("n{cell}"), cell, NodeState::Serving, None);
+            }
+            r.client_left(&format!("q{n}"));
+        });
+    }
+    assert_eq!(calls(&host.query(5, &[0])), ["call p5.0 n2"], "the other two do not connect");
+    assert!(host.ends("p5.0", 0, "n2", Ending::Full, 0.002).contains(&"reject q5 0.50".to_string()));
+}
+
 #[rstest]
 fn a_query_goes_before_the_rest_has_run_where_the_last_warm_holder_is_full() {
     let mut host = with(|d| d.peers = 300);
