--- a/src/choice.rs
+++ b/src/choice.rs
@@ -208,7 +208,7 @@
                 // A connection breaks with all its calls: one failure, only a refused dial makes two of it.
                 let same = ending != Ending::Error && std::mem::replace(&mut self.broke_at, now) == now;
                 self.failures += if same { 0 } else { 1 + i32::from(ending == Ending::Unreachable) };
-                // Six seconds at most: by then the roster tells of a node that is gone.
+                // Six seconds at most: what discovery has to tell of a node counts as told by then.
                 let shun = (1.6f64.powi(self.failures).min(16.0) * least.max(0.25)).min(6.0);
                 self.shun_until = if self.failures > 1 { now + shun } else { self.shun_until };
             }
@@ -269,11 +269,6 @@
     fn out(&self) -> bool {
         self.calls.iter().any(|c| c.out)
     }
-
-    /// Whether the node has turned it away, asked less than `span` ago: no place is free there before.
-    fn turned_away(&self, node: &str, now: f64, span: f64) -> bool {
-        self.calls.iter().any(|c| c.turned_away && c.node == node && now - c.since < span)
-    }
 }
 
 impl Intake for Router {
@@ -349,7 +344,7 @@
             if let Some(call) = part.calls.get_mut(hop) {
                 call.out = false;
                 call.may_have_run = !ending.never_ran();
-                call.turned_away = matches!(ending, Ending::Full | Ending::Unreachable);
+                call.turned_away = ending.turned_away();
             }
             if ending == Ending::Success {
                 let usual = &mut self.usual[query.vertical];
@@ -573,18 +568,27 @@
         }
     }
 
-    /// Whether any holder could still take a part in time: none that turned it away or is sick, no cold one
-    /// with room only later. Guards against queries that keep nodes at work where a shard's last one is full.
+    /// Which of a part's holders may be asked: none that has it, sick ones only where every holder is sick,
+    /// none that turned it away within a part's work, as no place is free there before (guards against leaf
+    /// calls all spent within milliseconds on one full node).
+    fn askable(&self, part: &Part, holders: &[&str], work: f64) -> impl Fn(&str) -> bool {
+        let all_sick = part.calls.is_empty() && holders.iter().all(|id| self.nodes[*id].standing == 3);
+        move |id| {
+            let shut = |c: &Call| c.node == id && (c.out || c.turned_away && self.awake - c.since < work);
+            (all_sick || self.nodes[id].standing < 3) && !part.calls.iter().any(shut)
+        }
+    }
+
+    /// Whether any holder could still take a part in time, no cold one with room only later. Guards against
+    /// queries that keep nodes at work where a shard's last holder is full.
     fn open_to(&self, q: &Query, part: &Part) -> bool {
         let (work, holders) = (self.bare_work(q.vertical), self.holders(part.shard));
-        let sound = |id: &&str| self.nodes[*id].standing < 3;
-        let all_sick = part.calls.is_empty() && !holders.iter().any(sound);
-        let open = |id: &&str| {
-            let (room, span) = self.nodes[*id].room(self.now, work, self.peers, self.cold, 1);
-            let soon = room > 0 || span < q.not_after - self.now;
-            (all_sick || sound(id)) && soon && !part.turned_away(id, self.awake, work)
+        let may = self.askable(part, &holders, work);
+        let soon = |id: &str| {
+            let (room, span) = self.nodes[id].room(self.now, work, self.peers, self.cold, 1);
+            room > 0 || span < q.not_after - self.now
         };
-        holders.is_empty() || holders.iter().any(open)
+        holders.is_empty() || holders.iter().any(|id| may(id) && soon(id))
     }
 
     fn give_up(&mut self, number: u64, come_back: Option<f64>, out: &mut dyn Writer) {
@@ -718,23 +722,19 @@
 
     /// The next holder in turn for a part, past late ones and those without room; a node tried before
     /// counts as late. Where calls cost work, the turn is taken per call: a node that can take more of
-    /// the query's waiting parts goes first. Sick nodes are asked only where every holder is sick.
-    /// A cold node is any core's whose turn it is.
+    /// the query's waiting parts goes first. A cold node is any core's whose turn it is.
     fn next_node(&self, n: u64, i: usize, group: &[u32], bundle: usize) -> Option<(String, usize, usize)> {
         let q = &self.queries[&n];
         let (part, work) = (&q.parts[i], self.bare_work(q.vertical));
         let (shard, holders) = (part.shard, self.holders(part.shard));
-        let all_sick = part.calls.is_empty() && holders.iter().all(|id| self.nodes[*id].standing == 3);
+        let may = self.askable(part, &holders, work);
         let turn = self.shards.get(&shard).map_or(0, |s| s.turn);
         let mut able = vec![];
         for step in 0..holders.len() {
             let at = (turn + step) % holders.len();
             let node = &self.nodes[holders[at]];
             let (room, span) = node.room(self.now, work, self.peers, self.cold, bundle);
-            let out = part.calls.iter().any(|c| c.out && c.node == holders[at]);
-            // Guards against leaf calls all spent within milliseconds on one node that turns the part away.
-            let asked = out || part.turned_away(holders[at], self.awake, work);
-            if asked || room == 0 || (node.standing == 3 && !all_sick) {
+            if room == 0 || !may(holders[at]) {
                 continue;
             }
             let tried = part.calls.iter().any(|c| c.node == holders[at]);
--- a/src/choice/moves.rs
+++ b/src/choice/moves.rs
@@ -98,7 +98,7 @@
         record.copies += usize::from(out && record.calls.iter().any(|call| call.out));
         record.merged |= ending == Some(Ending::Success);
         let may_have_run = ending.is_none_or(|ending| !ending.never_ran());
-        let turned_away = matches!(ending, Some(Ending::Full | Ending::Unreachable));
+        let turned_away = ending.is_some_and(Ending::turned_away);
         let call =
             Call { node: node.into(), at: now, since, out, cancelled: false, may_have_run, turned_away };
         record.calls.push(call);
--- a/src/host.rs
+++ b/src/host.rs
@@ -152,7 +152,12 @@
 impl Ending {
     /// True where the ending proves that the call had no effect.
     pub fn never_ran(self) -> bool {
-        matches!(self, Ending::Full | Ending::Unreachable | Ending::NeverSent | Ending::Moved)
+        self.turned_away() || matches!(self, Ending::NeverSent | Ending::Moved)
+    }
+
+    /// True where the node itself let nothing in, be it full or not to be connected to.
+    pub fn turned_away(self) -> bool {
+        matches!(self, Ending::Full | Ending::Unreachable)
     }
 }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -382,7 +382,7 @@
 }
 
 #[rstest]
-fn a_node_that_was_cut_off_is_tried_again_when_the_roster_would_have_told_that_it_is_gone() {
+fn a_node_that_was_cut_off_is_tried_again_after_six_seconds_however_many_routers_there_are() {
     let mut host = with(|d| (d.nodes, d.peers) = (1, 300));
     host.query(0, &[0]);
     for hop in 0..2 {
