A query given up early no longer makes parts look quick

Cause: give_up noted the age of parts that never came as their latency. Since hopeless queries go at once, ages of some milliseconds filled the window: the median fell, with it the work by which cold nodes are dealt parts (never to rise again) and the pressure by which queries are turned away. Only ages above the usual are noted now; below it they say nothing.

The break can't come back: the median can rise by parts that never came, and falls only by answers.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -593,10 +593,11 @@
 
     fn give_up(&mut self, number: u64, come_back: Option<f64>, out: &mut dyn Writer) {
         let q = &self.queries[&number];
-        // Guards against a jam that looks like a quiet hour: parts that never came took at least so long.
-        for call in q.parts.iter().filter(|p| !p.merged).filter_map(|p| p.calls.first()) {
-            self.usual[q.vertical].note(self.awake - call.since, 256);
-        }
+        // Guards against a jam that looks like a quiet hour: parts that never came took at least so long. Less
+        // than usual tells nothing: queries given up within milliseconds would make all look quick.
+        let (usual, ages) = (self.work(q.vertical), q.parts.iter().filter(|p| !p.merged));
+        let ages = ages.filter_map(|p| Some(self.awake - p.calls.first()?.since)).filter(|age| *age > usual);
+        ages.for_each(|age| self.usual[q.vertical].note(age, 256));
         self.unserved += if q.again { 0.5 } else { 1.0 };
         let ran = q.second_step || q.parts.iter().flat_map(|p| &p.calls).any(|c| c.may_have_run);
         if self.verticals[q.vertical].effect == Effect::SideEffecting && ran {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -582,3 +582,31 @@
     host.query(1, &[]);
     assert_eq!(host.count("reject q1"), 1);
 }
+
+/// Guards against ends within milliseconds that count as quick parts: a newcomer was then sent one every few milliseconds.
+#[rstest]
+fn queries_given_up_at_once_do_not_make_a_part_look_light_to_a_cold_node() {
+    let mut host = with(|d| (d.peers, d.placement.cells, d.placement.reach, d.nodes) = (20, 2, 1, 2));
+    host.warm(0, 20, 0.2);
+    for n in 20..120 {
+        host.query(n, &[0, 1]);
+        host.wait(0.01);
+        host.ends(&format!("p{n}.1"), 0, "n1", Ending::Full, 0.01);
+        assert_eq!(host.ends(&format!("p{n}.0"), 0, "n0", Ending::Cancelled, 0.01).len(), 0);
+    }
+    host.warm(120, 20, 0.2);
+    let now = host.now;
+    host.roster("n0", 0, NodeState::Gone, None);
+    host.roster("n0", 0, NodeState::Serving, Some(now));
+    let from = host.notes.len();
+    for n in 140..240 {
+        let asked = host.query(n, &[0]);
+        host.wait(0.05);
+        if !calls(&asked).is_empty() {
+            host.ends(&format!("p{n}.0"), 0, "n0", Ending::Success, 0.05);
+        }
+    }
+    let sent = host.notes[from..].iter().filter(|note| note.starts_with("call")).count();
+    // A part of 0.2 s; one router's share of 2.5 times a fifth of a core, twenty sharing, is a part in 8 s.
+    assert!(sent <= 1, "{sent} parts in five seconds");
+}
