Copies, turns and time-outs fit operators whose parts run long or may be left out

At full size no router knows a shard's delay, so a quarter of the SLO time stood in: there every second part takes that long. Now: twice the median of all shards, a quarter of the SLO time at least. And where an answer may leave parts out, copies only for parts heavier than what it may leave out: missing its floor otherwise means that a third is late, which copies make worse. - Turns were kept by shard, from chance starts: neighbouring shards of one query met on one holder. Now the node asked longest ago goes first. - Leaf calls timed out at the client's deadline though a late answer earns nothing, or the query answers by then with what came. Where a cancel drops no waiting work, the time-out is what empties queues.

Assumption that did not hold: that a part takes much less than a quarter of the SLO time.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -24,6 +24,7 @@
     peers: f64,
     verticals: Vec<Vertical>,
     customers: Vec<(Customer, f64, f64)>,
+    calls: u64, // Calls made so far.
     placement: Placement,
     allowance: Allowance,
     cold: Option<ColdRule>,
@@ -65,6 +66,7 @@
     broke_at: f64,
     shun_until: f64,
     cold_work: VecDeque<(f64, f64)>, // Work sent while cold, with its time.
+    turn: u64,                       // Number of the latest call of this router that was this node's.
     phase: f64, // Where in its turn this router is among those that send while it is cold, from 0 to 1.
     /// What other cores saw; never told on.
     hearsay: Hearsay,
@@ -468,7 +470,7 @@
     /// Queries with a part that is late.
     fn late(&mut self) -> BTreeSet<u64> {
         let mut calls = std::mem::take(&mut self.out);
-        let delay = |(shard, vertical): (u32, usize)| self.delay(shard, self.verticals[vertical].slo);
+        let delay = |(shard, vertical): (u32, usize)| self.delay(shard, vertical);
         let out = |(number, i, hop): (u64, usize, usize)| {
             let part = self.queries.get(&number).and_then(|q| q.parts.get(i));
             part.and_then(|p| p.calls.get(hop)).is_some_and(|c| c.out && !c.cancelled)
@@ -501,11 +503,15 @@
         }
     }
 
-    /// The delay after which a part is late: the 95th percentile of the shard's latest latencies, a quarter
-    /// of the SLO time until enough are known, and never so late that a copy could not be in time.
-    fn delay(&self, shard: u32, slo: f64) -> f64 {
+    /// The delay after which a part is late: the 95th percentile of the shard's latest latencies. Until enough are
+    /// known, a quarter of the SLO time or twice the median of all shards, whichever is more (guards against parts
+    /// long by nature that are all read as late; no higher percentile, which slow nodes would lift); never so late
+    /// that a copy could not be in time.
+    fn delay(&self, shard: u32, vertical: usize) -> f64 {
+        let slo = self.verticals[vertical].slo;
         let learned = self.shards.get(&shard).and_then(|s| s.recent.quantile(0.95, LEARNED));
-        learned.unwrap_or(0.25 * slo).min(0.5 * slo)
+        let usual = || self.usual[vertical].quantile(0.5, 16).map_or(0.0, |median| 2.0 * median);
+        learned.unwrap_or_else(|| usual().max(0.25 * slo)).min(0.5 * slo)
     }
 
     /// Time that a part takes as a rule, waiting included.
@@ -591,6 +597,15 @@
         holders.is_empty() || holders.iter().any(|id| may(id) && soon(id))
     }
 
+    /// Until when a part that comes in can still earn: where late answers are worth nothing, or go in a jam, or a
+    /// query answers by then with what came, the SLO time. Guards against nodes at work for what nobody waits for
+    /// where a cancel drops no waiting work but an overdue part is not begun.
+    fn useful_until(&self, q: &Query) -> f64 {
+        let v = &self.verticals[q.vertical];
+        let early = v.late_share <= 0.0 || v.floor < v.need || self.shedding && v.late_share < 0.27;
+        if early { q.slo_at.min(q.not_after) } else { q.not_after }
+    }
+
     fn give_up(&mut self, number: u64, come_back: Option<f64>, out: &mut dyn Writer) {
         let q = &self.queries[&number];
         // Guards against a jam that looks like a quiet hour: parts that never came took at least so long. Less
@@ -722,7 +737,8 @@
     }
 
     /// The next holder in turn for a part, past late ones and those without room; a node tried before
-    /// counts as late. Where calls cost work, the turn is taken per call: a node that can take more of
+    /// counts as late. The turn is that of the node this router asked longest ago, for whatever shard: turns kept by
+    /// shard would send neighbouring shards of one query to one node by chance. Where calls cost work, the turn is taken per call: a node that can take more of
     /// the query's waiting parts goes first. A cold node is any core's whose turn it is.
     fn next_node(&self, n: u64, i: usize, group: &[u32], bundle: usize) -> Option<(String, usize, usize)> {
         let q = &self.queries[&n];
@@ -741,7 +757,7 @@
             let tried = part.calls.iter().any(|c| c.node == holders[at]);
             let covers = group.iter().filter(|&&s| self.placement.holds(holders[at], node.cell, s)).count();
             able.push((
-                (node.standing + u8::from(tried), usize::MAX - covers.min(room), step),
+                (node.standing + u8::from(tried), usize::MAX - covers.min(room), node.turn, step),
                 at,
                 room,
                 span,
@@ -756,15 +772,18 @@
     fn send(&mut self, number: u64, i: usize, id: &str, out: &mut dyn Writer) {
         let q = &self.queries[&number];
         let v = &self.verticals[q.vertical];
-        let (now, delay, work) = (self.now, self.delay(q.parts[i].shard, v.slo), self.bare_work(q.vertical));
+        let (now, delay, work) =
+            (self.now, self.delay(q.parts[i].shard, q.vertical), self.bare_work(q.vertical));
         let more = v.effect == Effect::Repeatable && q.parts[i].calls.len() + 1 < self.allowance.calls;
         let timed = if more && !self.allowance.cancel { 0.5 * v.slo } else { f64::INFINITY };
-        let limit = timed.min(q.not_after - now);
+        let limit = timed.min(self.useful_until(q) - now);
         let vertical = q.vertical;
         let Some(part) = self.queries.get_mut(&number).map(|q| &mut q.parts[i]) else { return };
         let Some(node) = self.nodes.get_mut(id) else { return };
         self.out.add((part.shard, vertical), self.awake, (number, i, part.calls.len()));
         node.calls.insert((part.id.clone(), part.calls.len()), (self.awake, delay));
+        self.calls += 1;
+        node.turn = self.calls;
         node.cold_work.retain(|w| w.0 >= now - self.cold.map_or(0.0, |c| c.warm_up + c.span));
         node.cold_work.push_back((now, work));
         out.call(&part.id, id, limit);
@@ -787,7 +806,7 @@
                 outs().iter().for_each(|&hop| self.cancel(number, i, hop, out));
                 continue;
             }
-            let (age, delay) = (self.awake - part.calls[newest].since, self.delay(shard, v.slo));
+            let (age, delay) = (self.awake - part.calls[newest].since, self.delay(shard, vertical));
             let may = part.may_call(self.now, v.effect, self.allowance.calls);
             if age <= delay || !may || (self.purse.stated && self.common.tokens() < 1.0) {
                 continue;
@@ -800,7 +819,10 @@
                 self.awake - call.since > SILENT * delay && node.standing == 3
             });
             let more = v.effect == Effect::Repeatable && self.allowance.parallel && part.copies < MAX_COPIES;
-            let copy = more && self.common.tokens() >= 1.0;
+            // Guards against copies that feed a jam for parts that an answer may leave out; it hurts where the whole
+            // is worth much more than what may be given.
+            let owed = v.floor >= v.need || part.weight > 1.0 - v.floor;
+            let copy = more && owed && self.common.tokens() >= 1.0;
             let useful = self.now + 0.5 * self.work(vertical) < self.queries[&number].slo_at;
             if !(copy || useful && stuck) {
                 continue;
--- a/src/choice/moves.rs
+++ b/src/choice/moves.rs
@@ -88,7 +88,7 @@
         let (now, since) = (self.now - age, self.awake - age);
         let Some(query) = self.queries.get(&number) else { return };
         let (vertical, shard) = (query.vertical, query.parts[at].shard);
-        let delay = self.delay(shard, self.verticals[vertical].slo);
+        let delay = self.delay(shard, vertical);
         let Some(record) = self.queries.get_mut(&number).map(|query| &mut query.parts[at]) else { return };
         let (out, hop) = (ending.is_none(), record.calls.len());
         if hop == 0 {
