--- a/crates/alderway/tests/cores.rs
+++ b/crates/alderway/tests/cores.rs
@@ -229,7 +229,7 @@
     let house = house(2, 2, &Setting::default());
     // Every second connection is dealt to the first core; only those ask.
     let mut all = house.clients(2);
-    all.extend((0..6).map(|_| Client::to(&house.program)));
+    all.extend((0..30).map(|_| Client::to(&house.program)));
     let mut busy: Vec<Client> = all.into_iter().step_by(2).collect();
     let end = Instant::now() + PATIENCE;
     let stop = std::sync::atomic::AtomicBool::new(false);
