--- a/crates/alderway/tests/layouts.rs
+++ b/crates/alderway/tests/layouts.rs
@@ -198,6 +198,7 @@
     let mut client = Client::to(&place.program);
     place.change(&[moved(1, &[1])]);
     place.logged("layout: version 2");
+    until(&place.program, "the module is told", |c| c.get("layout_changes").is_some_and(|n| *n >= 1));
     client.ask("q", 6000, r#"{"keys":[10,90],"share":1}"#);
     until(&place.program, "it disowns the shard", |c| c.get("parts_disowned").is_some_and(|n| *n >= 1));
     place.nodes_follow();
