A query that may be answered in part is as late as its floor's part

Cause: rejection by chance went by a query's slowest part, of 94 parts the 99th percentile, though a release-report is answered without three in ten. The assumption that did not hold: that every part is needed. Now the floor's quantile counts, alone.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -646,7 +646,7 @@
 
     /// Turns away by chance under overload, the cheaper more often. Pressure is the expected latency over
     /// the time left. A query is as late as its slowest part, of n parts the one that a share of 1 / (n + 1)
-    /// exceeds; the geometric mean with a median part tells a jam, where both rise, from a few slow or far
+    /// exceeds, or, where it may be answered in part, its floor's part; the geometric mean with a median part tells a jam, where both rise, from a few slow or far
     /// nodes, which copies and rests meet. Some are always let in, or no answer would show a jam's end.
     fn admit(&mut self, out: &mut dyn Writer) {
         let new: Vec<u64> = self.queries.iter().filter(|(_, q)| !q.admitted).map(|(n, _)| *n).collect();
@@ -666,7 +666,8 @@
             let q = &self.queries[&number];
             let v = &self.verticals[q.vertical];
             let left = (q.slo_at.min(q.not_after) - self.now).max(0.001);
-            let share = 1.0 - 1.0 / (1.0 + q.parts.len() as f64);
+            let last = 1.0 - 1.0 / (1.0 + q.parts.len() as f64);
+            let (share, in_part) = (last.min(v.floor), v.floor < v.need);
             let slowest = self.usual[q.vertical].quantile(share, 16).unwrap_or(0.25 * v.slo);
             // Guards against parts that hold room for nothing while one of their query waits in vain.
             let wait =
@@ -674,7 +675,7 @@
             let near = q.parts.iter().map(|p| (wait(p), p.weight)).filter(|n| n.0 < left);
             let near: Vec<(f64, f64)> = near.collect();
             let wait = near.iter().map(|n| n.0).fold(0.0, f64::max);
-            let usual = (slowest * self.work(q.vertical)).sqrt();
+            let usual = if in_part { slowest } else { (slowest * self.work(q.vertical)).sqrt() };
             let likely = (usual / left).max((usual + wait) / left - 0.2);
             let pressure = if near.iter().map(|n| n.1).sum::<f64>() < v.floor - SLACK { 1.0 } else { likely };
             let utility = v.utility * if q.over_share { self.allowance.over_share } else { 1.0 };
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -663,3 +663,22 @@
     assert!(calls(&host.wait(0.78)).is_empty(), "a quarter of the SLO time would be 0.5 s");
     assert_eq!(calls(&host.wait(0.04)).len(), 1);
 }
+
+/// Guards against queries turned away for the slowest of many parts though their answers would leave those out.
+#[rstest]
+#[case::needs_every_part(1.0, true)]
+#[case::may_be_answered_in_part(0.7, false)]
+fn a_query_is_as_late_as_the_part_that_its_floor_needs(#[case] floor: f64, #[case] rejects: bool) {
+    let mut host = with(|d| (d.allowance.parallel, d.vertical.floor) = (false, floor));
+    for n in 0..40 {
+        let asked = node_of(&host.query(n, &[n as u32]), &format!("p{n}.0"));
+        let latency = if n % 5 == 0 { 1.9 } else { 0.4 };
+        host.wait(latency);
+        host.ends(&format!("p{n}.0"), 0, &asked, Ending::Success, latency);
+    }
+    let before = host.count("reject");
+    for n in 100..120 {
+        host.query(n, &(0..10).map(|part| 100 + part).collect::<Vec<u32>>());
+    }
+    assert_eq!(host.count("reject") > before, rejects);
+}
