Parts that full nodes turned away count as ones that would have taken the SLO time

Each query ended at once, left its few accepted parts at the nodes (a cancel drops nothing there) and was asked again; as it had ended within milliseconds nothing raised the pressure, so all were let in. The lines at fault: give_up noted ages only. Ruled out: a fault of nodes (every zone and kind alike, no change in the lists).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -610,9 +610,15 @@
         let q = &self.queries[&number];
         // Guards against a jam that looks like a quiet hour: parts that never came took at least so long. Less
         // than usual tells nothing: queries given up within milliseconds would make all look quick.
-        let (usual, ages) = (self.work(q.vertical), q.parts.iter().filter(|p| !p.merged));
-        let ages = ages.filter_map(|p| Some(self.awake - p.calls.first()?.since)).filter(|age| *age > usual);
-        ages.for_each(|age| self.usual[q.vertical].note(age, 256));
+        let (usual, slo) = (self.work(q.vertical), self.verticals[q.vertical].slo);
+        let age = |p: &Part| {
+            // A full node tells of a queue that its part would not have come out of in time.
+            let full = p.calls.iter().all(|c| c.turned_away);
+            Some(if full { slo } else { self.awake - p.calls.first()?.since })
+        };
+        let missed = q.parts.iter().filter(|p| !p.merged && !p.calls.is_empty());
+        let ages: Vec<f64> = missed.filter_map(age).filter(|age| *age > usual).collect();
+        ages.into_iter().for_each(|age| self.usual[q.vertical].note(age, 256));
         self.unserved += if q.again { 0.5 } else { 1.0 };
         let ran = q.second_step || q.parts.iter().flat_map(|p| &p.calls).any(|c| c.may_have_run);
         if self.verticals[q.vertical].effect == Effect::SideEffecting && ran {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -595,7 +595,13 @@
         host.ends(&format!("p{n}.1"), 0, "n1", Ending::Full, 0.01);
         assert_eq!(host.ends(&format!("p{n}.0"), 0, "n0", Ending::Cancelled, 0.01).len(), 0);
     }
-    host.warm(120, 20, 0.2);
+    for n in 120..140 {
+        let asked = host.query(n, &[0]);
+        host.wait(0.2);
+        if !calls(&asked).is_empty() {
+            host.ends(&format!("p{n}.0"), 0, "n0", Ending::Success, 0.2);
+        }
+    }
     let now = host.now;
     host.roster("n0", 0, NodeState::Gone, None);
     host.roster("n0", 0, NodeState::Serving, Some(now));
@@ -682,3 +688,21 @@
     }
     assert_eq!(host.count("reject") > before, rejects);
 }
+
+/// Guards against a jam that looks like a quiet hour because its queries end within milliseconds: nodes stayed full of
+/// parts of queries that were given up.
+#[rstest]
+fn parts_that_full_nodes_turned_away_show_a_jam() {
+    let mut host = with(|_| ());
+    for n in 0..60 {
+        host.query(n, &[0]);
+        for hop in 0..3 {
+            let asked = host.notes.iter().rev().find_map(|c| c.strip_prefix(&format!("call p{n}.0 ")));
+            if let Some(node) = asked.map(String::from) {
+                host.ends(&format!("p{n}.0"), hop, &node, Ending::Full, 0.002);
+            }
+        }
+    }
+    let unsent = (30..60).filter(|n| host.count(&format!("call p{n}.0")) == 0).count();
+    assert!(unsent >= 10, "{unsent} of 30 rejected before any node was asked");
+}
