--- a/crates/alderway/tests/cores.rs
+++ b/crates/alderway/tests/cores.rs
@@ -136,7 +136,8 @@
 fn a_core_that_fails_answers_what_it_held_and_starts_again() {
     // An SLO time that leaves the module no reason to give them up before the core fails.
     let house = house(3, 2, &Setting { slo_ms: 1900, ..Setting::default() });
-    // Whose turn a connection comes at depends on those that ask for the counters: three a core, so that each holds some.
+    // Whose turn a connection comes at depends on those that ask for the counters: three a core, so that
+    // each holds some.
     house.until("all serve", |c| c["cores_serving"] == 3);
     let mut clients: Vec<Client> = (0..9).map(|_| Client::to(&house.program)).collect();
     house.fleet.nodes.iter().for_each(|n| n.set(Fault::Silent));
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -14,6 +14,7 @@
 const SILENT: f64 = 2.5; // A node that answered nothing for so many times a part's delay is silent.
 const MAX_COPIES: usize = 2;
 const LEARNED: usize = 12; // So many latencies of a shard tell its delay; no more are taken over.
+const LITTLE: f64 = 0.27; // A late answer worth less of the utility goes in a jam.
 const HEARSAY: f64 = 0.5; // How long a node is silent on another core's word, told again while it lasts.
 
 #[derive(Default)]
@@ -66,7 +67,8 @@
     broke_at: f64,
     shun_until: f64,
     cold_work: VecDeque<(f64, f64)>, // Work sent while cold, with its time.
-    turn: u64,                       // Number of the latest call of this router that was this node's.
+    /// Number of this router's latest call that went to it.
+    turn: u64,
     phase: f64, // Where in its turn this router is among those that send while it is cold, from 0 to 1.
     /// What other cores saw; never told on.
     hearsay: Hearsay,
@@ -503,10 +505,10 @@
         }
     }
 
-    /// The delay after which a part is late: the 95th percentile of the shard's latest latencies. Until enough are
-    /// known, a quarter of the SLO time or twice the median of all shards, whichever is more (guards against parts
-    /// long by nature that are all read as late; no higher percentile, which slow nodes would lift); never so late
-    /// that a copy could not be in time.
+    /// The delay after which a part is late: the 95th percentile of the shard's latest latencies. Until
+    /// enough are known, a quarter of the SLO time or twice the median of all shards, whichever is more
+    /// (guards against parts long by nature that are all read as late; no higher percentile, which slow
+    /// nodes would lift); never so late that a copy could not be in time.
     fn delay(&self, shard: u32, vertical: usize) -> f64 {
         let slo = self.verticals[vertical].slo;
         let learned = self.shards.get(&shard).and_then(|s| s.recent.quantile(0.95, LEARNED));
@@ -563,7 +565,7 @@
         let hopeless =
             short && arrived && q.admitted && self.now + self.work(q.vertical) > q.slo_at.min(q.not_after);
         let over = self.now >= q.not_after - AHEAD
-            || (late && (v.late_share <= 0.0 || (self.shedding && v.late_share * merged < 0.27)));
+            || (late && (v.late_share <= 0.0 || (self.shedding && v.late_share * merged < LITTLE)));
         // Every part in or out and time left: nothing changes by itself.
         let still = arrived && q.admitted && !late && q.parts.iter().all(|p| p.merged || p.out());
         let look_at = if still { q.slo_at.min(q.not_after) - AHEAD } else { 0.0 };
@@ -597,28 +599,29 @@
         holders.is_empty() || holders.iter().any(|id| may(id) && soon(id))
     }
 
-    /// Until when a part that comes in can still earn: where late answers are worth nothing, or go in a jam, or a
-    /// query answers by then with what came, the SLO time. Guards against nodes at work for what nobody waits for
-    /// where a cancel drops no waiting work but an overdue part is not begun.
+    /// Until when a part that comes in can still earn: where late answers are worth nothing, or go in a
+    /// jam, or a query answers by then with what came, the SLO time. Guards against nodes at work for what
+    /// nobody waits for where a cancel drops no waiting work but an overdue part is not begun.
     fn useful_until(&self, q: &Query) -> f64 {
         let v = &self.verticals[q.vertical];
-        let early = v.late_share <= 0.0 || v.floor < v.need || self.shedding && v.late_share < 0.27;
+        let early = v.late_share <= 0.0 || v.floor < v.need || self.shedding && v.late_share < LITTLE;
         if early { q.slo_at.min(q.not_after) } else { q.not_after }
     }
 
     fn give_up(&mut self, number: u64, come_back: Option<f64>, out: &mut dyn Writer) {
         let q = &self.queries[&number];
-        // Guards against a jam that looks like a quiet hour: parts that never came took at least so long. Less
-        // than usual tells nothing: queries given up within milliseconds would make all look quick.
+        // Guards against a jam that looks like a quiet hour: parts that never came took at least so long.
+        // Less than usual tells nothing: queries given up within milliseconds would make all look quick.
         let (usual, slo) = (self.work(q.vertical), self.verticals[q.vertical].slo);
-        let age = |p: &Part| {
+        for part in q.parts.iter().filter(|p| !p.merged) {
+            let Some(first) = part.calls.first() else { continue };
             // A full node tells of a queue that its part would not have come out of in time.
-            let full = p.calls.iter().all(|c| c.turned_away);
-            Some(if full { slo } else { self.awake - p.calls.first()?.since })
-        };
-        let missed = q.parts.iter().filter(|p| !p.merged && !p.calls.is_empty());
-        let ages: Vec<f64> = missed.filter_map(age).filter(|age| *age > usual).collect();
-        ages.into_iter().for_each(|age| self.usual[q.vertical].note(age, 256));
+            let full = part.calls.iter().all(|c| c.turned_away);
+            let age = if full { slo } else { self.awake - first.since };
+            if age > usual {
+                self.usual[q.vertical].note(age, 256);
+            }
+        }
         self.unserved += if q.again { 0.5 } else { 1.0 };
         let ran = q.second_step || q.parts.iter().flat_map(|p| &p.calls).any(|c| c.may_have_run);
         if self.verticals[q.vertical].effect == Effect::SideEffecting && ran {
@@ -652,8 +655,9 @@
 
     /// Turns away by chance under overload, the cheaper more often. Pressure is the expected latency over
     /// the time left. A query is as late as its slowest part, of n parts the one that a share of 1 / (n + 1)
-    /// exceeds, or, where it may be answered in part, its floor's part; the geometric mean with a median part tells a jam, where both rise, from a few slow or far
-    /// nodes, which copies and rests meet. Some are always let in, or no answer would show a jam's end.
+    /// exceeds, or, where it may be answered in part, as its floor's part. The geometric mean with a median
+    /// part tells a jam, where both rise, from a few slow or far nodes, which copies and rests meet. Some are
+    /// always let in, or no answer would show a jam's end.
     fn admit(&mut self, out: &mut dyn Writer) {
         let new: Vec<u64> = self.queries.iter().filter(|(_, q)| !q.admitted).map(|(n, _)| *n).collect();
         let mut oldest = BTreeMap::new();
@@ -744,9 +748,10 @@
     }
 
     /// The next holder in turn for a part, past late ones and those without room; a node tried before
-    /// counts as late. The turn is that of the node this router asked longest ago, for whatever shard: turns kept by
-    /// shard would send neighbouring shards of one query to one node by chance. Where calls cost work, the turn is taken per call: a node that can take more of
-    /// the query's waiting parts goes first. A cold node is any core's whose turn it is.
+    /// counts as late. The turn is that of the node this router asked longest ago, for whatever shard: turns
+    /// kept by shard would send neighbouring shards of one query to one node by chance. Where calls cost
+    /// work, the turn is taken per call: a node that can take more of the query's waiting parts goes first. A
+    /// cold node is any core's whose turn it is.
     fn next_node(&self, n: u64, i: usize, group: &[u32], bundle: usize) -> Option<(String, usize, usize)> {
         let q = &self.queries[&n];
         let (part, work) = (&q.parts[i], self.bare_work(q.vertical));
@@ -826,8 +831,8 @@
                 self.awake - call.since > SILENT * delay && node.standing == 3
             });
             let more = v.effect == Effect::Repeatable && self.allowance.parallel && part.copies < MAX_COPIES;
-            // Guards against copies that feed a jam for parts that an answer may leave out; it hurts where the whole
-            // is worth much more than what may be given.
+            // Guards against copies that feed a jam for parts that an answer may leave out; it hurts where
+            // the whole is worth much more than what may be given.
             let owed = v.floor >= v.need || part.weight > 1.0 - v.floor;
             let copy = more && owed && self.common.tokens() >= 1.0;
             let useful = self.now + 0.5 * self.work(vertical) < self.queries[&number].slo_at;
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -584,7 +584,8 @@
     assert_eq!(host.count("reject q1"), 1);
 }
 
-/// Guards against ends within milliseconds that count as quick parts: a newcomer was then sent one every few milliseconds.
+/// Guards against ends within milliseconds that count as quick parts: a newcomer was then sent one every
+/// few milliseconds.
 #[rstest]
 fn queries_given_up_at_once_do_not_make_a_part_look_light_to_a_cold_node() {
     let mut host = with(|d| (d.peers, d.placement.cells, d.placement.reach, d.nodes) = (20, 2, 1, 2));
@@ -670,7 +671,8 @@
     assert_eq!(calls(&host.wait(0.04)).len(), 1);
 }
 
-/// Guards against queries turned away for the slowest of many parts though their answers would leave those out.
+/// Guards against queries turned away for the slowest of many parts though their answers would leave those
+/// out.
 #[rstest]
 #[case::needs_every_part(1.0, true)]
 #[case::may_be_answered_in_part(0.7, false)]
@@ -689,8 +691,8 @@
     assert_eq!(host.count("reject") > before, rejects);
 }
 
-/// Guards against a jam that looks like a quiet hour because its queries end within milliseconds: nodes stayed full of
-/// parts of queries that were given up.
+/// Guards against a jam that looks like a quiet hour because its queries end within milliseconds: nodes
+/// stayed full of parts of queries that were given up.
 #[rstest]
 fn parts_that_full_nodes_turned_away_show_a_jam() {
     let mut host = with(|_| ());
