Queries under which nodes die stop at two, and one call goes ahead while what died is cold

Each wide query that kills its nodes takes one holder of some forty shards, and its client comes again.

Change: (1) a query under whose calls two nodes broke, with nothing in, gets no further calls; (2) for the stated warm-up time after a connection broke under a call of this router, one call of a query goes ahead of the others until a part is in; (3) a silent node's wait counts from the call that it left unanswered, no longer from its last answer, which at full size is long ago as nobody asked. It should hold for any cause that brings down who takes the work (by key, vertical or customer); it costs a part's time where nodes die of something else. Tied turns among nodes never asked stay where they began.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -49,6 +49,7 @@
     shedding: bool,
     follow_at: f64,
     alarm_set: bool,
+    wary_until: f64, // What died under a call of this router may be cold until then.
 }
 
 #[derive(Default)]
@@ -275,6 +276,18 @@
     }
 }
 
+impl Query {
+    /// Whether nodes may have died of it: connections broke under calls of two nodes, or of one while others
+    /// are out, and none of its parts has come in. It gets no further leaf calls. Guards against queries that
+    /// bring down whoever begins a part of them; it hurts where nodes die before any part is in.
+    fn suspect(&self) -> bool {
+        let calls = || self.parts.iter().flat_map(|p| &p.calls);
+        let broken: BTreeSet<&str> = calls().filter(|c| c.broke).map(|c| c.node.as_str()).collect();
+        (broken.len() > 1 || !broken.is_empty() && calls().any(|c| c.out))
+            && !self.parts.iter().any(|p| p.merged)
+    }
+}
+
 impl Intake for Router {
     fn roster_whole(&mut self) {
         self.nodes.values_mut().for_each(|n| n.state = NodeState::Gone);
@@ -349,6 +362,7 @@
                 call.out = false;
                 call.may_have_run = !ending.never_ran();
                 call.turned_away = ending.turned_away();
+                call.broke = ending == Ending::Reset;
             }
             if ending == Ending::Success {
                 let usual = &mut self.usual[query.vertical];
@@ -362,6 +376,8 @@
             }
         }
         if let (Some(node), Some((_, delay))) = (self.nodes.get_mut(node), record) {
+            let warm = self.now + self.cold.map_or(0.0, |c| c.warm_up);
+            self.wary_until = if ending == Ending::Reset { warm } else { self.wary_until };
             node.ended(self.awake, ending, latency, delay, slo, (0.25 * self.peers).min(15.0));
         }
     }
@@ -496,7 +512,8 @@
                     (node.calls.len(), node.failures, node.cap, if sick { "sick" } else { "back" });
                 out.remark(&format!("node {id} {word}: {n} calls out, {f} failures, cap {cap:.1}"));
             }
-            let silence = if own == 3 { now - node.heard } else { 0.0 };
+            let oldest = node.calls.values().map(|c| now - c.0).fold(0.0, f64::max);
+            let silence = if own == 3 { oldest } else { 0.0 };
             let away = (node.shun_until.max(node.hearsay.sick_until) - now).max(silence);
             (node.standing, node.wait) = (standing, if sick { away } else { 0.0 });
         }
@@ -558,9 +575,11 @@
             return;
         }
         let may = |p: &Part| p.may_call(self.now, v.effect, self.allowance.calls) && self.open_to(q, p);
+        let may = |p: &Part| !q.suspect() && may(p);
         let reachable = weight(&|p| p.merged || p.out() || may(p));
         let arrived = q.parts.len() >= q.expected;
-        let doomed = arrived && reachable < least - SLACK;
+        let waits = q.suspect() && q.parts.iter().any(Part::out);
+        let doomed = arrived && !waits && reachable < least - SLACK;
         let short = weight(&|p| p.merged || p.out()) < least - SLACK;
         let hopeless =
             short && arrived && q.admitted && self.now + self.work(q.vertical) > q.slo_at.min(q.not_after);
@@ -711,11 +730,17 @@
 
     /// Sends the parts of a query that have no call out: the first one, or the next after a failure.
     fn send_waiting(&mut self, number: u64, out: &mut dyn Writer) {
-        let Some(q) = self.queries.get(&number) else { return };
+        let Some(q) = self.queries.get(&number).filter(|q| !q.suspect()) else { return };
         let effect = self.verticals[q.vertical].effect;
         let waits = |p: &Part| !p.merged && !p.out() && p.may_call(self.now, effect, self.allowance.calls);
         let mut waiting: VecDeque<usize> = (0..q.parts.len()).filter(|&i| waits(&q.parts[i])).collect();
         let bundle = if self.placement.call_work > 0.0 { self.placement.bundle } else { 1 };
+        // Guards against queries that bring down whoever begins a part of them: while what died is cold, one
+        // call goes ahead of a query's others; it hurts where nodes die of something else.
+        let wary = self.now < self.wary_until && !q.parts.iter().any(|p| p.merged);
+        if wary && q.parts.iter().any(Part::out) {
+            return;
+        }
         while let Some(&first) = waiting.front() {
             let q = &self.queries[&number];
             let fresh = Some((q.parts[first].shard, q.vertical)).filter(|_| q.parts[first].calls.is_empty());
@@ -727,12 +752,11 @@
             let along = if bundle > 1 { waiting.len() } else { 1 };
             let group: Vec<usize> = waiting.iter().take(along).copied().collect();
             let shards: Vec<u32> = group.iter().map(|&i| q.parts[i].shard).collect();
-            let Some((node, room, turn)) = self.next_node(number, first, &shards, bundle) else {
+            let Some((node, room)) = self.next_node(number, first, &shards, bundle) else {
                 self.full.extend(fresh);
                 waiting.pop_front();
                 continue;
             };
-            self.shards.entry(shards[0]).or_default().turn = turn;
             let (cell, mut taken) = (self.nodes[&node].cell, BTreeSet::new());
             for (i, &shard) in group.into_iter().zip(&shards) {
                 if taken.len() < room && self.placement.holds(&node, cell, shard) {
@@ -744,6 +768,9 @@
                 }
             }
             waiting.retain(|i| !taken.contains(i));
+            if wary && !taken.is_empty() {
+                break;
+            }
         }
     }
 
@@ -752,7 +779,7 @@
     /// kept by shard would send neighbouring shards of one query to one node by chance. Where calls cost
     /// work, the turn is taken per call: a node that can take more of the query's waiting parts goes first. A
     /// cold node is any core's whose turn it is.
-    fn next_node(&self, n: u64, i: usize, group: &[u32], bundle: usize) -> Option<(String, usize, usize)> {
+    fn next_node(&self, n: u64, i: usize, group: &[u32], bundle: usize) -> Option<(String, usize)> {
         let q = &self.queries[&n];
         let (part, work) = (&q.parts[i], self.bare_work(q.vertical));
         let (shard, holders) = (part.shard, self.holders(part.shard));
@@ -778,7 +805,7 @@
         able.sort_unstable_by_key(|a| a.0);
         let turn = |at: usize, span| span <= 0.0 || self.common.cold_turn(holders[at], self.now, span);
         let (_, at, room, _) = able.into_iter().find(|&(_, at, _, span)| turn(at, span))?;
-        Some((holders[at].to_string(), room, at + 1))
+        Some((holders[at].to_string(), room))
     }
 
     fn send(&mut self, number: u64, i: usize, id: &str, out: &mut dyn Writer) {
@@ -807,7 +834,7 @@
     /// Cancels losers, copies late parts while the bucket pays, and gives up calls that are stuck.
     fn rescue(&mut self, number: u64, out: &mut dyn Writer) {
         let Some(q) = self.queries.get(&number) else { return };
-        let (v, vertical) = (self.verticals[q.vertical].clone(), q.vertical);
+        let (v, vertical, suspect) = (self.verticals[q.vertical].clone(), q.vertical, q.suspect());
         for i in 0..q.parts.len() {
             let part = &self.queries[&number].parts[i];
             let (shard, merged) = (part.shard, part.merged);
@@ -820,7 +847,7 @@
             }
             let (age, delay) = (self.awake - part.calls[newest].since, self.delay(shard, vertical));
             let may = part.may_call(self.now, v.effect, self.allowance.calls);
-            if age <= delay || !may || (self.purse.stated && self.common.tokens() < 1.0) {
+            if age <= delay || !may || suspect || (self.purse.stated && self.common.tokens() < 1.0) {
                 continue;
             }
             // Guards against hung and silent nodes when the bucket is dry: their calls move on where a holder
@@ -839,12 +866,11 @@
             if !(copy || useful && stuck) {
                 continue;
             }
-            let Some((node, _, turn)) = self.next_node(number, i, &[shard], 1) else { continue };
+            let Some((node, _)) = self.next_node(number, i, &[shard], 1) else { continue };
             if copy {
                 if !self.common.pay() {
                     continue;
                 }
-                self.shards.entry(shard).or_default().turn = turn;
                 self.send(number, i, &node, out);
             } else {
                 outs.iter().for_each(|&hop| self.cancel(number, i, hop, out));
--- a/src/choice/moves.rs
+++ b/src/choice/moves.rs
@@ -99,8 +99,10 @@
         record.merged |= ending == Some(Ending::Success);
         let may_have_run = ending.is_none_or(|ending| !ending.never_ran());
         let turned_away = ending.is_some_and(Ending::turned_away);
+        let broke = ending == Some(Ending::Reset);
+        let cancelled = false;
         let call =
-            Call { node: node.into(), at: now, since, out, cancelled: false, may_have_run, turned_away };
+            Call { node: node.into(), at: now, since, out, cancelled, may_have_run, turned_away, broke };
         record.calls.push(call);
         if out {
             self.out.insert((shard, vertical), since, (number, at, hop));
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -121,4 +121,6 @@
     pub cancelled: bool,
     pub may_have_run: bool,
     pub turned_away: bool,
+    /// Its connection broke while it was out.
+    pub broke: bool,
 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -708,3 +708,51 @@
     let unsent = (30..60).filter(|n| host.count(&format!("call p{n}.0")) == 0).count();
     assert!(unsent >= 10, "{unsent} of 30 rejected before any node was asked");
 }
+
+/// Guards against queries that bring down whoever begins a part of them: repeats would spread over all holders.
+#[rstest]
+#[case::nothing_came_in(false, 0)]
+#[case::a_part_came_in(true, 2)]
+fn a_query_under_which_two_nodes_died_gets_no_further_calls(#[case] came_in: bool, #[case] repeats: usize) {
+    let mut host = with(|d| d.placement.reach = 2);
+    host.query(0, &[0, 1, 2]);
+    let asked: Vec<String> = (0..3).map(|i| node_of(&host.notes, &format!("p0.{i}"))).collect();
+    if came_in {
+        host.ends("p0.2", 0, &asked[2], Ending::Success, 0.05);
+    }
+    let mut notes = host.ends("p0.0", 0, &asked[0], Ending::Reset, 0.05);
+    notes.extend(host.ends("p0.1", 0, &asked[1], Ending::Reset, 0.05));
+    assert_eq!(calls(&notes).len(), repeats, "{notes:?}");
+    assert_eq!(host.count("reject q0"), 0, "its third part is still out");
+}
+
+/// Guards against the next such query, or its client's next try, bringing down as many nodes as it has parts.
+#[rstest]
+fn one_call_goes_ahead_while_what_died_under_a_call_is_cold() {
+    let mut host = with(|_| ());
+    let asked = node_of(&host.query(0, &[0]), "p0.0");
+    host.ends("p0.0", 0, &asked, Ending::Reset, 0.05);
+    assert_eq!(calls(&host.query(1, &[0, 1, 2])).len(), 1);
+    let asked = node_of(&host.notes, "p1.0");
+    assert_eq!(calls(&host.ends("p1.0", 0, &asked, Ending::Success, 0.05)).len(), 2);
+    for part in ["p0.0", "p1.1", "p1.2"] {
+        let (asked, hop) = (node_of(&host.notes, part), host.count(&format!("call {part} ")) - 1);
+        host.ends(part, hop, &asked, Ending::Success, 0.05);
+    }
+    host.wait(16.1);
+    assert_eq!(calls(&host.query(2, &[0, 1, 2])).len(), 3);
+}
+
+/// Guards against a node taken to be away for as long as nobody had asked it: at full size that is many seconds.
+#[rstest]
+fn a_silent_node_is_away_as_long_as_it_left_a_call_unanswered() {
+    let mut host = with(|d| (d.placement.reach, d.vertical.deadline) = (1, 9.0));
+    host.warm(0, 20, 0.1);
+    host.wait(60.0);
+    host.query(30, &[0]);
+    host.wait(1.3);
+    let before = host.count("reject");
+    (40..60).for_each(|n| drop(host.query(n, &[0])));
+    let rejected = host.count("reject") - before;
+    assert!(rejected < 14, "{rejected} of 20 rejected");
+}
