--- a/src/choice.rs
+++ b/src/choice.rs
@@ -701,8 +701,7 @@
             // Guards against parts that hold room for nothing while one of their query waits in vain.
             let wait =
                 |p: &Part| self.holders(p.shard).iter().map(|id| self.nodes[*id].wait).fold(9e9, f64::min);
-            let near = q.parts.iter().map(|p| (wait(p), p.weight)).filter(|n| n.0 < left);
-            let near: Vec<(f64, f64)> = near.collect();
+            let near: Vec<_> = q.parts.iter().map(|p| (wait(p), p.weight)).filter(|n| n.0 < left).collect();
             let wait = near.iter().map(|n| n.0).fold(0.0, f64::max);
             let usual = if in_part { slowest } else { (slowest * self.work(q.vertical)).sqrt() };
             let likely = (usual / left).max((usual + wait) / left - 0.2);
@@ -743,8 +742,11 @@
         }
         while let Some(&first) = waiting.front() {
             let q = &self.queries[&number];
-            let fresh = Some((q.parts[first].shard, q.vertical)).filter(|_| q.parts[first].calls.is_empty());
-            if fresh.is_some_and(|key| self.full.contains(&key)) {
+            let key = (q.parts[first].shard, q.vertical);
+            let fresh = Some(key).filter(|_| q.parts[first].calls.is_empty());
+            // Looked at once a round, a part that nothing pays for would cost a search of its holders each time.
+            let unpaid = fresh.is_none() && self.purse.stated && self.common.tokens() < 1.0;
+            if unpaid || self.full.contains(&key) {
                 waiting.pop_front();
                 continue;
             }
@@ -795,12 +797,8 @@
             }
             let tried = part.calls.iter().any(|c| c.node == holders[at]);
             let covers = group.iter().filter(|&&s| self.placement.holds(holders[at], node.cell, s)).count();
-            able.push((
-                (node.standing + u8::from(tried), usize::MAX - covers.min(room), node.turn, step),
-                at,
-                room,
-                span,
-            ));
+            let rank = (node.standing + u8::from(tried), usize::MAX - covers.min(room), node.turn, step);
+            able.push((rank, at, room, span));
         }
         able.sort_unstable_by_key(|a| a.0);
         let turn = |at: usize, span| span <= 0.0 || self.common.cold_turn(holders[at], self.now, span);
@@ -811,12 +809,11 @@
     fn send(&mut self, number: u64, i: usize, id: &str, out: &mut dyn Writer) {
         let q = &self.queries[&number];
         let v = &self.verticals[q.vertical];
-        let (now, delay, work) =
-            (self.now, self.delay(q.parts[i].shard, q.vertical), self.bare_work(q.vertical));
+        let (now, vertical) = (self.now, q.vertical);
+        let (delay, work) = (self.delay(q.parts[i].shard, vertical), self.bare_work(vertical));
         let more = v.effect == Effect::Repeatable && q.parts[i].calls.len() + 1 < self.allowance.calls;
         let timed = if more && !self.allowance.cancel { 0.5 * v.slo } else { f64::INFINITY };
         let limit = timed.min(self.useful_until(q) - now);
-        let vertical = q.vertical;
         let Some(part) = self.queries.get_mut(&number).map(|q| &mut q.parts[i]) else { return };
         let Some(node) = self.nodes.get_mut(id) else { return };
         self.out.add((part.shard, vertical), self.awake, (number, i, part.calls.len()));
