Query routers that know each other: crates/peers, links on sockets, peers() in the operator's file

Cause: each router meets a data node every few seconds and learns of a slow one by losing time on it; nothing told the others. Change: crates/peers (who dials whom, how old a word is at least, newest words, membership, witnesses), free of I/O; drivers in the router; off without the operator's file. The frames of crates/tier are shared by both. Stories of up to 64 views without sockets cover halves, one-way cuts, held words, former starts, stops, differing lists and liars; properties: merging in any order, no frame seems quicker than it was, any bytes. Not measured on sockets yet.

--- a/crates/alderway/src/main.rs
+++ b/crates/alderway/src/main.rs
@@ -1,5 +1,6 @@
 //! The command line: `alderway serve` runs a query router, `alderway check` reads what it would run by and says so.
 use alderway_operator::{self as operator, Count, KEPT_BACK, LogForm, Operator, Tier};
+use alderway_peers::Terms;
 use alderway_router::life::logger::{self, Form};
 use alderway_router::life::start::Role;
 use alderway_router::life::{serve, start};
@@ -7,6 +8,7 @@
 use alderway_router::memory::descriptors;
 use alderway_router::memory::ground::Following;
 use alderway_router::memory::house::Sharing;
+use alderway_router::peers::{Circle, Members};
 use clap::{Args, Parser, Subcommand};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -58,7 +60,35 @@
 fn says_else(path: &Path, held: &Operator, held_text: &str) -> Result<bool, String> {
     let name = path.display().to_string();
     let text = std::fs::read_to_string(path).map_err(|why| format!("{name}: {why}"))?;
-    Ok(text != held_text && operator::read(&name, &text)? != *held)
+    if text == held_text {
+        return Ok(false);
+    }
+    let mut said = operator::read(&name, &text)?;
+    // Who the peers are is taken over at once.
+    if let (Some(peers), Some(held)) = (&mut said.peers, &held.peers) {
+        peers.members.clone_from(&held.members);
+    }
+    Ok(said != *held)
+}
+
+/// The list of peers as the file gives it now.
+fn members(path: &Path) -> Result<Members, String> {
+    let (operator, _) = operator_at(Some(path))?;
+    let peers = operator.peers.ok_or_else(|| format!("{}: it says nothing of `peers`", path.display()))?;
+    Ok(peers.members)
+}
+
+/// The routers that this one knows, if the operator's file names any.
+fn circle(operator: &Operator, files: &Files, name: &str) -> Result<Option<Circle>, String> {
+    let Some(peers) = &operator.peers else { return Ok(None) };
+    if !peers.members.contains_key(name) {
+        return Err(format!("`peers`: `members` does not name this router, `{name}`"));
+    }
+    let operator::Peers { beat, pulse, stale, witnesses, .. } = *peers;
+    let terms = Terms { beat, pulse, stale, witnesses, ..Terms::default() };
+    let path = files.operator.clone();
+    let again = path.map(|path| Arc::new(move || members(&path)) as Arc<_>);
+    Ok(Some(Circle { members: peers.members.clone(), terms, again }))
 }
 
 fn plan(files: &Files, clock: Clock) -> Result<Plan, String> {
@@ -74,6 +104,7 @@
         let held = operator.clone();
         station.beside = Some(Arc::new(move || says_else(&path, &held, &text)));
     }
+    station.peers = circle(&operator, files, &station.name)?;
     station.layouts = operator.layouts.map(|l| Following { grace: l.late_clients, lag: l.lagging_nodes });
     station.role = match operator.tier.clone() {
         Tier::Alone => Role::Router,
@@ -84,9 +115,11 @@
         Count::Cores(cores) => cores,
         Count::All => std::thread::available_parallelism().map_or(1, usize::from).min(operator::MOST_CORES),
     };
-    let least = descriptors::least(cores);
+    let for_peers = station.peers.as_ref().map_or(0, Circle::descriptors);
+    let least = descriptors::least(cores) + for_peers;
     if station.sockets < least {
-        return Err(format!("key `limits.sockets`: {cores} cores need {least} at least"));
+        let what = if for_peers > 0 { " and its peers" } else { "" };
+        return Err(format!("key `limits.sockets`: {cores} cores{what} need {least} at least"));
     }
     let (node_connections, evidence) = (operator.cores.node_connections, operator.cores.evidence);
     if node_connections.is_some_and(|most| most < cores) {
@@ -111,6 +144,15 @@
         }
         Tier::Planner { count } => format!("one of {count} planners"),
     };
+    let peers = match &operator.peers {
+        None => "none".to_string(),
+        Some(peers) => format!(
+            "{} others; a word is stale after {} s, {} have to say the same",
+            peers.members.len() - 1,
+            peers.stale,
+            peers.witnesses
+        ),
+    };
     let shards = match operator.layouts {
         None => "in the configuration's ring".to_string(),
         Some(layouts) => format!(
@@ -132,6 +174,7 @@
         ("evidence of data nodes", told.to_string()),
         ("shards", shards),
         ("role", role),
+        ("peers", peers),
         ("log", format!("{:?}", operator.log).to_lowercase()),
     ]
     .map(|(what, value)| format!("{what}: {value}\n"))
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -11,9 +11,11 @@
 use starlark::starlark_module;
 use starlark::syntax::{AstModule, Dialect};
 use starlark::values::Value;
+use starlark::values::dict::DictRef;
 use starlark::values::list::ListRef;
 use starlark::values::none::NoneType;
 use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::panic::{set_hook, take_hook};
 use std::sync::Once;
@@ -31,6 +33,7 @@
 const LONGEST: usize = 256 * 1024;
 /// A core is told apart by eight bits.
 pub const MOST_CORES: usize = 128;
+pub const MOST_MEMBERS: usize = 1000;
 
 /// How many cores serve.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -89,6 +92,19 @@
     Planner { count: usize },
 }
 
+/// Routers that know each other and tell each other what they see of data nodes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Peers {
+    /// All of them by name, this router among them, with where each listens for the others.
+    pub members: BTreeMap<String, SocketAddr>,
+    /// In seconds: between two frames on a link, between two words that a router is there, and how old a word may be.
+    pub beat: f64,
+    pub pulse: f64,
+    pub stale: f64,
+    /// So many others have to say the same of a data node before it is believed.
+    pub witnesses: usize,
+}
+
 /// What part of each share that all routers hold together forwarders keep for when no planner can be asked; planners have
 /// the rest. Fixed, so that whoever is cut off from whom, the sum holds.
 pub const KEPT_BACK: f64 = 0.25;
@@ -101,6 +117,8 @@
     /// None: shards lie in the ring of the configuration, and never change.
     pub layouts: Option<Layouts>,
     pub tier: Tier,
+    /// None: this router knows of no other.
+    pub peers: Option<Peers>,
 }
 
 /// What has been said so far.
@@ -110,6 +128,7 @@
     log: RefCell<Option<LogForm>>,
     layouts: RefCell<Option<Layouts>>,
     tier: RefCell<Option<Tier>>,
+    peers: RefCell<Option<Peers>>,
 }
 
 fn said<'a>(eval: &Evaluator<'_, 'a, '_>) -> anyhow::Result<&'a Said> {
@@ -227,6 +246,64 @@
         once(&said(eval)?.tier, "forwarder or planner", Tier::Planner { count })
     }
 
+    /// That this router is one of several that know each other.
+    fn peers<'v>(
+        #[starlark(require = named)] members: Value<'v>,
+        #[starlark(require = named)] beat_ms: Option<Value<'v>>,
+        #[starlark(require = named)] pulse_ms: Option<Value<'v>>,
+        #[starlark(require = named)] stale_ms: Option<Value<'v>>,
+        #[starlark(require = named)] witnesses: Option<Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        let wrong = || {
+            let found = members.to_repr();
+            anyhow::anyhow!("`peers`: `members` gives names, each with its address:port, found {found}")
+        };
+        let given = DictRef::from_value(members).ok_or_else(wrong)?;
+        let entry = |(name, at): (Value<'v>, Value<'v>)| {
+            let name = name.unpack_str().filter(|name| !name.is_empty() && name.len() <= 64)?;
+            Some((name.to_string(), at.unpack_str()?.parse().ok()?))
+        };
+        let members =
+            given.iter().map(entry).collect::<Option<BTreeMap<String, SocketAddr>>>().ok_or_else(wrong)?;
+        let addresses: BTreeSet<&SocketAddr> = members.values().filter(|at| at.port() > 0).collect();
+        if addresses.len() < members.values().filter(|at| at.port() > 0).count() {
+            return Err(anyhow::anyhow!("`peers`: `members` gives one address twice"));
+        }
+        if !(2..=MOST_MEMBERS).contains(&members.len()) {
+            let found = members.len();
+            return Err(anyhow::anyhow!("`peers`: `members` are 2 to {MOST_MEMBERS}, found {found}"));
+        }
+        let span = |name, value: Option<Value<'v>>, usual| {
+            let value = value.map_or(Ok(usual), |value| whole("peers", name, value, 5, 60_000))?;
+            anyhow::Ok(value as f64 / 1e3)
+        };
+        let (beat, pulse) = (span("beat_ms", beat_ms, 100)?, span("pulse_ms", pulse_ms, 1000)?);
+        let stale = span("stale_ms", stale_ms, 2000)?;
+        if pulse < beat {
+            return Err(anyhow::anyhow!("`peers`: `pulse_ms` is under `beat_ms`"));
+        }
+        // A word goes over as many links as the count of members has digits, and is said again at half its time.
+        let digits = (usize::BITS - (members.len() - 1).leading_zeros()).max(1);
+        if stale < 2.0 * beat * f64::from(digits + 1) {
+            return Err(anyhow::anyhow!(
+                "`peers`: `stale_ms` is too short for {} members and this `beat_ms`: {:.0} at least",
+                members.len(),
+                2e3 * beat * f64::from(digits + 1)
+            ));
+        }
+        let witnesses =
+            witnesses.map_or(Ok(2), |value| whole("peers", "witnesses", value, 1, MOST_MEMBERS))?;
+        if witnesses >= members.len() {
+            return Err(anyhow::anyhow!(
+                "`peers`: `witnesses` of {witnesses} need {} members at least, found {}",
+                witnesses + 1,
+                members.len()
+            ));
+        }
+        once(&said(eval)?.peers, "peers", Peers { members, beat, pulse, stale, witnesses })
+    }
+
     /// How the log is written.
     fn log<'v>(
         #[starlark(require = named)] form: Value<'v>,
@@ -260,7 +337,7 @@
     let (owned_name, owned_text) = (name.to_string(), text.to_string());
     let thread = Builder::new().name(THREAD.into());
     thread
-        .spawn(move || sender.send(evaluate(&owned_name, &owned_text)))
+        .spawn(move || drop(sender.send(evaluate(&owned_name, &owned_text))))
         .map_err(|why| format!("{name}: no thread to evaluate it on ({why})"))?;
     result.recv_timeout(PATIENCE).unwrap_or_else(|why| {
         Err(match why {
@@ -309,7 +386,14 @@
     if tier != Tier::Alone && cores.count != Count::Cores(1) {
         return Err(format!("{name}: `forwarder` and `planner` go with one core"));
     }
-    Ok(Operator { cores, log, layouts, tier })
+    let peers = said.peers.take();
+    if peers.is_some() && tier != Tier::Alone {
+        return Err(format!("{name}: `peers` goes with neither `forwarder` nor `planner` yet"));
+    }
+    if peers.is_some() && cores.count != Count::Cores(1) {
+        return Err(format!("{name}: `peers` goes with one core yet"));
+    }
+    Ok(Operator { cores, log, layouts, tier, peers })
 }
 
 struct Silent;
--- /dev/null
+++ b/crates/peers/src/view.rs
@@ -0,0 +1,377 @@
+//! One router's part among its peers: its links, the words that it keeps and tells, and who is there. It is fed frames,
+//! beats and what the own module saw, each with a time of the own steady clock, and gives frames, changes and verdicts.
+use crate::transit::Transit;
+use crate::verdicts::{self, Said, Verdict};
+use crate::words::{Subject, Taken, What, Word, Words};
+use crate::{Frame, Incarnation, Name, Terms, ring};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+/// Most words in one frame; what is left goes with the next.
+const MOST_A_FRAME: usize = 4096;
+/// Pulses without a word of a member before it is missed, and before it is taken for dead.
+const MISSED: f64 = 3.0;
+const DEAD: f64 = 6.0;
+
+/// How a member stands, as far as is known here.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum State {
+    /// Nothing was ever heard of it.
+    Unheard,
+    Alive,
+    Missed,
+    Dead,
+    Left,
+}
+
+impl fmt::Display for State {
+    fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
+        out.write_str(match self {
+            State::Unheard => "unheard of",
+            State::Alive => "alive",
+            State::Missed => "missed",
+            State::Dead => "dead",
+            State::Left => "gone as planned",
+        })
+    }
+}
+
+/// Why a link is of no use.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Refused {
+    /// It is not of the stated list.
+    Stranger(Name),
+    /// A later start of that name was met.
+    Former(Name, Incarnation),
+    /// It calls itself by the own name.
+    Oneself,
+}
+
+impl fmt::Display for Refused {
+    fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Refused::Stranger(name) => write!(out, "`{name}` is not of the members here"),
+            Refused::Former(name, incarnation) => {
+                write!(out, "incarnation {incarnation} of `{name}` is an earlier one")
+            }
+            Refused::Oneself => write!(out, "it calls itself by the name of this router"),
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    state: State,
+    /// When it last said that it is there.
+    said: f64,
+}
+
+#[derive(Debug)]
+struct Link {
+    peer: Name,
+    transit: Transit,
+    /// What it has heard.
+    upto: u64,
+}
+
+/// What the own module last said of a data node, while it holds.
+#[derive(Clone, Debug)]
+struct Own {
+    started: Option<f64>,
+    seen: f64,
+    until: [f64; 3],
+    said: f64,
+}
+
+/// What was met, for counters.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Met {
+    pub words_told: u64,
+    pub words_taken: u64,
+    pub words_known: u64,
+    pub words_stale: u64,
+    /// Of an earlier start of their origin.
+    pub words_former: u64,
+    /// Of nobody that is a member here.
+    pub words_strange: u64,
+    /// That it was missed, and said that it is there.
+    pub refuted: u64,
+    /// Frames whose age cannot be told yet, as nothing has gone both ways.
+    pub frames_undated: u64,
+}
+
+#[derive(Debug)]
+pub struct View {
+    terms: Terms,
+    own: Name,
+    incarnation: Incarnation,
+    members: BTreeMap<Name, Member>,
+    words: Words,
+    links: BTreeMap<u64, Link>,
+    last_link: u64,
+    number: u64,
+    pulse_at: f64,
+    leaves: bool,
+    verdicts: BTreeMap<Name, Own>,
+    /// Data nodes on which others have said something since it was last asked.
+    changed: BTreeSet<Name>,
+    pub met: Met,
+}
+
+impl View {
+    pub fn new(
+        own: &str,
+        incarnation: Incarnation,
+        members: &BTreeSet<Name>,
+        terms: Terms,
+        now: f64,
+    ) -> Self {
+        let mut view = View {
+            terms,
+            own: own.into(),
+            incarnation,
+            members: BTreeMap::new(),
+            words: Words::default(),
+            links: BTreeMap::new(),
+            last_link: 0,
+            number: 0,
+            pulse_at: now,
+            leaves: false,
+            verdicts: BTreeMap::new(),
+            changed: BTreeSet::new(),
+            met: Met::default(),
+        };
+        view.set_members(members, now);
+        view
+    }
+
+    /// A new list of members. Of those that are no longer there words are dropped, and links end.
+    pub fn set_members(&mut self, members: &BTreeSet<Name>, now: f64) {
+        self.members.retain(|name, _| members.contains(name));
+        for name in members.iter().filter(|name| **name != self.own) {
+            self.members.entry(name.clone()).or_insert(Member { state: State::Unheard, said: now });
+        }
+        let (own, known) = (&self.own, &self.members);
+        self.words.keep(|name| name == own || known.contains_key(name));
+        self.links.retain(|_, link| known.contains_key(&link.peer));
+    }
+
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Whom this router dials.
+    pub fn dials(&self) -> Vec<Name> {
+        let all: BTreeSet<Name> = self.members.keys().cloned().chain([self.own.clone()]).collect();
+        ring::dialled(&all, &self.own)
+    }
+
+    /// A peer has said hello; the number of the link from here on.
+    pub fn greeted(&mut self, peer: &str, incarnation: Incarnation) -> Result<u64, Refused> {
+        if peer == self.own {
+            return Err(Refused::Oneself);
+        }
+        if !self.members.contains_key(peer) {
+            return Err(Refused::Stranger(peer.into()));
+        }
+        if self.words.incarnation(peer).is_some_and(|known| incarnation < known) {
+            return Err(Refused::Former(peer.into(), incarnation));
+        }
+        self.last_link += 1;
+        let link = Link { peer: peer.into(), transit: Transit::default(), upto: 0 };
+        self.links.insert(self.last_link, link);
+        Ok(self.last_link)
+    }
+
+    pub fn ended(&mut self, link: u64) {
+        self.links.remove(&link);
+    }
+
+    pub fn links(&self) -> usize {
+        self.links.len()
+    }
+
+    /// What goes out over a link at a beat. The driver asks once the last one has gone out whole: what a slow link has
+    /// not heard stays here, the newest word of each in the place of its earlier ones. Before anything has gone both ways
+    /// nothing is told, as it could not be dated there. None once the link's peer is no member any more.
+    pub fn frame(&mut self, link: u64, now: f64) -> Option<Frame> {
+        let held = self.links.get_mut(&link)?;
+        let echo = held.transit.echo(now);
+        let mut words = vec![];
+        if echo.is_some() {
+            (words, held.upto) = self.words.since(held.upto, link, now, MOST_A_FRAME);
+        }
+        self.met.words_told += words.len() as u64;
+        Some(Frame { stamp: now, echo, words })
+    }
+
+    /// A frame has come. What changes of members it shows.
+    pub fn came(&mut self, link: u64, frame: Frame, now: f64) -> Vec<(Name, State)> {
+        let Terms { stale, most, drift, .. } = self.terms;
+        let Some(held) = self.links.get_mut(&link) else { return vec![] };
+        let Some(way) = held.transit.came(frame.stamp, frame.echo, now, drift) else {
+            // Said again when it can be dated.
+            self.met.frames_undated += u64::from(!frame.words.is_empty());
+            return vec![];
+        };
+        let mut changes = vec![];
+        for mut word in frame.words {
+            word.age += way;
+            if word.origin == self.own {
+                // Guards against a clock that went back between two starts: a later self is outbid.
+                if word.incarnation > self.incarnation {
+                    self.incarnation = word.incarnation.saturating_add(1);
+                    self.pulse_at = now;
+                }
+                continue;
+            }
+            if !self.members.contains_key(&word.origin) {
+                self.met.words_strange += 1;
+                continue;
+            }
+            let (origin, what, said) = (word.origin.clone(), word.what.clone(), now - word.age);
+            match self.words.take(word, now, stale, most, Some(link)) {
+                Taken::New | Taken::NewStart => self.met.words_taken += 1,
+                Taken::Known => {
+                    self.met.words_known += 1;
+                    continue;
+                }
+                Taken::Stale => {
+                    self.met.words_stale += 1;
+                    continue;
+                }
+                Taken::Former => {
+                    self.met.words_former += 1;
+                    continue;
+                }
+            }
+            match what {
+                What::Alive => changes.extend(self.shows(&origin, State::Alive, said)),
+                What::Leaves => changes.extend(self.shows(&origin, State::Left, said)),
+                What::Misses { member, incarnation } => {
+                    if member == self.own && incarnation >= self.incarnation && !self.leaves {
+                        self.met.refuted += 1;
+                        self.pulse_at = now;
+                    }
+                }
+                What::Verdict { node, .. } => drop(self.changed.insert(node)),
+            }
+        }
+        changes
+    }
+
+    fn shows(&mut self, name: &str, state: State, said: f64) -> Option<(Name, State)> {
+        let member = self.members.get_mut(name)?;
+        member.said = member.said.max(said);
+        (std::mem::replace(&mut member.state, state) != state).then(|| (name.into(), state))
+    }
+
+    fn tell(&mut self, what: What, now: f64) {
+        self.number += 1;
+        let (origin, incarnation, number) = (self.own.clone(), self.incarnation, self.number);
+        let word = Word { origin, incarnation, number, age: 0.0, what };
+        self.words.take(word, now, self.terms.stale, self.terms.most, None);
+    }
+
+    /// What the own module saw of a data node: spans from now on, as in its own words.
+    pub fn say(&mut self, node: &str, started: Option<f64>, spans: [f64; 3], now: f64) {
+        let until = spans.map(|span| now + span);
+        let own = Own { started, seen: now, until, said: f64::NEG_INFINITY };
+        self.verdicts.insert(node.into(), own);
+        self.repeat(now);
+    }
+
+    /// Says again what still holds before it is stale to others. What has run out is not said again.
+    fn repeat(&mut self, now: f64) {
+        let due: Vec<(Name, Own)> = {
+            let due = self.verdicts.iter().filter(|(_, own)| now - own.said >= 0.5 * self.terms.stale);
+            due.map(|(node, own)| (node.clone(), own.clone())).collect()
+        };
+        for (node, own) in due {
+            let holds = own.until.iter().any(|until| *until > now);
+            if !holds && own.said.is_finite() {
+                self.verdicts.remove(&node);
+                continue;
+            }
+            let [late, far, sick] = own.until.map(|until| (until - now).max(0.0));
+            let (started, ago) = (own.started.map(|at| own.seen - at), now - own.seen);
+            self.tell(What::Verdict { node: node.clone(), started, ago, late, far, sick }, now);
+            self.verdicts.entry(node).and_modify(|own| own.said = now);
+        }
+    }
+
+    /// Says that this router goes, for frames that go out yet.
+    pub fn leave(&mut self, now: f64) {
+        self.leaves = true;
+        self.tell(What::Leaves, now);
+    }
+
+    /// To be called a few times a beat: says what is due, and finds who is missed.
+    pub fn tick(&mut self, now: f64) -> Vec<(Name, State)> {
+        if now >= self.pulse_at && !self.leaves {
+            self.pulse_at = now + self.terms.pulse;
+            self.tell(What::Alive, now);
+        }
+        self.repeat(now);
+        self.words.sweep(now, self.terms.stale);
+        let (mut changes, mut missed) = (vec![], vec![]);
+        for (name, member) in &mut self.members {
+            let silent = (now - member.said) / self.terms.pulse;
+            let state = match member.state {
+                State::Alive if silent > MISSED => State::Missed,
+                State::Missed if silent > DEAD => State::Dead,
+                state => state,
+            };
+            if state != member.state {
+                member.state = state;
+                changes.push((name.clone(), state));
+                missed.extend((state == State::Missed).then(|| name.clone()));
+            }
+        }
+        for member in missed {
+            if let Some(incarnation) = self.words.incarnation(&member) {
+                self.tell(What::Misses { member, incarnation }, now);
+            }
+        }
+        changes
+    }
+
+    /// What is believed of data nodes on which something was said since it was last asked; `started` tells the start of
+    /// a node's process by the own roster, none where it is not known here.
+    pub fn heard(&mut self, started: impl Fn(&str) -> Option<Option<f64>>, now: f64) -> Vec<(Name, Verdict)> {
+        let Terms { stale, witnesses, .. } = self.terms;
+        let mut believed = vec![];
+        for node in std::mem::take(&mut self.changed) {
+            let Some(started) = started(&node) else { continue };
+            let subject = Subject::Node(node.clone());
+            let others = self.words.on(&subject).filter(|(by, _)| **by != self.own);
+            let said =
+                others.map(|(by, kept)| Said { by: by.clone(), at: kept.said, what: kept.what.clone() });
+            let said: Vec<Said> = said.collect();
+            if let Some(verdict) = verdicts::believed(&said, started, now, stale, witnesses) {
+                believed.push((node, verdict));
+            }
+        }
+        believed
+    }
+
+    pub fn state(&self, name: &str) -> Option<State> {
+        self.members.get(name).map(|member| member.state)
+    }
+
+    /// How many members stand so.
+    pub fn count(&self, state: State) -> usize {
+        self.members.values().filter(|member| member.state == state).count()
+    }
+
+    pub fn kept(&self) -> usize {
+        self.words.len()
+    }
+
+    /// All that is held of others and of oneself, for whoever compares two routers' views.
+    pub fn holds(&self, now: f64) -> Vec<Word> {
+        let mut words = self.words.since(0, 0, now, usize::MAX).0;
+        words.sort_by(|a, b| (&a.origin, a.number).cmp(&(&b.origin, b.number)));
+        words
+    }
+}
--- a/crates/router/src/drive/rounds.rs
+++ b/crates/router/src/drive/rounds.rs
@@ -5,7 +5,7 @@
 use crate::tier::forwarder::Split;
 use crate::tier::links::Tier;
 use alderway::choice::Router;
-use alderway::host::{Evidence, Intake, Writer};
+use alderway::host::{Common, Evidence, Intake, Writer};
 use std::convert::Infallible;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
@@ -77,7 +77,9 @@
 ) -> Result<(), E> {
     let (clock, came, tick, common) = {
         let desk = desk.borrow();
-        let common = desk.house.common.of(desk.core as u8);
+        // Who has peers tells them what it sees, as one core tells others.
+        let common = if desk.peers.is_some() { Common::new(2) } else { desk.house.common.clone() };
+        let common = common.of(desk.core as u8);
         (desk.clock, desk.came.clone(), desk.room.tick, common)
     };
     let module = || {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod drive;
 pub mod life;
 pub mod memory;
+pub mod peers;
 pub mod requests;
 pub mod tier;
 pub mod wire;
--- a/crates/router/src/life/serve.rs
+++ b/crates/router/src/life/serve.rs
@@ -8,6 +8,7 @@
 use crate::memory::desk::Desk;
 use crate::memory::ground::Ground;
 use crate::memory::house::{House, Sharing};
+use crate::peers::{self, Circle};
 use crate::tier::forwarder::Forwarder;
 use crate::tier::{links, post};
 use alderway_tier::members::Watch;
@@ -34,10 +35,11 @@
 }
 
 async fn alone(station: Station, sharing: Sharing, clock: Clock) -> io::Result<()> {
-    let Station { path, beside, name, listen, discovery, roster, module, fixed, .. } = station;
+    let Station { path, beside, name, listen, discovery, roster, module, fixed, peers, .. } = station;
     // Before anybody can know that this program is up: unhandled, either of them would end it.
     let (terms, hangups) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
-    let (for_clients, for_nodes) = descriptors::shares(station.sockets, station.memory, 1);
+    let kept = peers.as_ref().map_or(0, Circle::descriptors);
+    let (for_clients, for_nodes) = descriptors::shares(station.sockets - kept, station.memory, 1);
     let house = House::new(station.room.room, sharing, f64::INFINITY).0;
     let mut desk = Desk::on(house, 0, clock, station.trunk, station.room, station.verticals);
     desk.roster = roster;
@@ -54,6 +56,9 @@
         desk.borrow_mut().tier = Some(tier.clone());
         links::start(&desk, &tier, planners, &for_nodes, post::incarnation());
     }
+    if let Some(circle) = peers {
+        peers::start(&desk, circle, &name, post::incarnation()).await?;
+    }
     let close = Rc::default();
     let rounds = spawn_local(rounds::run(desk.clone(), move || module(), for_nodes));
     let (agent, at) = watch::channel(discovery);
--- a/crates/router/src/life/start.rs
+++ b/crates/router/src/life/start.rs
@@ -2,6 +2,7 @@
 use crate::memory::clock::Clock;
 use crate::memory::ground::Following;
 use crate::memory::roster::Roster;
+use crate::peers::Circle;
 use crate::wire::discovery;
 use alderway::choice::Router;
 use alderway_deployment as deployment;
@@ -38,6 +39,8 @@
     pub layouts: Option<Following>,
     /// What this program is in an installation of two levels.
     pub role: Role,
+    /// The routers that it tells what it sees, and hears from; none where it knows of no other.
+    pub peers: Option<Circle>,
 }
 
 /// What a program is for.
@@ -147,6 +150,7 @@
         room,
         layouts: None,
         role: Role::Router,
+        peers: None,
         fixed: ["name", "listen", "limits", "settings"].map(|key| (key, all[key].clone())),
     })
 }
--- a/crates/router/src/memory/desk.rs
+++ b/crates/router/src/memory/desk.rs
@@ -55,6 +55,8 @@
     pub ground: Option<Ground>,
     /// What stands between desk and module, on a forwarder.
     pub tier: Option<Tier>,
+    /// Other routers, which hear what the own module sees of data nodes.
+    pub peers: Option<crate::peers::Held>,
     heard: BTreeMap<String, Evidence>,
     /// What a test has this core do at its next beat.
     #[cfg(feature = "faults")]
@@ -102,6 +104,7 @@
             board: Board::default(),
             ground: None,
             tier: None,
+            peers: None,
             heard: BTreeMap::new(),
             #[cfg(feature = "faults")]
             fault: None,
@@ -146,6 +149,11 @@
             ("nodes_known", self.roster.nodes.len() as u64),
         ];
         let mut counters = self.counters.clone();
+        if let Some(peers) = &self.peers {
+            let (counted, figures) = peers.borrow().figures();
+            counters.join(&counted);
+            open.extend(figures);
+        }
         if let Some(tier) = &self.tier {
             let tier = tier.borrow();
             counters.join(&tier.counters);
@@ -767,6 +775,10 @@
     }
 
     fn evidence(&mut self, node: &str, seen: Evidence) {
+        if let Some(peers) = &self.peers {
+            peers.borrow_mut().say(node, seen);
+            self.counters.one("evidence_told");
+        }
         if self.house.tell(Word { core: self.core, node: node.into(), seen }) {
             self.counters.one("evidence_told");
         }
--- /dev/null
+++ b/crates/router/src/peers/mod.rs
@@ -0,0 +1,309 @@
+//! Routers that know each other, on sockets: a listener for those that dial this one, a task for each that it dials, and
+//! the beat. What is told, kept and believed stands in `alderway_peers`; this is how it gets from socket to socket, and
+//! from there to the desk, as word of another decision point.
+use crate::memory::clock::Clock;
+use crate::memory::house::Word;
+use crate::memory::{Shared, counters::Counters};
+use crate::tier::links::{PATIENCE, Waits, greet};
+use alderway::host::Evidence;
+use alderway_peers::view::{Refused, State, View};
+use alderway_peers::{Frame, Name, Terms, ring};
+use alderway_tier::frames::{self, Hello, Read, Reader, Speech};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
+
+/// Without a frame for so many pulses a link is dialled anew.
+const SILENT: f64 = 6.0;
+
+/// All members by name, with where each listens for the others.
+pub type Members = BTreeMap<Name, SocketAddr>;
+
+/// Who the members are, and how they tell each other.
+#[derive(Clone)]
+pub struct Circle {
+    pub members: Members,
+    pub terms: Terms,
+    /// Reads the list again, at SIGHUP.
+    pub again: Option<Arc<dyn Fn() -> Result<Members, String> + Send + Sync>>,
+}
+
+impl Circle {
+    /// Descriptors that links may take: those dialled, as many that dial, one that is on its way each, and the listener.
+    pub fn descriptors(&self) -> usize {
+        let names: BTreeSet<Name> = self.members.keys().cloned().collect();
+        names.first().map_or(0, |any| 4 * ring::dialled(&names, any).len() + 1)
+    }
+}
+
+/// What the desk and the links share.
+pub struct Peers {
+    pub view: View,
+    clock: Clock,
+    name: Name,
+    counters: Counters,
+}
+
+pub type Held = Rc<RefCell<Peers>>;
+
+impl Peers {
+    /// What the own module saw of a data node; spans from now on.
+    pub fn say(&mut self, node: &str, seen: Evidence) {
+        self.view.say(node, seen.started, [seen.late, seen.far, seen.sick], self.clock.now());
+    }
+
+    fn hello(&self) -> Hello {
+        let (incarnation, name) = (self.view.incarnation(), self.name.clone());
+        Hello { version: Frame::VERSION, planner: false, incarnation, name }
+    }
+
+    pub fn figures(&self) -> (Counters, Vec<(&'static str, u64)>) {
+        let (met, view) = (self.view.met, &self.view);
+        let mut counters = self.counters.clone();
+        counters.add("words_told", met.words_told as usize);
+        counters.add("words_taken", met.words_taken as usize);
+        counters.add("words_known", met.words_known as usize);
+        counters.add("words_stale", met.words_stale as usize);
+        counters.add("words_former", met.words_former as usize);
+        counters.add("words_strange", met.words_strange as usize);
+        counters.add("words_refuting", met.refuted as usize);
+        counters.add("frames_undated", met.frames_undated as usize);
+        let open = vec![
+            ("peers_alive", view.count(State::Alive) as u64),
+            ("peers_missed", view.count(State::Missed) as u64),
+            ("peers_dead", view.count(State::Dead) as u64),
+            ("peers_left", view.count(State::Left) as u64),
+            ("peers_unheard", view.count(State::Unheard) as u64),
+            ("peer_links", view.links() as u64),
+            ("words_kept", view.kept() as u64),
+        ];
+        (counters, open)
+    }
+}
+
+/// Starts listening and dialling; the desk tells from here on what its module sees.
+pub async fn start(desk: &Shared, circle: Circle, name: &str, incarnation: u64) -> io::Result<()> {
+    let clock = desk.borrow().clock;
+    let own = circle.members.get(name).copied().ok_or_else(|| io::Error::other("not of the members"))?;
+    let listener = TcpListener::bind(own).await?;
+    tracing::info!(target: "peers", "{name} hears peers at {}", listener.local_addr()?);
+    let names = circle.members.keys().cloned().collect();
+    let view = View::new(name, incarnation, &names, circle.terms, clock.now());
+    let held = Peers { view, clock, name: name.into(), counters: Counters::default() };
+    let peers = Rc::new(RefCell::new(held));
+    desk.borrow_mut().peers = Some(peers.clone());
+    let ends = Ends { desk: desk.clone(), peers, terms: circle.terms };
+    spawn_local(accept(ends.clone(), listener));
+    spawn_local(tick(ends.clone()));
+    let mut dials = Dials { ends, own: name.into(), seed: incarnation, tasks: BTreeMap::new() };
+    dials.set(&circle.members);
+    let (mut terms, mut hangups) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
+    spawn_local(async move {
+        loop {
+            tokio::select! {
+                _ = terms.recv() => dials.ends.peers.borrow_mut().view.leave(clock.now()),
+                Some(()) = hangups.recv() => dials.read_again(&circle),
+            }
+        }
+    });
+    Ok(())
+}
+
+/// Tasks that keep up links to whoever this router dials.
+struct Dials {
+    ends: Ends,
+    own: Name,
+    seed: u64,
+    tasks: BTreeMap<(Name, SocketAddr), JoinHandle<()>>,
+}
+
+impl Dials {
+    fn set(&mut self, members: &Members) {
+        let dialled = self.ends.peers.borrow().view.dials();
+        let wanted: BTreeSet<(Name, SocketAddr)> =
+            dialled.into_iter().filter_map(|name| members.get(&name).map(|at| (name, *at))).collect();
+        self.tasks.retain(|whom, task| {
+            let stays = wanted.contains(whom);
+            if !stays {
+                task.abort();
+            }
+            stays
+        });
+        for whom in wanted {
+            let (ends, at) = (self.ends.clone(), whom.1);
+            let seed = self.seed ^ (self.tasks.len() as u64) << 17;
+            self.tasks.entry(whom).or_insert_with(|| spawn_local(keep(ends, at, seed)));
+        }
+    }
+
+    /// Guards against a list that is missing, faulty or leaves this router out: the old one holds.
+    fn read_again(&mut self, circle: &Circle) {
+        let Some(again) = &circle.again else { return };
+        match again() {
+            Ok(members) if members.contains_key(&self.own) => {
+                let names = members.keys().cloned().collect();
+                self.ends.peers.borrow_mut().view.set_members(&names, self.ends.clock());
+                self.set(&members);
+                tracing::info!(target: "peers", "{} members", members.len());
+            }
+            Ok(_) => {
+                tracing::warn!(target: "peers", "the new list leaves this router out; the old one holds")
+            }
+            Err(why) => tracing::warn!(target: "peers", "{why}; the old list holds"),
+        }
+    }
+}
+
+#[derive(Clone)]
+struct Ends {
+    desk: Shared,
+    peers: Held,
+    terms: Terms,
+}
+
+impl Ends {
+    fn clock(&self) -> f64 {
+        self.peers.borrow().clock.now()
+    }
+
+    fn say(changes: Vec<(Name, State)>) {
+        for (name, state) in changes {
+            tracing::info!(target: "peers", "{name} is {state}");
+        }
+    }
+
+    /// A frame has come: what it shows of members is said, what is believed of data nodes goes to the module.
+    fn came(&self, link: u64, frame: Frame) {
+        let now = self.clock();
+        Ends::say(self.peers.borrow_mut().view.came(link, frame, now));
+        let believed = {
+            let desk = self.desk.borrow();
+            let started = |node: &str| desk.roster.nodes.get(node).map(|node| node.started);
+            self.peers.borrow_mut().view.heard(started, now)
+        };
+        for (node, verdict) in believed {
+            let (started, seen) = (verdict.started, verdict.seen);
+            let seen = Evidence { started, seen, late: verdict.late, far: verdict.far, sick: verdict.sick };
+            let mut desk = self.desk.borrow_mut();
+            let core = desk.core;
+            desk.hear(Word { core, node, seen });
+        }
+    }
+
+    fn greeted(&self, hello: &Hello) -> Result<u64, Refused> {
+        self.peers.borrow_mut().view.greeted(&hello.name, hello.incarnation)
+    }
+}
+
+async fn tick(ends: Ends) {
+    let mut ticks = interval(Duration::from_secs_f64(0.5 * ends.terms.beat));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let now = ends.clock();
+        Ends::say(ends.peers.borrow_mut().view.tick(now));
+    }
+}
+
+async fn accept(ends: Ends, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let ends = ends.clone();
+        spawn_local(async move {
+            if let Err(why) = speak(&ends, &stream).await {
+                ends.peers.borrow_mut().counters.one("peer_links_refused");
+                tracing::warn!(target: "peers", "one that dialled: {why}");
+            }
+        });
+    }
+}
+
+/// Keeps up a link for as long as it is wanted.
+async fn keep(ends: Ends, at: SocketAddr, seed: u64) {
+    let mut waits = Waits::new(seed);
+    loop {
+        if let Ok(Ok(stream)) = timeout(PATIENCE, TcpStream::connect(at)).await {
+            match speak(&ends, &stream).await {
+                Ok(()) => waits.met(),
+                Err(why) => tracing::warn!(target: "peers", "peer at {at}: {why}"),
+            }
+        }
+        waits.wait().await;
+    }
+}
+
+/// The link of one connection: it ends with it, whoever ended that.
+struct Link<'a>(&'a Ends, u64);
+
+impl Drop for Link<'_> {
+    fn drop(&mut self) {
+        self.0.peers.borrow_mut().view.ended(self.1);
+    }
+}
+
+/// Speaks until the connection ends; an error if it was of no use.
+async fn speak(ends: &Ends, stream: &TcpStream) -> Result<(), String> {
+    let _ = stream.set_nodelay(true);
+    let (mut out, mut reader, mut space) = (vec![], Reader::<Frame>::default(), vec![0; 64 * 1024]);
+    frames::hello_of::<Frame>(&mut out, &ends.peers.borrow().hello());
+    let hello = timeout(PATIENCE, greet(stream, &mut out, &mut reader, &mut space));
+    let hello = hello.await.map_err(|_| "no hello in time".to_string())??;
+    let link = Link(ends, ends.greeted(&hello).map_err(|why| why.to_string())?);
+    let (mut heard, patience) = (ends.clock(), SILENT * ends.terms.pulse);
+    let mut beats = interval(Duration::from_secs_f64(ends.terms.beat));
+    beats.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        loop {
+            match reader.read() {
+                Ok(Some(Read::Message(frame))) => ends.came(link.1, frame),
+                Ok(Some(Read::Hello(_))) => return Err("it says hello twice".into()),
+                Ok(None) => break,
+                Err(why) => return Err(why.to_string()),
+            }
+        }
+        if !out.is_empty() {
+            match stream.try_write(&out) {
+                Ok(count) => drop(out.drain(..count)),
+                Err(why) if why.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => return Ok(()),
+            }
+        }
+        tokio::select! {
+            ready = stream.readable() => if ready.is_err() { return Ok(()) },
+            _ = stream.writable(), if !out.is_empty() => continue,
+            // What a slow link has not taken is not written twice: the next frame holds what is new by then.
+            _ = beats.tick() => {
+                let now = ends.clock();
+                if now - heard > patience {
+                    tracing::warn!(target: "peers", "{} is silent: its link ends", hello.name);
+                    return Ok(());
+                }
+                if out.is_empty() {
+                    let Some(frame) = ends.peers.borrow_mut().view.frame(link.1, now) else { return Ok(()) };
+                    frames::message(&mut out, &frame);
+                }
+                continue;
+            }
+        }
+        match stream.try_read(&mut space) {
+            Ok(0) => return Ok(()),
+            Ok(count) => {
+                heard = ends.clock();
+                reader.feed(&space[..count]);
+            }
+            Err(why) if why.kind() == ErrorKind::WouldBlock => {}
+            Err(_) => return Ok(()),
+        }
+    }
+}
--- a/crates/router/src/tier/links.rs
+++ b/crates/router/src/tier/links.rs
@@ -5,7 +5,7 @@
 use crate::drive::rounds::{self, Pen};
 use crate::memory::Shared;
 use crate::memory::descriptors::Share;
-use alderway_tier::frames::{Hello, Read, Reader};
+use alderway_tier::frames::{Hello, Read, Reader, Speech};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::Rng;
 use std::cell::RefCell;
@@ -25,7 +25,7 @@
 const LEAST: f64 = 0.05;
 const MOST: f64 = 1.0;
 /// For a dial and the hello.
-const PATIENCE: Duration = Duration::from_millis(500);
+pub const PATIENCE: Duration = Duration::from_millis(500);
 /// How often beats and silences are looked at.
 const TICK: Duration = Duration::from_millis(10);
 
@@ -49,19 +49,40 @@
     });
 }
 
+/// Waits between dials, each drawn between half of the last doubled and all of it.
+pub struct Waits {
+    chance: Pcg32,
+    wait: f64,
+}
+
+impl Waits {
+    pub fn new(seed: u64) -> Self {
+        Waits { chance: Pcg32::new(seed, 1), wait: LEAST }
+    }
+
+    /// The peer was met: the next dial comes soon.
+    pub fn met(&mut self) {
+        self.wait = LEAST;
+    }
+
+    pub async fn wait(&mut self) {
+        let part = 0.5 + f64::from(self.chance.next_u32()) / 8_589_934_592.0;
+        sleep(Duration::from_secs_f64(self.wait * part)).await;
+        self.wait = (2.0 * self.wait).min(MOST);
+    }
+}
+
 async fn keep(desk: Shared, tier: Tier, planner: SocketAddr, share: Arc<Share>, seed: u64) {
-    let (mut chance, mut wait) = (Pcg32::new(seed, 1), LEAST);
+    let mut waits = Waits::new(seed);
     loop {
         if let Ok(Ok(stream)) = timeout(PATIENCE, TcpStream::connect(planner)).await {
             let _ = stream.set_nodelay(true);
             match speak(&desk, &tier, &stream, &share).await {
-                // It was met: the next dial comes soon.
-                Ok(()) => wait = LEAST,
+                Ok(()) => waits.met(),
                 Err(why) => tracing::warn!(target: "tier", "planner at {planner}: {why}"),
             }
         }
-        sleep(Duration::from_secs_f64(wait * (0.5 + f64::from(chance.next_u32()) / 8_589_934_592.0))).await;
-        wait = (2.0 * wait).min(MOST);
+        waits.wait().await;
     }
 }
 
@@ -90,10 +111,11 @@
     }
 }
 
-async fn greet(
+/// Writes what waits, the own hello, and reads the other side's.
+pub async fn greet<M: Speech>(
     stream: &TcpStream,
     out: &mut Vec<u8>,
-    reader: &mut Reader,
+    reader: &mut Reader<M>,
     space: &mut [u8],
 ) -> Result<Hello, String> {
     loop {
--- a/crates/tier/src/frames.rs
+++ b/crates/tier/src/frames.rs
@@ -3,11 +3,24 @@
 //! pieces of any size; whatever they are, an error or a message, never a panic.
 use crate::{Incarnation, Name};
 use alderway::host::Ending;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::fmt;
+use std::marker::PhantomData;
 
 pub const VERSION: u16 = 1;
-const WORD: [u8; 4] = *b"ALDT";
+
+/// What follows a hello between two programs of one kind; the word and the version tell kinds apart.
+pub trait Speech: Serialize + DeserializeOwned {
+    const WORD: [u8; 4];
+    const VERSION: u16;
+}
+
+impl Speech for Message {
+    const WORD: [u8; 4] = *b"ALDT";
+    const VERSION: u16 = VERSION;
+}
+
 const HEAD: usize = 8;
 /// The longest message: a query of some thousands of parts.
 pub const LONGEST: usize = 1024 * 1024;
@@ -153,7 +166,7 @@
     Spoilt,
     Unreadable,
     NoHello,
-    Version { theirs: u16 },
+    Version { theirs: u16, ours: u16 },
 }
 
 impl fmt::Display for Fault {
@@ -165,8 +178,8 @@
             Fault::Spoilt => write!(out, "the peer sent a frame whose checksum is not its own"),
             Fault::Unreadable => write!(out, "the peer sent a frame that holds no message"),
             Fault::NoHello => write!(out, "the peer does not speak this protocol"),
-            Fault::Version { theirs } => {
-                write!(out, "the peer speaks version {theirs} of the protocol, this side version {VERSION}")
+            Fault::Version { theirs, ours } => {
+                write!(out, "the peer speaks version {theirs} of the protocol, this side version {ours}")
             }
         }
     }
@@ -181,7 +194,11 @@
 }
 
 pub fn hello(out: &mut Vec<u8>, hello: &Hello) {
-    let mut body = WORD.to_vec();
+    hello_of::<Message>(out, hello);
+}
+
+pub fn hello_of<M: Speech>(out: &mut Vec<u8>, hello: &Hello) {
+    let mut body = M::WORD.to_vec();
     body.extend_from_slice(&hello.version.to_be_bytes());
     body.push(u8::from(hello.planner));
     body.extend_from_slice(&hello.incarnation.to_be_bytes());
@@ -190,7 +207,7 @@
 }
 
 /// Writes a message; one that is too long to be read is not written, and false.
-pub fn message(out: &mut Vec<u8>, message: &Message) -> bool {
+pub fn message<M: Speech>(out: &mut Vec<u8>, message: &M) -> bool {
     let Ok(body) = postcard::to_stdvec(message) else { return false };
     let fits = body.len() <= LONGEST;
     if fits {
@@ -200,21 +217,28 @@
 }
 
 /// What one side reads: hello first, then messages.
-#[derive(Debug, Default)]
-pub struct Reader {
+#[derive(Debug)]
+pub struct Reader<M = Message> {
     bytes: Vec<u8>,
     used: usize,
     greeted: bool,
+    speech: PhantomData<M>,
+}
+
+impl<M> Default for Reader<M> {
+    fn default() -> Self {
+        Reader { bytes: vec![], used: 0, greeted: false, speech: PhantomData }
+    }
 }
 
 /// One thing that was read.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Read {
+pub enum Read<M = Message> {
     Hello(Hello),
-    Message(Message),
+    Message(M),
 }
 
-impl Reader {
+impl<M: Speech> Reader<M> {
     pub fn feed(&mut self, bytes: &[u8]) {
         self.bytes.drain(..self.used);
         self.used = 0;
@@ -222,7 +246,7 @@
     }
 
     /// The next whole thing; after an error the connection is of no further use.
-    pub fn read(&mut self) -> Result<Option<Read>, Fault> {
+    pub fn read(&mut self) -> Result<Option<Read<M>>, Fault> {
         let rest = &self.bytes[self.used..];
         let Some((head, rest)) = rest.split_at_checked(HEAD) else { return Ok(None) };
         let word = |at: usize| u32::from_be_bytes([head[at], head[at + 1], head[at + 2], head[at + 3]]);
@@ -242,7 +266,7 @@
             }
             Read::Message(message)
         } else {
-            Read::Hello(read_hello(body)?)
+            Read::Hello(read_hello::<M>(body)?)
         };
         self.greeted = true;
         self.used += HEAD + length;
@@ -250,15 +274,15 @@
     }
 }
 
-fn read_hello(body: &[u8]) -> Result<Hello, Fault> {
+fn read_hello<M: Speech>(body: &[u8]) -> Result<Hello, Fault> {
     let (word, body) = body.split_first_chunk::<4>().ok_or(Fault::NoHello)?;
     let (version, body) = body.split_first_chunk::<2>().ok_or(Fault::NoHello)?;
-    if *word != WORD {
+    if *word != M::WORD {
         return Err(Fault::NoHello);
     }
     let version = u16::from_be_bytes(*version);
-    if version != VERSION {
-        return Err(Fault::Version { theirs: version });
+    if version != M::VERSION {
+        return Err(Fault::Version { theirs: version, ours: M::VERSION });
     }
     let (planner, body) = body.split_first_chunk::<1>().ok_or(Fault::NoHello)?;
     let (incarnation, name) = body.split_first_chunk::<8>().ok_or(Fault::NoHello)?;
--- a/crates/tier/tests/stories.rs
+++ b/crates/tier/tests/stories.rs
@@ -177,7 +177,7 @@
 fn another_version_is_told_in_one_line() {
     let mut bytes = vec![];
     frames::hello(&mut bytes, &Hello { version: 2, planner: false, incarnation: 1, name: "f".into() });
-    let mut reader = Reader::default();
+    let mut reader: Reader = Reader::default();
     reader.feed(&bytes);
     let why = reader.read().expect_err("another version");
     assert_eq!(why.to_string(), "the peer speaks version 2 of the protocol, this side version 1");
@@ -185,7 +185,7 @@
 
 #[rstest]
 fn whoever_speaks_something_else_is_told_so_at_once() {
-    let mut reader = Reader::default();
+    let mut reader: Reader = Reader::default();
     reader.feed(b"GET /up HTTP/1.1\r\n\r\n");
     assert_eq!(reader.read(), Err(Fault::NoHello));
 }
@@ -200,7 +200,7 @@
         let mut bytes = sent(&some());
         let at = at.min(bytes.len());
         bytes.splice(at..(at + noise.len() / 2).min(bytes.len()), noise);
-        let mut reader = Reader::default();
+        let mut reader: Reader = Reader::default();
         reader.feed(&bytes);
         while let Ok(Some(_)) = reader.read() {}
     }
