--- a/crates/alderway/src/main.rs
+++ b/crates/alderway/src/main.rs
@@ -84,11 +84,11 @@
     if !peers.members.contains_key(name) {
         return Err(format!("`peers`: `members` does not name this router, `{name}`"));
     }
-    let operator::Peers { beat, pulse, stale, witnesses, .. } = *peers;
+    let operator::Peers { beat, pulse, stale, witnesses, late, .. } = *peers;
     let terms = Terms { beat, pulse, stale, witnesses, ..Terms::default() };
     let path = files.operator.clone();
     let again = path.map(|path| Arc::new(move || members(&path)) as Arc<_>);
-    Ok(Some(Circle { members: peers.members.clone(), terms, again }))
+    Ok(Some(Circle { members: peers.members.clone(), terms, late, again }))
 }
 
 fn plan(files: &Files, clock: Clock) -> Result<Plan, String> {
@@ -147,10 +147,11 @@
     let peers = match &operator.peers {
         None => "none".to_string(),
         Some(peers) => format!(
-            "{} others; a word is stale after {} s, {} have to say the same",
+            "{} others; a word is stale after {} s, {} have to say the same; told of data nodes: {}",
             peers.members.len() - 1,
             peers.stale,
-            peers.witnesses
+            peers.witnesses,
+            if peers.late { "sick or late" } else { "sick" }
         ),
     };
     let shards = match operator.layouts {
--- a/crates/operator/tests/stories.rs
+++ b/crates/operator/tests/stories.rs
@@ -132,3 +132,49 @@
         }
     }
 }
+
+#[rstest]
+fn peers_are_named_with_where_they_listen() {
+    let said =
+        read("f", "peers(members = {\"a\": \"127.0.0.1:1\", \"b\": \"[::1]:2\", \"c\": \"127.0.0.1:0\"})");
+    let peers = said.expect("a good file").peers.expect("said");
+    assert_eq!(peers.members.keys().collect::<Vec<_>>(), ["a", "b", "c"]);
+    assert_eq!((peers.beat, peers.pulse, peers.stale), (0.1, 1.0, 2.0));
+    assert_eq!((peers.witnesses, peers.late), (2, false));
+}
+
+#[rstest]
+#[case::a_list("members = [\"a\"]", "`members` gives names, each with its address:port, found [\"a\"]")]
+#[case::no_port(
+    "members = {\"a\": \"127.0.0.1\", \"b\": \"127.0.0.1:1\"}",
+    "`members` gives names, each with its address:port"
+)]
+#[case::alone("members = {\"a\": \"127.0.0.1:1\"}", "`members` are 2 to 1000, found 1")]
+#[case::twice(
+    "members = {\"a\": \"127.0.0.1:1\", \"b\": \"127.0.0.1:1\"}",
+    "`members` gives one address twice"
+)]
+#[case::too_few(
+    "members = {\"a\": \"127.0.0.1:1\", \"b\": \"127.0.0.1:2\"}",
+    "`witnesses` of 2 need 3 members at least, found 2"
+)]
+#[case::soon(
+    "members = {\"a\": \"127.0.0.1:1\", \"b\": \"127.0.0.1:2\"}, witnesses = 1, stale_ms = 300",
+    "`stale_ms` is too short"
+)]
+#[case::late(
+    "members = {\"a\": \"127.0.0.1:1\", \"b\": \"127.0.0.1:2\"}, witnesses = 1, late = 1",
+    "`late` is True or False, found 1"
+)]
+fn faulty_peers_are_named(#[case] said: &str, #[case] why: &str) {
+    let fault = read("f", &format!("peers({said})")).expect_err("faulty");
+    assert!(fault.starts_with("f:1: `peers`: ") && fault.contains(why), "{fault}");
+}
+
+#[rstest]
+fn peers_go_with_one_core_and_one_level() {
+    let peers = "peers(members = {\"a\": \"127.0.0.1:1\", \"b\": \"127.0.0.1:2\"}, witnesses = 1)\n";
+    let with = |other: &str| read("f", &format!("{peers}{other}")).expect_err("a contradiction");
+    assert_eq!(with("cores(count = 2)"), "f: `peers` goes with one core yet");
+    assert_eq!(with("planner(count = 2)"), "f: `peers` goes with neither `forwarder` nor `planner` yet");
+}
--- a/crates/peers/src/verdicts.rs
+++ b/crates/peers/src/verdicts.rs
@@ -59,14 +59,11 @@
     witnesses: usize,
 ) -> Option<Verdict> {
     let held = |word: &Said| match word.what {
-        What::Verdict { started: told, ago, late, far, sick, .. }
-            if ago >= 0.0
-                && now - word.at < stale
-                && same(told.map(|before| word.at - ago - before), started) =>
-        {
-            let spans = [late, far, sick];
+        What::Verdict { started: told, ago, late, far, sick, .. } if ago >= 0.0 && now - word.at < stale => {
+            let (seen, spans) = (word.at - f64::from(ago), [late, far, sick].map(f64::from));
             let until = spans.map(|span| word.at + span.clamp(0.0, stale));
-            Some(Held { seen: word.at - ago, until, ill: spans.iter().any(|span| *span > 0.0) })
+            let held = Held { seen, until, ill: spans.iter().any(|span| *span > 0.0) };
+            same(told.map(|before| seen - f64::from(before)), started).then_some(held)
         }
         _ => None,
     };
--- a/crates/peers/src/view.rs
+++ b/crates/peers/src/view.rs
@@ -273,8 +273,12 @@
         self.words.take(word, now, self.terms.stale, self.terms.most, None);
     }
 
-    /// What the own module saw of a data node: spans from now on, as in its own words.
+    /// What the own module saw of a data node: spans from now on, as in its own words. That a node is sound is told only
+    /// to take something back.
     pub fn say(&mut self, node: &str, started: Option<f64>, spans: [f64; 3], now: f64) {
+        if spans.iter().all(|span| *span <= 0.0) && !self.verdicts.contains_key(node) {
+            return;
+        }
         let until = spans.map(|span| now + span);
         let own = Own { started, seen: now, until, said: f64::NEG_INFINITY };
         self.verdicts.insert(node.into(), own);
@@ -293,8 +297,8 @@
                 self.verdicts.remove(&node);
                 continue;
             }
-            let [late, far, sick] = own.until.map(|until| (until - now).max(0.0));
-            let (started, ago) = (own.started.map(|at| own.seen - at), now - own.seen);
+            let [late, far, sick] = own.until.map(|until| (until - now).max(0.0) as f32);
+            let (started, ago) = (own.started.map(|at| (own.seen - at) as f32), (now - own.seen) as f32);
             self.tell(What::Verdict { node: node.clone(), started, ago, late, far, sick }, now);
             self.verdicts.entry(node).and_modify(|own| own.said = now);
         }
--- a/crates/peers/src/words.rs
+++ b/crates/peers/src/words.rs
@@ -17,7 +17,7 @@
     /// What it holds of a data node by its own calls, seen `ago` seconds before it was said; the node's process had started
     /// so many seconds before that, if it is known. The spans count from when it was said; one of 0 says that the node is
     /// sound in that respect.
-    Verdict { node: Name, started: Option<f64>, ago: f64, late: f64, far: f64, sick: f64 },
+    Verdict { node: Name, started: Option<f32>, ago: f32, late: f32, far: f32, sick: f32 },
 }
 
 impl What {
--- a/crates/peers/tests/mesh.rs
+++ b/crates/peers/tests/mesh.rs
@@ -368,7 +368,7 @@
         Just(What::Alive),
         Just(What::Leaves),
         (0..3usize, 0..3u64).prop_map(|(m, incarnation)| What::Misses { member: name(m), incarnation }),
-        (0..3usize, 0.0..5.0f64).prop_map(|(n, sick)| What::Verdict {
+        (0..3usize, 0.0..5.0f32).prop_map(|(n, sick)| What::Verdict {
             node: format!("s-{n}"),
             started: None,
             ago: 0.0,
@@ -450,14 +450,15 @@
         at in any::<prop::sample::Index>(),
         stamp in any::<f64>(),
         age in any::<f64>(),
-        sick in any::<f64>(),
+        sick in any::<f32>(),
     ) {
         let mut good = vec![];
         let hello = Hello { version: 1, planner: false, incarnation: 1, name: name(1) };
         frames::hello_of::<Frame>(&mut good, &hello);
-        let what = What::Verdict { node: "s".into(), started: Some(age), ago: sick, late: sick, far: stamp, sick };
+        let (started, far) = (Some(age as f32), stamp as f32);
+        let what = What::Verdict { node: "s".into(), started, ago: sick, late: sick, far, sick };
         let word = Word { origin: name(1), incarnation: 1, number: u64::MAX, age, what };
-        frames::message(&mut good, &Frame { stamp, echo: Some((age, sick)), words: vec![word] });
+        frames::message(&mut good, &Frame { stamp, echo: Some((age, f64::from(sick))), words: vec![word] });
         good.append(&mut bytes);
         let mut view = View::new(&name(0), 1, &members(3), Terms::default(), 5.0);
         let link = view.greeted(&name(1), 1).expect("a member");
--- a/crates/router/src/peers/mod.rs
+++ b/crates/router/src/peers/mod.rs
@@ -32,6 +32,8 @@
 pub struct Circle {
     pub members: Members,
     pub terms: Terms,
+    /// Whether data nodes that are late for this router are told of, beside those that are sick.
+    pub late: bool,
     /// Reads the list again, at SIGHUP.
     pub again: Option<Arc<dyn Fn() -> Result<Members, String> + Send + Sync>>,
 }
@@ -49,15 +51,18 @@
     pub view: View,
     clock: Clock,
     name: Name,
+    late: bool,
     counters: Counters,
 }
 
 pub type Held = Rc<RefCell<Peers>>;
 
 impl Peers {
-    /// What the own module saw of a data node; spans from now on.
+    /// What the own module saw of a data node; spans from now on. Whether a node is late depends on the way to it as well,
+    /// and what is late for all at once is no news of a node: it is told only where the operator says so.
     pub fn say(&mut self, node: &str, seen: Evidence) {
-        self.view.say(node, seen.started, [seen.late, seen.far, seen.sick], self.clock.now());
+        let spans = if self.late { [seen.late, seen.far, seen.sick] } else { [0.0, 0.0, seen.sick] };
+        self.view.say(node, seen.started, spans, self.clock.now());
     }
 
     fn hello(&self) -> Hello {
@@ -97,13 +102,14 @@
     tracing::info!(target: "peers", "{name} hears peers at {}", listener.local_addr()?);
     let names = circle.members.keys().cloned().collect();
     let view = View::new(name, incarnation, &names, circle.terms, clock.now());
-    let held = Peers { view, clock, name: name.into(), counters: Counters::default() };
+    let (name, late) = (name.to_string(), circle.late);
+    let held = Peers { view, clock, name: name.clone(), late, counters: Counters::default() };
     let peers = Rc::new(RefCell::new(held));
     desk.borrow_mut().peers = Some(peers.clone());
     let ends = Ends { desk: desk.clone(), peers, terms: circle.terms };
     spawn_local(accept(ends.clone(), listener));
     spawn_local(tick(ends.clone()));
-    let mut dials = Dials { ends, own: name.into(), seed: incarnation, tasks: BTreeMap::new() };
+    let mut dials = Dials { ends, own: name, seed: incarnation, tasks: BTreeMap::new() };
     dials.set(&circle.members);
     let (mut terms, mut hangups) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
     spawn_local(async move {
