--- a/crates/alderway/tests/peers.rs
+++ b/crates/alderway/tests/peers.rs
@@ -73,14 +73,7 @@
             operator: Some(self.operator(name, members)),
         };
         let program = Program::start(&build, &text).unwrap_or_else(|why| panic!("{why}"));
-        let end = Instant::now() + PATIENCE;
-        let at = loop {
-            let line = program.log.recv_timeout(end.saturating_duration_since(Instant::now()));
-            let line = line.expect("it says where it hears peers");
-            if let Some((_, at)) = line.split_once("hears peers at ") {
-                break at.trim_end_matches(['"', '}']).parse().expect("an address");
-            }
-        };
+        let at = program.hears_peers_at().unwrap_or_else(|why| panic!("{why}"));
         self.wires.lead_to(name, at);
         self.routers.insert(name.into(), (program, at));
     }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -186,6 +186,9 @@
     /// Nodes are deployed anew, one after the other
     #[arg(long)]
     deploy: bool,
+    /// Routers that know each other in the place of planners, telling of sick data nodes, and of late ones too
+    #[arg(long)]
+    peers: bool,
     /// Planners are killed, so many seconds apart; no comparison then
     #[arg(long)]
     kills: Option<f64>,
@@ -204,6 +207,7 @@
             program: beside("alderway"),
             routers: self.routers,
             planners: self.planners,
+            peers: None,
             nodes: self.nodes,
             parts: self.parts,
             rate: self.rate,
@@ -227,7 +231,16 @@
             return Ok(sound);
         }
         let lone = Day { planners: 0, ..day.clone() };
-        let days = [("lone routers".to_string(), lone), ("forwarders and planners".to_string(), day)];
+        let knowing = |late| Day { peers: Some(late), ..lone.clone() };
+        let days = match self.peers {
+            false => vec![("lone routers", lone.clone()), ("forwarders and planners", day)],
+            true => vec![
+                ("lone routers", lone.clone()),
+                ("routers that know each other", knowing(false)),
+                ("the same, late nodes told", knowing(true)),
+            ],
+        };
+        let days: Vec<(String, Day)> = days.into_iter().map(|(name, day)| (name.to_string(), day)).collect();
         let rows = tiers::compare(&days, self.repeats, self.seed)?;
         print!("{}", trial::table(&rows));
         Ok(rows.iter().flat_map(|r| &r.1).flatten().all(|f| !f.0.starts_with("answers wrong") || f.1 == 0.0))
--- a/crates/lab/src/program.rs
+++ b/crates/lab/src/program.rs
@@ -167,6 +167,18 @@
         Ok(Program { child, address, log, files, config })
     }
 
+    /// Where it listens for peers, as its log says after its start.
+    pub fn hears_peers_at(&self) -> Result<SocketAddr, String> {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            let line = self.log.recv_timeout(end.saturating_duration_since(Instant::now()));
+            let line = line.map_err(|_| "it does not say where it hears peers".to_string())?;
+            if let Some(at) = line.split("hears peers at ").nth(1).and_then(|at| at.trim().parse().ok()) {
+                return Ok(at);
+            }
+        }
+    }
+
     /// The operator's file that it runs by.
     pub fn operator_file(&self) -> Option<&Path> {
         self.files.iter().map(PathBuf::as_path).find(|file| file.extension().is_some_and(|e| e == "star"))
--- a/crates/lab/src/tiers.rs
+++ b/crates/lab/src/tiers.rs
@@ -6,6 +6,7 @@
 use crate::model::{Fault, Make};
 use crate::program::{Build, Program, Setting};
 use crate::trial::{Row, spread};
+use crate::wires::Wires;
 use crate::{Clock, draw};
 use nix::sys::signal::Signal;
 use rand_pcg::Pcg32;
@@ -21,6 +22,8 @@
     pub routers: usize,
     /// None: the routers are alone.
     pub planners: usize,
+    /// Whether the routers know each other, and whether they tell of late data nodes too.
+    pub peers: Option<bool>,
     pub nodes: usize,
     pub parts: usize,
     /// Queries a second of all routers together.
@@ -104,10 +107,35 @@
     } else {
         String::new()
     };
-    let routers: Result<Vec<Program>, String> = (0..day.routers)
-        .map(|n| site.start(&format!("f-{n}"), operator.clone(), "127.0.0.1:0", false))
-        .collect();
-    let routers = routers?;
+    let names: Vec<String> = (0..day.routers).map(|n| format!("f-{n}")).collect();
+    let wires = day.peers.map(|late| Wires::between(&names).map(|wires| (wires, late)));
+    let wires = wires.transpose().map_err(|why| format!("the relay: {why}"))?;
+    let mut routers: Vec<Program> = vec![];
+    for name in &names {
+        let Some((wires, late)) = &wires else {
+            routers.push(site.start(name, operator.clone(), "127.0.0.1:0", false)?);
+            continue;
+        };
+        let entry = |peer: &String| match peer == name {
+            true => format!("\"{peer}\": \"127.0.0.1:0\""),
+            false => format!("\"{peer}\": \"{}\"", wires.address(name, peer)),
+        };
+        let members: Vec<String> = names.iter().map(entry).collect();
+        let late = if *late { "True" } else { "False" };
+        let operator = format!("peers(members = {{{}}}, late = {late})\n", members.join(", "));
+        let router = site.start(name, operator, "127.0.0.1:0", false)?;
+        wires.lead_to(name, router.hears_peers_at()?);
+        routers.push(router);
+    }
+    let others = day.routers as u64 - 1;
+    let met = |r: &Program| r.counters().get("peers_alive").copied() == Some(others);
+    let waited = clock.now();
+    while wires.is_some() && !routers.iter().all(met) {
+        if clock.now() > waited + 20.0 {
+            return Err("routers do not know each other in time".into());
+        }
+        sleep(Duration::from_millis(50));
+    }
     let able = |r: &Program| r.counters().get("planners_able").copied().unwrap_or(0) == day.planners as u64;
     let waited = clock.now();
     while day.planners > 0 && !routers.iter().all(able) {
@@ -152,7 +180,10 @@
         let of = |name: &str| routers.iter().map(|r| r.counters().get(name).copied().unwrap_or(0)).sum();
         (of("leaf_calls_sent{copy}"), of("leaf_calls_sent{first}"))
     };
-    let before = copies(&routers);
+    let words = |routers: &[Program]| -> u64 {
+        routers.iter().map(|r| r.counters().get("words_told").copied().unwrap_or(0)).sum()
+    };
+    let (before, told) = (copies(&routers), words(&routers));
     let (began, mut kills) = (clock.now(), 0);
     let slow: Vec<usize> = (0..day.nodes).filter(|n| n % 10 == seed as usize % 10).collect();
     let parts_to =
@@ -231,6 +262,7 @@
             100.0 * (after.0 - before.0) as f64 / (after.1 - before.1).max(1) as f64,
         ),
         ("parts to slow nodes, first second", in_second as f64),
+        ("words a second and router", (words(&routers) - told) as f64 / day.span / day.routers as f64),
         ("CPU microseconds a query", cpu * 1e6 / sent),
         ("generator behind ms", outcome.behind * 1e3),
     ];
