--- a/deploy/operator.star
+++ b/deploy/operator.star
@@ -11,5 +11,8 @@
 # planner(count = 2)
 # forwarder(planners = ["10.0.0.5:6000", "10.0.0.6:6000"], count = 8, beat_ms = 50, patience_ms = 250)
 
+# Routers that know each other: the same list at each, by the configuration's names. docs/peers.md.
+# peers(members = {"n0": "10.0.0.1:7000", "n1": "10.0.0.2:7000", "n2": "10.0.0.3:7000"}, stale_ms = 2000, witnesses = 2)
+
 # How the log is written: "text" or "json".
 # log(form = "json")
