Peers tell of late and sick data nodes, or of none: sickness alone made things worse

Cause: a slow node silent to two became everybody's last resort, and queries whose holders were all so were rejected. So the operator's choice is verdicts = True, told whole, or False, nothing of nodes (routers with unlike ways).

--- a/crates/alderway/src/main.rs
+++ b/crates/alderway/src/main.rs
@@ -84,11 +84,11 @@
     if !peers.members.contains_key(name) {
         return Err(format!("`peers`: `members` does not name this router, `{name}`"));
     }
-    let operator::Peers { beat, pulse, stale, witnesses, late, .. } = *peers;
+    let operator::Peers { beat, pulse, stale, witnesses, verdicts, .. } = *peers;
     let terms = Terms { beat, pulse, stale, witnesses, ..Terms::default() };
     let path = files.operator.clone();
     let again = path.map(|path| Arc::new(move || members(&path)) as Arc<_>);
-    Ok(Some(Circle { members: peers.members.clone(), terms, late, again }))
+    Ok(Some(Circle { members: peers.members.clone(), terms, verdicts, again }))
 }
 
 fn plan(files: &Files, clock: Clock) -> Result<Plan, String> {
@@ -151,7 +151,7 @@
             peers.members.len() - 1,
             peers.stale,
             peers.witnesses,
-            if peers.late { "sick or late" } else { "sick" }
+            if peers.verdicts { "sick or late" } else { "nothing" }
         ),
     };
     let shards = match operator.layouts {
--- a/crates/alderway/tests/peers.rs
+++ b/crates/alderway/tests/peers.rs
@@ -33,7 +33,7 @@
 }
 
 /// Words that are stale soon, so that stories are short.
-const SOON: &str = "beat_ms = 25, pulse_ms = 200, stale_ms = 600, late = True";
+const SOON: &str = "beat_ms = 25, pulse_ms = 200, stale_ms = 600";
 
 impl House {
     /// So many routers, all of which have heard of each other.
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -186,7 +186,7 @@
     /// Nodes are deployed anew, one after the other
     #[arg(long)]
     deploy: bool,
-    /// Routers that know each other in the place of planners, telling of sick data nodes, and of late ones too
+    /// Routers that know each other in the place of planners, with and without words of data nodes
     #[arg(long)]
     peers: bool,
     /// Planners are killed, so many seconds apart; no comparison then
@@ -231,13 +231,13 @@
             return Ok(sound);
         }
         let lone = Day { planners: 0, ..day.clone() };
-        let knowing = |late| Day { peers: Some(late), ..lone.clone() };
+        let knowing = |told| Day { peers: Some(told), ..lone.clone() };
         let days = match self.peers {
             false => vec![("lone routers", lone.clone()), ("forwarders and planners", day)],
             true => vec![
                 ("lone routers", lone.clone()),
-                ("routers that know each other", knowing(false)),
-                ("the same, late nodes told", knowing(true)),
+                ("known to each other, nothing told of nodes", knowing(false)),
+                ("known to each other", knowing(true)),
             ],
         };
         let days: Vec<(String, Day)> = days.into_iter().map(|(name, day)| (name.to_string(), day)).collect();
--- a/crates/lab/src/tiers.rs
+++ b/crates/lab/src/tiers.rs
@@ -22,7 +22,7 @@
     pub routers: usize,
     /// None: the routers are alone.
     pub planners: usize,
-    /// Whether the routers know each other, and whether they tell of late data nodes too.
+    /// Whether the routers know each other, and whether they tell of data nodes.
     pub peers: Option<bool>,
     pub nodes: usize,
     pub parts: usize,
@@ -108,11 +108,11 @@
         String::new()
     };
     let names: Vec<String> = (0..day.routers).map(|n| format!("f-{n}")).collect();
-    let wires = day.peers.map(|late| Wires::between(&names).map(|wires| (wires, late)));
+    let wires = day.peers.map(|told| Wires::between(&names).map(|wires| (wires, told)));
     let wires = wires.transpose().map_err(|why| format!("the relay: {why}"))?;
     let mut routers: Vec<Program> = vec![];
     for name in &names {
-        let Some((wires, late)) = &wires else {
+        let Some((wires, told)) = &wires else {
             routers.push(site.start(name, operator.clone(), "127.0.0.1:0", false)?);
             continue;
         };
@@ -121,8 +121,8 @@
             false => format!("\"{peer}\": \"{}\"", wires.address(name, peer)),
         };
         let members: Vec<String> = names.iter().map(entry).collect();
-        let late = if *late { "True" } else { "False" };
-        let operator = format!("peers(members = {{{}}}, late = {late})\n", members.join(", "));
+        let told = if *told { "True" } else { "False" };
+        let operator = format!("peers(members = {{{}}}, verdicts = {told})\n", members.join(", "));
         let router = site.start(name, operator, "127.0.0.1:0", false)?;
         wires.lead_to(name, router.hears_peers_at()?);
         routers.push(router);
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -103,8 +103,8 @@
     pub stale: f64,
     /// So many others have to say the same of a data node before it is believed.
     pub witnesses: usize,
-    /// Whether they tell which data nodes are late for them too, not only which are sick.
-    pub late: bool,
+    /// Whether they tell which data nodes are late for them or sick; if not, only how their queries end.
+    pub verdicts: bool,
 }
 
 /// What part of each share that all routers hold together forwarders keep for when no planner can be asked; planners have
@@ -255,7 +255,7 @@
         #[starlark(require = named)] pulse_ms: Option<Value<'v>>,
         #[starlark(require = named)] stale_ms: Option<Value<'v>>,
         #[starlark(require = named)] witnesses: Option<Value<'v>>,
-        #[starlark(require = named)] late: Option<Value<'v>>,
+        #[starlark(require = named)] verdicts: Option<Value<'v>>,
         eval: &mut Evaluator<'v, '_, '_>,
     ) -> anyhow::Result<NoneType> {
         let wrong = || {
@@ -304,8 +304,8 @@
                 members.len()
             ));
         }
-        let late = late.map_or(Ok(false), |value| flag("peers", "late", value))?;
-        once(&said(eval)?.peers, "peers", Peers { members, beat, pulse, stale, witnesses, late })
+        let verdicts = verdicts.map_or(Ok(true), |value| flag("peers", "verdicts", value))?;
+        once(&said(eval)?.peers, "peers", Peers { members, beat, pulse, stale, witnesses, verdicts })
     }
 
     /// How the log is written.
--- a/crates/operator/tests/stories.rs
+++ b/crates/operator/tests/stories.rs
@@ -140,7 +140,7 @@
     let peers = said.expect("a good file").peers.expect("said");
     assert_eq!(peers.members.keys().collect::<Vec<_>>(), ["a", "b", "c"]);
     assert_eq!((peers.beat, peers.pulse, peers.stale), (0.1, 1.0, 2.0));
-    assert_eq!((peers.witnesses, peers.late), (2, false));
+    assert_eq!((peers.witnesses, peers.verdicts), (2, true));
 }
 
 #[rstest]
@@ -163,8 +163,8 @@
     "`stale_ms` is too short"
 )]
 #[case::late(
-    "members = {\"a\": \"127.0.0.1:1\", \"b\": \"127.0.0.1:2\"}, witnesses = 1, late = 1",
-    "`late` is True or False, found 1"
+    "members = {\"a\": \"127.0.0.1:1\", \"b\": \"127.0.0.1:2\"}, witnesses = 1, verdicts = 1",
+    "`verdicts` is True or False, found 1"
 )]
 fn faulty_peers_are_named(#[case] said: &str, #[case] why: &str) {
     let fault = read("f", &format!("peers({said})")).expect_err("faulty");
--- a/crates/router/src/peers/mod.rs
+++ b/crates/router/src/peers/mod.rs
@@ -32,8 +32,8 @@
 pub struct Circle {
     pub members: Members,
     pub terms: Terms,
-    /// Whether data nodes that are late for this router are told of, beside those that are sick.
-    pub late: bool,
+    /// Whether data nodes that are late for this router or sick are told of.
+    pub verdicts: bool,
     /// Reads the list again, at SIGHUP.
     pub again: Option<Arc<dyn Fn() -> Result<Members, String> + Send + Sync>>,
 }
@@ -51,18 +51,19 @@
     pub view: View,
     clock: Clock,
     name: Name,
-    late: bool,
+    verdicts: bool,
     counters: Counters,
 }
 
 pub type Held = Rc<RefCell<Peers>>;
 
 impl Peers {
-    /// What the own module saw of a data node; spans from now on. Whether a node is late depends on the way to it as well,
-    /// and what is late for all at once is no news of a node: it is told only where the operator says so.
+    /// What the own module saw of a data node; spans from now on. Where routers have unlike ways to data nodes the
+    /// operator has nothing told of these: whether a node is late depends on the way to it too.
     pub fn say(&mut self, node: &str, seen: Evidence) {
-        let spans = if self.late { [seen.late, seen.far, seen.sick] } else { [0.0, 0.0, seen.sick] };
-        self.view.say(node, seen.started, spans, self.clock.now());
+        if self.verdicts {
+            self.view.say(node, seen.started, [seen.late, seen.far, seen.sick], self.clock.now());
+        }
     }
 
     fn hello(&self) -> Hello {
@@ -102,8 +103,8 @@
     tracing::info!(target: "peers", "{name} hears peers at {}", listener.local_addr()?);
     let names = circle.members.keys().cloned().collect();
     let view = View::new(name, incarnation, &names, circle.terms, clock.now());
-    let (name, late) = (name.to_string(), circle.late);
-    let held = Peers { view, clock, name: name.clone(), late, counters: Counters::default() };
+    let (name, verdicts) = (name.to_string(), circle.verdicts);
+    let held = Peers { view, clock, name: name.clone(), verdicts, counters: Counters::default() };
     let peers = Rc::new(RefCell::new(held));
     desk.borrow_mut().peers = Some(peers.clone());
     let ends = Ends { desk: desk.clone(), peers, terms: circle.terms };
