--- a/crates/alderway/tests/common/mod.rs
+++ b/crates/alderway/tests/common/mod.rs
@@ -1,5 +1,6 @@
 //! What stories over sockets share: a client of a router, and waiting for what its counters say.
 #![allow(dead_code)]
+use alderway_lab::load::{Load, Pace};
 use alderway_lab::program::Program;
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -28,6 +29,22 @@
     }
 }
 
+/// Queries of three parts, so many a second for so many seconds.
+pub fn load(rate: f64, span: f64) -> Load {
+    Load {
+        pace: Pace::Open(rate),
+        span,
+        threads: 1,
+        connections: 64,
+        parts: 3,
+        shards: 64,
+        keys: None,
+        vertical: "site-search".into(),
+        patience: 2000,
+        seed: 5,
+    }
+}
+
 pub struct Client(BufReader<TcpStream>);
 
 impl Client {
--- a/crates/alderway/tests/peers.rs
+++ b/crates/alderway/tests/peers.rs
@@ -4,7 +4,7 @@
 use alderway_lab::Clock;
 use alderway_lab::agent::{Agent, Entry};
 use alderway_lab::fleet::Fleet;
-use alderway_lab::load::{self, Load, Outcome, Pace};
+use alderway_lab::load::{self, Outcome};
 use alderway_lab::model::{Fault as NodeFault, Make};
 use alderway_lab::program::{Build, Program, Setting};
 use alderway_lab::wires::{Act, Fault, Schedule, Wires};
@@ -115,19 +115,7 @@
 }
 
 fn send(to: SocketAddr, clock: Clock, rate: f64, span: f64) -> Outcome {
-    let load = Load {
-        pace: Pace::Open(rate),
-        span,
-        threads: 1,
-        connections: 64,
-        parts: 3,
-        shards: 64,
-        keys: None,
-        vertical: "site-search".into(),
-        patience: 2000,
-        seed: 5,
-    };
-    let outcome = load::send(to, &load, clock);
+    let outcome = load::send(to, &common::load(rate, span), clock);
     assert_eq!((outcome.wrong, outcome.lost, outcome.late), (0, 0, 0), "{:?}", outcome.statuses);
     assert_eq!(outcome.statuses.values().sum::<u64>(), outcome.sent);
     outcome
--- a/crates/alderway/tests/tier.rs
+++ b/crates/alderway/tests/tier.rs
@@ -4,7 +4,7 @@
 use alderway_lab::Clock;
 use alderway_lab::agent::{Agent, Entry};
 use alderway_lab::fleet::Fleet;
-use alderway_lab::load::{self, Load, Outcome, Pace};
+use alderway_lab::load::{self, Load, Outcome};
 use alderway_lab::model::{Fault, Make};
 use alderway_lab::program::{Build, Program, Setting};
 use alderway_tier::custody::Custody;
@@ -85,18 +85,7 @@
     }
 
     fn load(&self, rate: f64, span: f64) -> Load {
-        Load {
-            pace: Pace::Open(rate),
-            span,
-            threads: 1,
-            connections: 64,
-            parts: 3,
-            shards: 64,
-            keys: None,
-            vertical: "site-search".into(),
-            patience: 2000,
-            seed: 5,
-        }
+        common::load(rate, span)
     }
 }
 
