Peers: verdicts read kept words as they are; a state and a look-up that nothing used are gone

Read again: a verdict copied each word into a record of its own with a field nobody read; Taken::NewStart was treated as New throughout; Words::of had no caller. Stories of several cores take their load from the place that the other stories over processes use. Behaviour as before; all stories of peers, cores and tiers pass.

--- a/crates/alderway/tests/cores.rs
+++ b/crates/alderway/tests/cores.rs
@@ -54,18 +54,7 @@
     }
 
     fn load(&self, pace: Pace, span: f64) -> Load {
-        Load {
-            pace,
-            span,
-            threads: 1,
-            connections: 16,
-            parts: 3,
-            shards: 64,
-            keys: None,
-            vertical: "site-search".into(),
-            patience: 2000,
-            seed: 5,
-        }
+        Load { pace, connections: 16, ..common::load(0.0, span) }
     }
 }
 
--- a/crates/peers/src/verdicts.rs
+++ b/crates/peers/src/verdicts.rs
@@ -2,17 +2,7 @@
 //! same side within the time after which a word is stale: what is believed is then what the least sure of the surest so
 //! many say. So fewer liars, or routers that are stuck, than are stated as witnesses can neither take a sound node out nor
 //! keep it out a moment longer, nor bring a sick one back. What one saw oneself since outranks it: the decision module sees to that.
-use crate::Name;
-use crate::words::What;
-
-/// One router's latest word on a data node.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Said {
-    pub by: Name,
-    /// When it was said, by the own clock.
-    pub at: f64,
-    pub what: What,
-}
+use crate::words::{Kept, What};
 
 /// What is believed of a data node's process; the spans count from `seen`.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -49,19 +39,22 @@
     ill: bool,
 }
 
-/// What is believed of the process that started at `started`, by the own clock, from words no older than `stale`: no span
+/// What is believed of the process that started at `started`, by the own clock, from each router's latest word on its
+/// node, where that is no older than `stale`: no span
 /// reaches past the time when the word that it rests on is stale.
 pub fn believed(
-    said: &[Said],
+    said: &[&Kept],
     started: Option<f64>,
     now: f64,
     stale: f64,
     witnesses: usize,
 ) -> Option<Verdict> {
-    let held = |word: &Said| match word.what {
-        What::Verdict { started: told, ago, late, far, sick, .. } if ago >= 0.0 && now - word.at < stale => {
-            let (seen, spans) = (word.at - f64::from(ago), [late, far, sick].map(f64::from));
-            let until = spans.map(|span| word.at + span.clamp(0.0, stale));
+    let held = |word: &&Kept| match word.what {
+        What::Verdict { started: told, ago, late, far, sick, .. }
+            if ago >= 0.0 && now - word.said < stale =>
+        {
+            let (seen, spans) = (word.said - f64::from(ago), [late, far, sick].map(f64::from));
+            let until = spans.map(|span| word.said + span.clamp(0.0, stale));
             let held = Held { seen, until, ill: spans.iter().any(|span| *span > 0.0) };
             same(told.map(|before| seen - f64::from(before)), started).then_some(held)
         }
--- a/crates/peers/src/view.rs
+++ b/crates/peers/src/view.rs
@@ -1,8 +1,8 @@
 //! One router's part among its peers: its links, the words that it keeps and tells, and who is there. It is fed frames,
 //! beats and what the own module saw, each with a time of the own steady clock, and gives frames, changes and verdicts.
 use crate::transit::Transit;
-use crate::verdicts::{self, Said, Verdict};
-use crate::words::{Subject, Taken, What, Word, Words};
+use crate::verdicts::{self, Verdict};
+use crate::words::{Kept, Subject, Taken, What, Word, Words};
 use crate::{Frame, Incarnation, Name, Terms, ring};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -238,7 +238,7 @@
             }
             let (origin, what, said) = (word.origin.clone(), word.what.clone(), now - word.age);
             match self.words.take(word, now, stale, most, Some(link)) {
-                Taken::New | Taken::NewStart => self.met.words_taken += 1,
+                Taken::New => self.met.words_taken += 1,
                 Taken::Known => {
                     self.met.words_known += 1;
                     continue;
@@ -379,9 +379,7 @@
             let Some(started) = started(&node) else { continue };
             let subject = Subject::Node(node.clone());
             let others = self.words.on(&subject).filter(|(by, _)| **by != self.own);
-            let said =
-                others.map(|(by, kept)| Said { by: by.clone(), at: kept.said, what: kept.what.clone() });
-            let said: Vec<Said> = said.collect();
+            let said: Vec<&Kept> = others.map(|(_, kept)| kept).collect();
             if let Some(verdict) = verdicts::believed(&said, started, now, stale, witnesses) {
                 believed.push((node, verdict));
             }
--- a/crates/peers/src/words.rs
+++ b/crates/peers/src/words.rs
@@ -76,8 +76,6 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Taken {
     New,
-    /// The first word of a later start of its origin.
-    NewStart,
     Known,
     Stale,
     /// Of an earlier start of its origin.
@@ -100,8 +98,7 @@
         if word.incarnation < origin.incarnation {
             return Taken::Former;
         }
-        let anew = word.incarnation > origin.incarnation;
-        if anew {
+        if word.incarnation > origin.incarnation {
             *origin = Origin { incarnation: word.incarnation, ..Origin::default() };
         }
         let subject = word.what.subject();
@@ -118,7 +115,7 @@
             let Some(oldest) = oldest else { break };
             origin.forget(&oldest);
         }
-        if anew { Taken::NewStart } else { Taken::New }
+        Taken::New
     }
 
     /// Gives back what is stale.
@@ -159,11 +156,6 @@
         self.origins.get(origin).map(|origin| origin.incarnation)
     }
 
-    /// What an origin last said on a subject.
-    pub fn of(&self, origin: &str, subject: &Subject) -> Option<&Kept> {
-        self.origins.get(origin)?.words.get(subject)
-    }
-
     /// Who has said what of a subject.
     pub fn on<'a>(&'a self, subject: &'a Subject) -> impl Iterator<Item = (&'a Name, &'a Kept)> {
         self.origins.iter().filter_map(move |(name, origin)| Some((name, origin.words.get(subject)?)))
