--- a/crates/alderway/src/main.rs
+++ b/crates/alderway/src/main.rs
@@ -166,7 +166,7 @@
         ("listens at", station.listen.to_string()),
         ("discovery", station.discovery.to_string()),
         ("data nodes known", station.roster.nodes.len().to_string()),
-        ("verticals", station.verticals.join(", ")),
+        ("verticals", station.verticals.iter().map(|v| v.name.as_str()).collect::<Vec<_>>().join(", ")),
         ("queries and parts held", station.room.room.to_string()),
         ("descriptors", station.sockets.to_string()),
         ("memory", format!("{} MiB", station.memory / 1024 / 1024)),
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -84,12 +84,7 @@
         verticals.push(Vertical {
             slo: seconds(service, "PromiseUs")?,
             deadline: seconds(service, "DeadlineUs")?,
-            effect: match word(service, "Effect")? {
-                "idempotent" => Effect::Repeatable,
-                "deduplicated" => Effect::Deduplicated { window: seconds(service, "WindowUs")? },
-                "at_most_once" => Effect::SideEffecting,
-                _ => return Err("a known effect in setting `Effect`".into()),
-            },
+            effect: effect(service)?,
             utility: number(service, "Worth")?,
             late_share: number(service, "LateShare")?,
             need: of_each(extra, "ClassNeed", at, 1.0)?,
@@ -163,6 +158,25 @@
     pub follow: bool,
 }
 
+fn effect(service: &Value) -> Read<Effect> {
+    match word(service, "Effect")? {
+        "idempotent" => Ok(Effect::Repeatable),
+        "deduplicated" => Ok(Effect::Deduplicated { window: seconds(service, "WindowUs")? }),
+        "at_most_once" => Ok(Effect::SideEffecting),
+        _ => Err("a known effect in setting `Effect`".into()),
+    }
+}
+
+/// For each vertical the seconds after a part's first call in which it may be sent again, where that is what allows
+/// it.
+pub fn windows(all: &Value) -> Read<Vec<Option<f64>>> {
+    let window = |effect| match effect {
+        Effect::Deduplicated { window } => Some(window),
+        _ => None,
+    };
+    list(all, "Services")?.iter().map(|service| Ok(window(effect(service)?))).collect()
+}
+
 /// The connections and the intake of a router on sockets.
 pub fn sockets(all: &Value) -> Read<(Trunk, Intake)> {
     let (extra, limits) = (item(all, "Extra")?, item(all, "Limits")?);
--- a/crates/router/src/drive/arrival.rs
+++ b/crates/router/src/drive/arrival.rs
@@ -21,6 +21,12 @@
     recv(stream.as_raw_fd(), &mut [0], look).is_ok_and(|count| count > 0)
 }
 
+/// Whether the other side has ended a connection on which nothing is unread.
+pub fn ended(stream: &TcpStream) -> bool {
+    let look = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
+    recv(stream.as_raw_fd(), &mut [0], look) == Ok(0)
+}
+
 /// Reads what is there and says how much, and when the last of it came.
 pub fn read(stream: &TcpStream, space: &mut [u8], clock: Clock) -> io::Result<(usize, f64)> {
     stream.try_io(Interest::READABLE, || {
--- a/crates/router/src/drive/clients.rs
+++ b/crates/router/src/drive/clients.rs
@@ -50,9 +50,8 @@
 }
 
 /// Accepts for as long as descriptors are left; idle connections make room. Ends with `close`, after taking
-/// in what the system had accepted by then.
+/// in all that the system had accepted by then, whether or not the runtime had been told of it.
 pub async fn listen(door: impl Door, listener: TcpListener, share: Arc<Share>, close: Rc<Notify>) {
-    let mut closing = false;
     loop {
         let Some(held) = share.take() else {
             door.make_room();
@@ -62,11 +61,7 @@
         let came = tokio::select! {
             biased;
             came = listener.accept() => came,
-            () = close.notified(), if !closing => {
-                closing = true;
-                continue;
-            }
-            () = std::future::ready(()), if closing => return,
+            () = close.notified() => break,
         };
         match came {
             Ok((stream, _)) => door.take(stream, held).await,
@@ -76,6 +71,18 @@
             }
         }
     }
+    let Ok(listener) = listener.into_std() else { return };
+    loop {
+        let Some(held) = share.take() else {
+            door.make_room();
+            let _ = timeout(PAUSE, share.released.notified()).await;
+            continue;
+        };
+        let Ok((stream, _)) = listener.accept() else { return };
+        if let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
+            door.take(stream, held).await;
+        }
+    }
 }
 
 /// A connection that comes from the lead, or from another core between two of its requests.
@@ -89,10 +96,10 @@
 
 /// How this side's part in a connection ends.
 enum End {
-    /// The client has ended it, or it is broken or idle.
+    /// The client has ended it, or it is broken, or it never brought a request.
     Gone,
-    /// After an answer: what the client still sends must not reset it on its way.
-    Answered,
+    /// This side ends it after an answer: what the client still sends must not reset that on its way.
+    Closed,
     /// Another core goes on with it.
     Moves(usize),
 }
@@ -132,8 +139,7 @@
         desk.borrow_mut().client_left(number);
     }
     client.idle.set(None);
-    let linger = matches!(end, End::Answered);
-    if linger && stream.shutdown().await.is_ok() {
+    if matches!(end, End::Closed) && stream.shutdown().await.is_ok() {
         // As much as the longest request, so that nobody's endless body takes the core.
         let (mut rest, mut left) = ([0; 4096], MESSAGE);
         let _ = timeout(LINGER, async {
@@ -166,6 +172,8 @@
     written: usize,
     /// No further request can be made out, or is waited for.
     lost: bool,
+    /// More came behind an open query than is kept: what followed is gone, so nothing after it can be made out.
+    overrun: bool,
     /// The client has been told to send the body of the present request.
     went_ahead: bool,
     /// When the last byte came.
@@ -189,7 +197,10 @@
                         self.went_ahead = true;
                         self.client.out.borrow_mut().extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
                     }
-                    return;
+                    if !self.overrun {
+                        return;
+                    }
+                    self.lose("requests{too_many_at_once}", (400, "more came at once than is kept"));
                 }
                 Err(refusal) => self.lose("requests{unreadable}", refusal),
             }
@@ -222,18 +233,24 @@
         out.clear();
         self.written = 0;
         if self.client.closes.get() && self.client.query.get().is_none() {
-            return ControlFlow::Break(End::Answered);
+            return ControlFlow::Break(End::Closed);
         }
         ControlFlow::Continue(true)
     }
 
-    /// Reads once what has come; false when the client has ended the connection.
+    /// Reads once what has come; false when the client has ended the connection. Guards against a client that sends
+    /// more than is kept and goes, whose end stands behind it: past a full buffer what comes is read and dropped.
     fn read(&mut self, clock: Clock) -> bool {
-        match arrival::read(self.stream, self.buffer.space(), clock) {
+        let mut dropped = [0; 4096];
+        self.overrun |= self.buffer.space().is_empty();
+        let space = if self.overrun { &mut dropped[..] } else { self.buffer.space() };
+        match arrival::read(self.stream, space, clock) {
             Ok((0, _)) => return false,
             Ok((count, at)) => {
-                self.buffer.filled(count);
-                self.read_at = at;
+                if !self.overrun {
+                    self.buffer.filled(count);
+                    self.read_at = at;
+                }
                 self.desk.borrow_mut().counters.add("bytes_from_clients", count);
             }
             Err(why) => return why.kind() == ErrorKind::WouldBlock,
@@ -246,9 +263,19 @@
 async fn converse(desk: &Shared, client: &Rc<Client>, stream: &TcpStream) -> End {
     let (clock, dial) = (desk.borrow().clock, desk.borrow().trunk.dial);
     let (buffer, messages, accepted) = (Buffer::new(MESSAGE), Messages::default(), clock.now());
-    let (written, lost, went_ahead) = (0, false, false);
-    let mut talk =
-        Talk { desk, client, stream, buffer, messages, written, lost, went_ahead, read_at: accepted };
+    let (written, lost, overrun, went_ahead) = (0, false, false, false);
+    let mut talk = Talk {
+        desk,
+        client,
+        stream,
+        buffer,
+        messages,
+        written,
+        lost,
+        overrun,
+        went_ahead,
+        read_at: accepted,
+    };
     // Since when nothing is open here, a request is coming, and an answer has got no further.
     let (mut quiet, mut begun, mut stuck) = (None, None, None);
     loop {
@@ -290,10 +317,10 @@
             None => quiet.or(stuck).map_or(f64::INFINITY, |at| at + IDLE),
         };
         let room = !talk.buffer.space().is_empty();
-        let dismissed = client.dismissed.get() || (by <= now && begun.is_none());
+        let dismissed = client.is_dismissed() || (by <= now && begun.is_none());
         tokio::select! {
             biased;
-            _ = stream.readable(), if room => {
+            _ = stream.readable(), if room || open => {
                 if !talk.read(clock) {
                     return End::Gone;
                 }
@@ -303,7 +330,7 @@
             () = std::future::ready(()), if waiting && dismissed => {
                 // Guards against closing on a request that has come and is not read yet: it counts as taken.
                 if !room || !arrival::waits(stream) {
-                    return End::Gone;
+                    return if client.used.get() { End::Closed } else { End::Gone };
                 }
                 yield_now().await;
             }
--- a/crates/router/src/drive/core.rs
+++ b/crates/router/src/drive/core.rs
@@ -7,7 +7,7 @@
 use crate::memory::Shared;
 use crate::memory::clock::Clock;
 use crate::memory::descriptors::Share;
-use crate::memory::desk::Desk;
+use crate::memory::desk::{Class, Desk, Stage};
 use crate::memory::ground::{Following, Ground};
 use crate::memory::house::{House, Order, Word};
 use crate::memory::roster::Entry;
@@ -65,7 +65,7 @@
     pub clock: Clock,
     pub trunk: Trunk,
     pub room: Intake,
-    pub verticals: Vec<String>,
+    pub verticals: Vec<Class>,
     pub layouts: Option<Following>,
     pub module: Recipe,
     pub for_nodes: Arc<Share>,
@@ -124,7 +124,7 @@
     // desk is still whole.
     let last = catch_unwind(AssertUnwindSafe(|| {
         desk.borrow_mut().counters.one("core_failures");
-        desk.borrow_mut().closing = true;
+        desk.borrow_mut().stage = Stage::Closing;
         desk.borrow_mut().abort_all();
         desk.borrow().clients.dismiss_idle();
         local.block_on(runtime, async {
--- a/crates/router/src/drive/discovery.rs
+++ b/crates/router/src/drive/discovery.rs
@@ -3,9 +3,10 @@
 use super::until;
 use crate::memory::clock::Clock;
 use crate::memory::desk::Desk;
+use crate::memory::following::{Following as Follows, Watching};
 use crate::memory::roster::Roster;
 use crate::wire::buffer::Buffer;
-use crate::wire::discovery::{self, Watch};
+use crate::wire::discovery::{self, Watch, Word};
 use crate::wire::layout;
 use alderway_layouts::history::News;
 use alderway_layouts::layout::Faulty;
@@ -21,19 +22,18 @@
 use tokio::sync::watch::Receiver;
 use tokio::time::{sleep, timeout};
 
-/// PROTOCOL: an empty line comes every 2 s while nothing changes. A watch that misses one by half is lost.
-const SILENCE: f64 = 3.0;
-
 /// Whoever keeps the list: a core's desk, or the lead of several.
 pub trait Follower {
     fn clock(&self) -> Clock;
-    /// Seconds that a dial may take, and whether the module asks to follow the list.
-    fn dial(&self) -> f64;
+    /// Whether changes come only when the module asks to follow the list.
     fn follows(&self) -> bool;
     fn asked(&self) -> Arc<Notify>;
     fn roster(&mut self) -> &mut Roster;
     fn changed(&mut self);
-    fn watch_lost(&mut self);
+    /// A watch is lost, whether or not it had answered.
+    fn watch_lost(&mut self, answered: bool);
+    /// So long there was no watch that had answered, or it said nothing; until now.
+    fn quiet(&mut self, span: f64);
     fn moved(&mut self);
     /// Whether `looked` is waited for: by other cores, which must not send by a list that may be out of date.
     fn leads(&self) -> bool {
@@ -55,9 +55,6 @@
     fn clock(&self) -> Clock {
         self.clock
     }
-    fn dial(&self) -> f64 {
-        self.trunk.dial
-    }
     fn follows(&self) -> bool {
         self.room.follow
     }
@@ -70,12 +67,15 @@
     fn changed(&mut self) {
         self.roster_changed();
     }
-    fn watch_lost(&mut self) {
+    fn watch_lost(&mut self, answered: bool) {
         self.counters.one("discovery_watches_lost");
-        if self.room.follow {
+        if self.room.follow && answered {
             self.roster_failed();
         }
     }
+    fn quiet(&mut self, span: f64) {
+        self.counters.most("discovery_quiet_ms_most", (span * 1e3) as u64);
+    }
     fn moved(&mut self) {
         self.counters.one("discovery_moves");
     }
@@ -116,42 +116,63 @@
 /// Watches for as long as the program runs, at the address that `agent` holds. Where that changes the old watch
 /// ends at once and the new one begins; until it tells something, the old list holds.
 pub async fn run(list: Following, mut agent: Receiver<SocketAddr>) {
-    let (follow, asked, pause) = {
+    let (clock, follows, asked) = {
         let list = list.borrow();
-        (list.follows(), list.asked(), Duration::from_secs_f64(list.dial()))
+        (list.clock(), list.follows(), list.asked())
     };
-    let (mut moved, mut whole) = (false, false);
+    let (mut state, mut whole, mut heard) = (Follows::new(follows), false, clock.now());
+    let mut there = true;
     loop {
-        if follow && !moved {
-            unwatched(&list, asked.notified()).await;
-        }
+        // Without a sender discovery never moves again.
+        let moves = async |agent: &mut Receiver<SocketAddr>| {
+            if agent.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        };
+        let due = state.due();
+        let rest = async {
+            tokio::select! {
+                () = asked.notified(), if state.state == Watching::Unasked => {}
+                () = until(clock, due), if due.is_finite() => {}
+                () = moves(&mut agent), if there => {}
+            }
+        };
+        unwatched(&list, rest).await;
+        there = agent.has_changed().is_ok();
         let address = *agent.borrow_and_update();
+        state.open(clock.now());
         let why = tokio::select! {
-            why = watch(&list, address, &mut whole) => why,
-            Ok(()) = agent.changed() => {
-                moved = true;
+            why = watch(&list, address, &mut state, &mut whole, &mut heard) => why,
+            () = moves(&mut agent), if there => {
                 list.borrow_mut().moved();
+                state.state = Watching::Pausing { until: clock.now() };
                 continue;
             }
         };
-        moved = false;
         tracing::warn!(target: "discovery", "the watch is lost: {why}; the old list holds");
-        list.borrow_mut().watch_lost();
-        let _ = unwatched(&list, timeout(pause, agent.changed())).await;
+        let answered = state.lost(clock.now());
+        list.borrow_mut().watch_lost(answered);
     }
 }
 
 /// One watch; returns why it ended.
-async fn watch(list: &Following, address: SocketAddr, whole: &mut bool) -> String {
-    let (clock, limit, since, mut layout) = {
+async fn watch(
+    list: &Following,
+    address: SocketAddr,
+    state: &mut Follows,
+    whole: &mut bool,
+    heard: &mut f64,
+) -> String {
+    let (clock, since, mut layout) = {
         let mut list = list.borrow_mut();
         let layout = list.layout_since();
-        (list.clock(), Duration::from_secs_f64(list.dial()), list.roster().index, layout)
+        (list.clock(), list.roster().index, layout)
     };
     // Changes could not be followed from the version held: guards against asking for them for ever.
     if std::mem::take(whole) {
         layout = layout.map(|_| 0);
     }
+    let limit = Duration::from_secs_f64((state.due() - clock.now()).max(0.0));
     let stream = match unwatched(list, timeout(limit, TcpStream::connect(address))).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(why)) => return format!("no connection ({why})"),
@@ -161,7 +182,7 @@
     let leads = list.borrow().leads();
     let mut out = Vec::new();
     discovery::follow(&mut out, &address.to_string(), since, layout);
-    let (mut written, mut heard) = (0, clock.now());
+    let mut written = 0;
     let (mut buffer, mut watch) = (Buffer::new(discovery::LONGEST), Watch::default());
     loop {
         if written < out.len() {
@@ -175,7 +196,7 @@
             biased;
             _ = stream.readable() => {}
             _ = stream.writable(), if written < out.len() => {}
-            () = until(clock, heard + SILENCE) => return "silence".into(),
+            () = until(clock, state.due()) => return "silence".into(),
             () = sleep(LOOKS), if leads => {
                 // The time is read first: what comes after it may be missed by this look.
                 let now = clock.now();
@@ -187,33 +208,39 @@
         }
         match stream.try_read(buffer.space()) {
             Ok(0) => return "it ended".into(),
-            Ok(count) => {
-                buffer.filled(count);
-                heard = clock.now();
-            }
+            Ok(count) => buffer.filled(count),
             Err(why) if why.kind() == ErrorKind::WouldBlock => continue,
             Err(why) => return format!("not read ({why})"),
         }
         loop {
-            match watch.line(&mut buffer) {
+            match watch.word(&mut buffer) {
                 Err(why) => return why.into(),
                 Ok(None) => break,
-                Ok(Some(end)) => {
-                    if let Err(why) = take(list, &buffer.data()[..end], whole) {
+                Ok(Some(word)) => {
+                    let now = clock.now();
+                    if word == Word::Head {
+                        state.answered();
+                        continue;
+                    }
+                    state.heard(now);
+                    list.borrow_mut().quiet(now - std::mem::replace(heard, now));
+                    if let Word::Object(end) = word
+                        && let Err(why) = take(list, &buffer.data()[..end], whole)
+                    {
                         return why.into();
                     }
-                    watch.done(&mut buffer);
                 }
             }
         }
+        // Guards against bytes that keep coming and make nothing whole.
+        if clock.now() >= state.due() {
+            return "silence".into();
+        }
     }
 }
 
-/// One line of the watch: blank while nothing changes, else a list or a change.
+/// One object of the watch: a list or a change.
 fn take(list: &Following, line: &[u8], whole_layout: &mut bool) -> Result<(), &'static str> {
-    if line.trim_ascii().is_empty() {
-        return Ok(());
-    }
     let (index, whole) = discovery::version(line)?;
     let mut list = list.borrow_mut();
     let (clock, roster) = (list.clock(), list.roster());
@@ -223,11 +250,21 @@
         return Err("a change to an older list");
     }
     roster.begin(index, whole);
-    let mut entries = 0;
-    discovery::entries(line, |name, address, cell, state, since| {
-        entries += 1;
-        roster.entry(name, address, cell, state, clock.from_unix(since));
+    let (mut entries, mut unusable, mut wrong) = (0, 0, None);
+    discovery::entries(line, |name, told| match told {
+        Ok(node) => {
+            entries += 1;
+            roster.entry(name, node.address, node.cell, node.state, clock.from_unix(node.since));
+        }
+        Err((state, why)) => {
+            unusable += 1;
+            wrong.get_or_insert_with(|| format!("that of node `{name}`: {why}"));
+            roster.unreadable(name, state);
+        }
     })?;
+    if let Some(first) = wrong {
+        tracing::warn!(target: "roster", "list {index}: {unusable} entries cannot be used, first {first}");
+    }
     let told = if list.layout_since().is_some() { layout::news(line) } else { Ok(None) };
     let (mut refused, held) = (None, list.layout_since());
     match told {
--- a/crates/router/src/drive/lead.rs
+++ b/crates/router/src/drive/lead.rs
@@ -37,7 +37,6 @@
 /// The list as the lead keeps it for the cores.
 struct List {
     clock: Clock,
-    dial: f64,
     follows: bool,
     roster: Roster,
     house: Arc<House>,
@@ -62,9 +61,6 @@
     fn clock(&self) -> Clock {
         self.clock
     }
-    fn dial(&self) -> f64 {
-        self.dial
-    }
     fn follows(&self) -> bool {
         self.follows
     }
@@ -78,9 +74,12 @@
         self.counters.one("roster_lists");
         self.publish();
     }
-    fn watch_lost(&mut self) {
+    fn quiet(&mut self, span: f64) {
+        self.counters.most("discovery_quiet_ms_most", (span * 1e3) as u64);
+    }
+    fn watch_lost(&mut self, answered: bool) {
         self.counters.one("discovery_watches_lost");
-        if self.follows {
+        if self.follows && answered {
             self.told.send_modify(|told| told.failures += 1);
         }
     }
@@ -165,13 +164,13 @@
     let (told, roster_told) = watch::channel(Told::default());
     let (phase, phase_told) = watch::channel(Phase::Serving);
     let (reports, mut came) = mpsc::unbounded_channel();
-    let (dial, follows) = (trunk.dial, room.follow);
+    let follows = room.follow;
     let (layouts, counters) = (station.layouts, Counters::default());
     // Guards against a shard's number that the lead has forgotten and a core has not: it takes over what the lead has
     // checked, so the lead remembers for longer than a part can be open.
     let longer = |l: Following| Following { grace: l.grace + room.deadline + 1.0, ..l };
     let ground = layouts.map(|layouts| Ground::new(longer(layouts)));
-    let mut list = List { clock, dial, follows, roster, house: house.clone(), counters, ground, told };
+    let mut list = List { clock, follows, roster, house: house.clone(), counters, ground, told };
     list.publish();
     list.house.fence.looked(clock.now());
     let known = list.roster.nodes.len();
@@ -215,9 +214,7 @@
     if watched.is_ok() {
         let _ = phase.send(Phase::Stopping);
         let over = clock.now() + stop::limit(room.deadline) + 0.3;
-        sleep(stop::LISTEN).await;
-        close.notify_one();
-        let _ = timeout(stop::LISTEN, listening).await;
+        stop::listener_closed(close, listening).await;
         let _ = phase.send(Phase::Closed);
         let mut left = crew.borrow().count(|state| !matches!(state, State::Failed(_) | State::Lost));
         while left > 0 && clock.now() < over {
--- a/crates/router/src/drive/nodes.rs
+++ b/crates/router/src/drive/nodes.rs
@@ -1,5 +1,5 @@
 //! The driver of one connection to a data node.
-use super::until;
+use super::{arrival, rounds, until};
 use crate::memory::Shared;
 use crate::memory::descriptors::{Held, Share};
 use crate::memory::desk::Dial;
@@ -34,6 +34,7 @@
         Err(_) => desk.borrow_mut().counters.one("connections{dial_timed_out}"),
     }
     desk.borrow_mut().line_lost(&node, line);
+    rounds::post(&desk, &share);
 }
 
 /// Waits for a descriptor, making room where all are taken, and dials.
@@ -77,6 +78,13 @@
     let mut whole_by = f64::INFINITY;
     loop {
         let before = written;
+        // Guards against a call written to a connection that its node has closed as idle, which would count as one
+        // that may have run.
+        if desk.borrow_mut().roster.line(node, line).is_some_and(|l| l.is_unasked()) && arrival::ended(stream)
+        {
+            desk.borrow_mut().put_back(node, line);
+            return Ok(());
+        }
         if !write(desk, node, line, stream, &mut out, &mut written) {
             return Ok(());
         }
--- a/crates/router/src/life/serve.rs
+++ b/crates/router/src/life/serve.rs
@@ -64,10 +64,10 @@
     let (agent, at) = watch::channel(discovery);
     spawn_local(discovery::run(desk.clone(), at));
     spawn_local(reload::at_sighup(hangups, Was { path, beside, fixed }, agent, clock));
-    spawn_local(clients::listen(desk.clone(), listener, for_clients, Rc::clone(&close)));
+    let listening = spawn_local(clients::listen(desk.clone(), listener, for_clients, Rc::clone(&close)));
     // A router whose module has failed must not go on as if it served.
     tokio::select! {
-        () = stop::at_sigterm(terms, desk.clone(), close) => {}
+        () = stop::at_sigterm(terms, desk.clone(), close, listening) => {}
         failed = rounds => return Err(io::Error::other(format!("the rounds ended: {failed:?}"))),
     }
     logger::last_words(&desk.borrow().figures());
--- a/crates/router/src/life/start.rs
+++ b/crates/router/src/life/start.rs
@@ -1,5 +1,6 @@
 //! The one place where the configuration is read, checked and given defaults. Every message names its key.
 use crate::memory::clock::Clock;
+use crate::memory::desk::Class;
 use crate::memory::ground::Following;
 use crate::memory::roster::Roster;
 use crate::peers::Circle;
@@ -31,7 +32,7 @@
     pub roster: Roster,
     /// Makes the decision module, which its settings have proved to allow.
     pub module: Recipe,
-    pub verticals: Vec<String>,
+    pub verticals: Vec<Class>,
     pub trunk: deployment::Trunk,
     pub room: deployment::Intake,
     pub fixed: Fixed,
@@ -129,6 +130,9 @@
     let wrong = |why: String| format!("key `settings`: expected {why}");
     let (_, verticals) = deployment::router(seed, settings).map_err(wrong)?;
     let (trunk, room) = deployment::sockets(settings).map_err(wrong)?;
+    let windows = deployment::windows(settings).map_err(wrong)?;
+    let class = |(name, window)| Class { name, window };
+    let verticals = verticals.into_iter().zip(windows).map(class).collect();
     Ok(Station {
         path: PathBuf::new(),
         beside: None,
@@ -162,8 +166,10 @@
     let text = list.to_string();
     let (index, _) = discovery::version(text.as_bytes())?;
     roster.begin(index, true);
-    discovery::entries(text.as_bytes(), |name, address, cell, state, since| {
-        roster.entry(name, address, cell, state, clock.from_unix(since));
+    let mut wrong = None;
+    discovery::entries(text.as_bytes(), |name, told| match told {
+        Ok(node) => roster.entry(name, node.address, node.cell, node.state, clock.from_unix(node.since)),
+        Err((_, why)) => wrong = wrong.or(Some(why)),
     })?;
-    Ok(roster)
+    wrong.map_or(Ok(roster), |why| Err(why.into()))
 }
--- a/crates/router/src/life/stop.rs
+++ b/crates/router/src/life/stop.rs
@@ -1,10 +1,12 @@
 //! The way out after SIGTERM: nothing that was taken is lost, and clients keep their connections while they can.
 use crate::memory::Shared;
+use crate::memory::desk::Stage;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::Signal;
 use tokio::sync::Notify;
-use tokio::time::sleep;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
 
 /// PROTOCOL: new connections keep coming for 0.4 s after SIGTERM; SIGKILL comes no sooner than the longest
 /// deadline, counted as 3 s where it is longer, and 0.7 s.
@@ -20,14 +22,18 @@
     deadline.min(LONGEST_DEADLINE) + KILL - AHEAD
 }
 
-/// Waits for SIGTERM and sees the stop through on one core.
-pub async fn at_sigterm(mut terms: Signal, desk: Shared, close_listener: Rc<Notify>) {
+/// Waits for SIGTERM and sees the stop through on one core, whose listener ends with `close`.
+pub async fn at_sigterm(mut terms: Signal, desk: Shared, close: Rc<Notify>, listening: JoinHandle<()>) {
     terms.recv().await;
-    see_through(desk, async {
-        sleep(LISTEN).await;
-        close_listener.notify_one();
-    })
-    .await;
+    see_through(desk, listener_closed(close, listening)).await;
+}
+
+/// Ends once no new client comes: guards against ending with connections that the system has accepted and nobody
+/// has looked at yet, as after standing still.
+pub async fn listener_closed(close: Rc<Notify>, listening: JoinHandle<()>) {
+    sleep(LISTEN).await;
+    close.notify_one();
+    let _ = timeout(LISTEN, listening).await;
 }
 
 /// Sees a stop through; returns when the program may end. Clients go on using the connections that they have, and
@@ -37,7 +43,7 @@
     let (clock, began, limit, slo) = {
         let mut desk = desk.borrow_mut();
         let began = desk.clock.now();
-        desk.stopping = true;
+        desk.stage = Stage::Stopping;
         let (queries, clients) = (desk.queries.len(), desk.clients.len());
         tracing::info!(target: "stop", "SIGTERM: {queries} queries open, {clients} clients");
         (desk.clock, began, limit(desk.room.deadline), desk.room.slo)
@@ -45,12 +51,13 @@
     closed.await;
     while clock.now() < began + limit && !desk.borrow().clients.is_empty() {
         if clock.now() >= began + limit - slo {
-            desk.borrow_mut().closing = true;
+            desk.borrow_mut().stage = Stage::Closing;
             desk.borrow().clients.dismiss_idle();
         }
         sleep(LOOK).await;
     }
     let open = desk.borrow().queries.len();
+    desk.borrow_mut().stage = Stage::Ended;
     desk.borrow_mut().abort_all();
     // The last answers go out.
     while clock.now() < began + limit + 0.5 * AHEAD && !desk.borrow().clients.is_empty() {
--- a/crates/router/src/memory/clients.rs
+++ b/crates/router/src/memory/clients.rs
@@ -4,6 +4,17 @@
 use std::rc::Rc;
 use tokio::sync::Notify;
 
+/// What the rest of the program wants of a connection.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Wish {
+    #[default]
+    Stay,
+    /// To close while nothing of a request has come: what has begun to come is served first.
+    CloseIdle,
+    /// To close though part of a request has come: the rest has kept it waiting too long.
+    CloseHalfSent,
+}
+
 /// One connection of a client. Its driver owns the socket; what is to be written stands in `out`.
 #[derive(Default)]
 pub struct Client {
@@ -13,8 +24,7 @@
     pub query: Cell<Option<u64>>,
     /// Ends after the present answer.
     pub closes: Cell<bool>,
-    /// Is to close now, as it is idle.
-    pub dismissed: Cell<bool>,
+    pub wish: Cell<Wish>,
     /// Has sent a request before.
     pub used: Cell<bool>,
     /// Since when it stands idle, or waits for the rest of a request; `None` from a whole request to the last
@@ -28,9 +38,18 @@
 
 impl Client {
     fn dismiss(&self) {
-        self.dismissed.set(true);
+        self.wish.set(if self.half_sent.get() { Wish::CloseHalfSent } else { Wish::CloseIdle });
         self.wake.notify_one();
     }
+
+    /// Whether it is to close now, with nothing open on it.
+    pub fn is_dismissed(&self) -> bool {
+        match self.wish.get() {
+            Wish::Stay => false,
+            Wish::CloseIdle => !self.half_sent.get(),
+            Wish::CloseHalfSent => true,
+        }
+    }
 }
 
 #[derive(Default)]
@@ -68,7 +87,7 @@
     /// Dismisses a connection to make room for a new one: the longest idle of those that have never sent a request,
     /// else one of which only part of a request has come for `patience` or longer, else one that was of use.
     pub fn dismiss_oldest(&self, now: f64, patience: f64) {
-        let idle = self.all.values().filter(|c| !c.dismissed.get());
+        let idle = self.all.values().filter(|c| !c.is_dismissed());
         let idle = idle.filter_map(|c| Some((c.used.get(), c.half_sent.get(), c.idle.get()?, c)));
         let idle = idle.filter(|(_, half, since, _)| !half || since + patience <= now);
         let rank = |used, half| if half { 1 } else { 2 * i32::from(used) };
--- a/crates/router/src/memory/counters.rs
+++ b/crates/router/src/memory/counters.rs
@@ -5,13 +5,17 @@
 
 /// One figure a name; a name may end in the vertical or the ending that it is counted by.
 #[derive(Clone, Default)]
-pub struct Counters(BTreeMap<String, u64>);
+pub struct Counters {
+    sums: BTreeMap<String, u64>,
+    /// The largest figure seen.
+    most: BTreeMap<String, u64>,
+}
 
 impl Counters {
     pub fn add(&mut self, name: &str, count: usize) {
-        match self.0.get_mut(name) {
+        match self.sums.get_mut(name) {
             Some(figure) => *figure += count as u64,
-            None => drop(self.0.insert(name.to_string(), count as u64)),
+            None => drop(self.sums.insert(name.to_string(), count as u64)),
         }
     }
 
@@ -19,9 +23,16 @@
         self.add(name, 1);
     }
 
+    /// Keeps the largest figure.
+    pub fn most(&mut self, name: &str, figure: u64) {
+        let held = self.most.entry(name.to_string()).or_default();
+        *held = figure.max(*held);
+    }
+
     /// Adds what another core counted.
     pub fn join(&mut self, other: &Counters) {
-        other.0.iter().for_each(|(name, figure)| self.add(name, *figure as usize));
+        other.sums.iter().for_each(|(name, figure)| self.add(name, *figure as usize));
+        other.most.iter().for_each(|(name, figure)| self.most(name, *figure));
     }
 
     pub fn ended(&mut self, ending: Ending) {
@@ -39,7 +50,7 @@
     }
 
     pub fn text(&self) -> String {
-        self.0.iter().fold(String::new(), |mut text, (name, figure)| {
+        self.sums.iter().chain(&self.most).fold(String::new(), |mut text, (name, figure)| {
             let _ = writeln!(text, "{name} {figure}");
             text
         })
--- a/crates/router/src/memory/desk.rs
+++ b/crates/router/src/memory/desk.rs
@@ -32,11 +32,39 @@
     pub address: SocketAddr,
 }
 
+/// How far a program is on its way out.
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
+pub enum Stage {
+    #[default]
+    Serving,
+    /// SIGTERM has come: no new connection is wanted.
+    Stopping,
+    /// Every connection closes with its present answer.
+    Closing,
+    /// What comes now would find no time for an answer, and is turned away at once.
+    Ended,
+}
+
+/// A vertical as the desk knows it.
+#[derive(Clone, Debug, Default)]
+pub struct Class {
+    pub name: String,
+    /// For so long after a part's first call its data node drops what it has run before, where only that allows
+    /// another.
+    pub window: Option<f64>,
+}
+
+impl From<&str> for Class {
+    fn from(name: &str) -> Self {
+        Class { name: name.into(), window: None }
+    }
+}
+
 pub struct Desk {
     pub clock: Clock,
     pub trunk: Trunk,
     pub room: Room,
-    pub verticals: Vec<String>,
+    pub verticals: Vec<Class>,
     pub queries: Queries,
     pub calls: Calls,
     pub roster: Roster,
@@ -69,10 +97,7 @@
     pub came: Rc<Notify>,
     /// The module asks to follow the roster.
     pub follow: Arc<Notify>,
-    /// SIGTERM has come: no new connection is wanted.
-    pub stopping: bool,
-    /// Every connection closes with its present answer.
-    pub closing: bool,
+    pub stage: Stage,
     /// Queries could be served once, and the log has said so.
     ready: bool,
     new: Vec<u64>,
@@ -85,7 +110,7 @@
 
 impl Desk {
     /// A desk that shares with nobody.
-    pub fn new(clock: Clock, trunk: Trunk, room: Room, verticals: Vec<String>) -> Self {
+    pub fn new(clock: Clock, trunk: Trunk, room: Room, verticals: Vec<Class>) -> Self {
         Desk::on(House::alone(room.room), 0, clock, trunk, room, verticals)
     }
 
@@ -95,7 +120,7 @@
         clock: Clock,
         trunk: Trunk,
         room: Room,
-        verticals: Vec<String>,
+        verticals: Vec<Class>,
     ) -> Self {
         Desk {
             follow: house.follow.clone(),
@@ -122,8 +147,7 @@
             clients: Clients::default(),
             counters: Counters::default(),
             came: Rc::default(),
-            stopping: false,
-            closing: false,
+            stage: Stage::default(),
             ready: false,
             new: vec![],
             left: vec![],
@@ -137,7 +161,7 @@
     pub fn able(&self) -> bool {
         let led = self.house.fence.passes(u64::MAX, self.clock.now()).is_ok();
         let mapped = self.ground.as_ref().is_none_or(|ground| ground.version().is_some());
-        self.roster.names_any() && !self.stopping && led && mapped
+        self.roster.names_any() && self.stage == Stage::Serving && led && mapped
     }
 
     /// What this core counted, and what is open on it now.
@@ -173,7 +197,7 @@
     }
 
     fn count(&mut self, what: &str, vertical: usize) {
-        let name = format!("queries_{what}{{{}}}", self.verticals[vertical]);
+        let name = format!("queries_{what}{{{}}}", self.verticals[vertical].name);
         self.counters.one(&name);
     }
 
@@ -189,10 +213,10 @@
             return Err((400, "a query with this X-Correlation-Id is open"));
         }
         self.count("taken", vertical);
-        let (Some(room), Ok(id)) = (room, id) else {
+        let (Some(room), Ok(id), true) = (room, id, self.stage < Stage::Ended) else {
             self.count("turned_away", vertical);
-            let closes = client.closes.get();
-            answer::plain(&mut client.out.borrow_mut(), 503, "too many queries are open", None, closes);
+            let (out, closes) = (&mut client.out.borrow_mut(), client.closes.get());
+            answer::plain(out, 503, "too many queries are open, or none is taken any more", None, closes);
             return Ok(());
         };
         if let Some(ground) = &mut self.ground {
@@ -388,7 +412,25 @@
         out.iter().for_each(|id| self.end(id, Ending::Reset));
     }
 
+    /// A data node has closed a connection that stood idle. What waits there goes out on another, which was no
+    /// decision of whoever chose the node; each such connection has served before, so none is tried for ever.
+    pub fn put_back(&mut self, node: &str, line: u64) {
+        let Some(record) = self.roster.nodes.get_mut(node) else { return };
+        let Some(mut line) = record.lines.remove(&line) else { return };
+        let calls = line.take_waiting();
+        self.counters.add("calls_put_back", calls.len());
+        if !calls.is_empty() {
+            record.fresh.extend(calls);
+            self.sending.insert(node.to_string());
+        }
+    }
+
     fn end(&mut self, id: &CallId, ending: Ending) {
+        if ending.never_ran()
+            && let Some(part) = self.queries.part(&id.0)
+        {
+            part.begun.retain(|(hop, _)| *hop != id.1);
+        }
         if self.calls.end(id, ending, self.clock.now()).is_some() {
             self.counters.ended(ending);
             self.came.notify_one();
@@ -431,6 +473,7 @@
 
     /// Writes the next frame of a connection into `out`; false when none waits.
     pub fn next_frame(&mut self, node: &str, line: u64, out: &mut Vec<u8>) -> bool {
+        self.sift(node, line);
         let now = self.clock.now();
         let passes = self.house.fence.passes(self.known, now);
         let version = self.ground.as_ref().and_then(Ground::version).unwrap_or(0);
@@ -461,11 +504,42 @@
                 });
                 frames::call(out, asked);
                 self.counters.one("frames_sent{call}");
+                let begun = parts.clone();
+                for (part, hop) in begun {
+                    if let Some(part) = self.queries.part(&part) {
+                        part.begun.push((hop, now));
+                    }
+                }
             }
         }
         true
     }
 
+    /// Of a call whose frame is next: which parts may still begin. What was decided may have waited for a dial or for
+    /// a place since, past a part's time, or past the window in which its node drops what it has run before.
+    fn too_late(&self, id: &CallId, now: f64) -> bool {
+        let Some((vertical, part)) = self.queries.vertical_and_part(&id.0) else { return true };
+        let until = self.calls.get(id).map_or(now, |call| call.until);
+        let window = self.verticals[vertical].window.unwrap_or(f64::INFINITY);
+        until <= now || part.begun.iter().any(|(_, at)| at + window <= now)
+    }
+
+    /// Ends the calls of the next frame that come too late to begin, as ones that were never sent.
+    fn sift(&mut self, node: &str, line: u64) {
+        let now = self.clock.now();
+        loop {
+            let Some(line) = self.roster.line(node, line) else { return };
+            let next = line.next_call().to_vec();
+            let late: Vec<_> = next.iter().filter(|id| self.too_late(id, now)).collect();
+            self.counters.add("calls_too_late_to_begin", late.len());
+            late.iter().for_each(|id| self.give_up(id, Ending::NeverSent));
+            // A frame with nothing left in it is gone, and the one behind it is next.
+            if late.is_empty() || late.len() < next.len() {
+                return;
+            }
+        }
+    }
+
     // What discovery does.
 
     /// After a list or a change: nothing that has not begun goes to a node that drains or is gone, and the
@@ -685,7 +759,7 @@
         for part in &query.parts {
             self.take_back(&part.id, Ending::NeverSent);
         }
-        let closes = query.client.closes.get() || self.closing;
+        let closes = query.client.closes.get() || self.stage >= Stage::Closing;
         query.client.closes.set(closes);
         query.client.wake.notify_one();
         Some((query, closes))
--- a/crates/router/src/memory/lines.rs
+++ b/crates/router/src/memory/lines.rs
@@ -31,6 +31,8 @@
     begun: Option<Frame>,
     /// Parts whose frame has gone out whole and that are unanswered, with the call's number.
     out: BTreeMap<Rc<str>, usize>,
+    /// Something has come on it.
+    heard: bool,
     /// Since when calls have gone out and nothing has come.
     unheard: Option<f64>,
     /// Parts given up whose reply may still come, with the moment from which none can: it must not be read as
@@ -62,6 +64,20 @@
         self.out.is_empty() && self.frames.is_empty() && self.begun.is_none()
     }
 
+    /// Whether a call is next where nothing is out, on a connection that has served before.
+    pub fn is_unasked(&self) -> bool {
+        self.heard && self.out.is_empty() && !self.next_call().is_empty()
+    }
+
+    /// The calls that wait, of which no byte has gone out.
+    pub fn take_waiting(&mut self) -> Vec<CallId> {
+        let calls = self.frames.drain(..).filter_map(|frame| match frame {
+            Frame::Call(parts) => Some(parts),
+            Frame::GiveUp(_) => None,
+        });
+        calls.flatten().collect()
+    }
+
     pub fn idle_since(&self) -> Option<f64> {
         self.is_idle().then_some(self.idle_since)
     }
@@ -77,6 +93,14 @@
         self.wake.notify_one();
     }
 
+    /// The parts of the next frame, where that has not begun and asks for something new.
+    pub fn next_call(&self) -> &[CallId] {
+        match (&self.begun, self.frames.front()) {
+            (None, Some(Frame::Call(parts))) => parts,
+            _ => &[],
+        }
+    }
+
     /// Whether the next frame asks for something new.
     pub fn next_is_call(&self) -> bool {
         self.begun.is_none() && matches!(self.frames.front(), Some(Frame::Call(_)))
@@ -135,7 +159,7 @@
     /// A reply has come; returns the number of the call that it ends, none where the part is over, or nothing
     /// at all for a part that is not asked for here.
     pub fn replied(&mut self, part: &str, now: f64) -> Option<Option<usize>> {
-        (self.idle_since, self.unheard) = (now, None);
+        (self.idle_since, self.unheard, self.heard) = (now, None, true);
         if let Some((part, hop)) = self.out.remove_entry(part) {
             self.answered = Some(part);
             return Some(Some(hop));
--- a/crates/router/src/memory/mod.rs
+++ b/crates/router/src/memory/mod.rs
@@ -9,6 +9,7 @@
 pub mod descriptors;
 pub mod desk;
 pub mod due;
+pub mod following;
 pub mod ground;
 pub mod house;
 pub mod lines;
--- a/crates/router/src/memory/queries.rs
+++ b/crates/router/src/memory/queries.rs
@@ -16,6 +16,8 @@
     pub value: Option<String>,
     /// Leaf calls so far.
     pub calls: usize,
+    /// Those of them whose frame has begun and that may have run, with when it began.
+    pub begun: Vec<(usize, f64)>,
     /// What of a layout it asks for, where layouts are followed.
     pub keys: Option<Piece>,
 }
@@ -40,7 +42,7 @@
 
 impl Part {
     pub fn new(id: Rc<str>, shard: u32, weight: f64) -> Self {
-        Part { id, shard, weight, value: None, calls: 0, keys: None }
+        Part { id, shard, weight, value: None, calls: 0, begun: vec![], keys: None }
     }
 
     pub fn is_divided(&self) -> bool {
@@ -166,6 +168,13 @@
         Some((part.shard, &query.text, query.not_after, part.keys.map(|keys| keys.range)))
     }
 
+    /// An open part and its query's vertical.
+    pub fn vertical_and_part(&self, id: &str) -> Option<(usize, &Part)> {
+        let &(number, i) = self.parts.get(id)?;
+        let query = self.open.get(&number)?;
+        Some((query.vertical, query.parts.get(i)?))
+    }
+
     /// An open query and where in it a part stands.
     pub fn of_part(&mut self, id: &str) -> Option<(u64, &mut Query, usize)> {
         let &(number, i) = self.parts.get(id)?;
--- a/crates/router/src/memory/roster.rs
+++ b/crates/router/src/memory/roster.rs
@@ -9,6 +9,8 @@
     pub address: SocketAddr,
     pub cell: u32,
     pub state: NodeState,
+    /// What it was before the list that is being taken in.
+    before: NodeState,
     pub started: Option<f64>,
     pub lines: BTreeMap<u64, Line>,
     /// Parts that this round sends here, not yet made into calls.
@@ -37,21 +39,38 @@
     pub last_line: u64,
     /// Some node may be gone: otherwise nobody looks for one.
     any_gone: bool,
+    /// Of the list that is being taken in: whether it is the whole one, and whether it is older than one held before.
+    listing: bool,
+    older: bool,
+    newest: u64,
 }
 
 impl Roster {
     /// A list or a change begins; with a whole list, nodes that it does not name are gone.
     pub fn begin(&mut self, index: u64, whole: bool) {
         self.index = Some(index);
+        (self.listing, self.older) = (whole, index < self.newest);
+        self.newest = self.newest.max(index);
         if whole {
             (self.whole, self.any_gone) = (true, true);
             for (name, node) in &mut self.nodes {
-                node.state = NodeState::Gone;
+                node.before = std::mem::replace(&mut node.state, NodeState::Gone);
                 self.changed.insert(name.clone());
             }
         }
     }
 
+    /// An entry that cannot be used: the node stays as it was, or is as far as its state could be read. A node that
+    /// nothing else is known of stays unknown.
+    pub fn unreadable(&mut self, name: &str, state: Option<NodeState>) {
+        if let Some(node) = self.nodes.get_mut(name) {
+            let before = if self.listing { node.before } else { node.state };
+            node.state = state.filter(|state| *state != NodeState::Serving).unwrap_or(before);
+            self.any_gone |= node.state == NodeState::Gone;
+            self.changed.insert(name.to_string());
+        }
+    }
+
     /// One entry. Connections to an address that is no longer the node's take nothing new, and those to a
     /// process that has since been started again are cut: nobody there will answer.
     pub fn entry(
@@ -66,7 +85,8 @@
         let Some(node) = self.nodes.get_mut(name) else {
             let (lines, fresh) = (BTreeMap::new(), vec![]);
             self.any_gone |= state == NodeState::Gone;
-            self.nodes.insert(name.into(), Node { address, cell, state, started, lines, fresh });
+            let before = state;
+            self.nodes.insert(name.into(), Node { address, cell, state, before, started, lines, fresh });
             return;
         };
         if state == NodeState::Gone {
@@ -75,6 +95,10 @@
             return;
         }
         let (moved, again) = (node.address != address, node.started != started);
+        // Guards against a list older than what was told before, as another agent may have it: a process that drains
+        // or is gone does not come back.
+        let before = if self.listing { node.before } else { node.state };
+        let state = if self.older && !again && state == NodeState::Serving { before } else { state };
         for line in node.lines.values_mut() {
             line.retired |= moved;
             line.cut |= again && started.is_some_and(|at| line.opened < at);
--- a/crates/router/src/requests.rs
+++ b/crates/router/src/requests.rs
@@ -1,6 +1,7 @@
 //! What a request asks for: a query, readiness or the counters; anything else is told why not.
 use crate::memory::Shared;
 use crate::memory::clients::Client;
+use crate::memory::desk::Stage;
 use crate::memory::queries::{Part, Query};
 use crate::wire::frames::LONGEST_ID;
 use crate::wire::http::{Head, Refusal};
@@ -11,7 +12,7 @@
 /// Takes a whole request whose last byte came at `at`; it is answered now, or it is an open query then.
 pub fn take(desk: &Shared, client: &Rc<Client>, head: Head, body: &[u8], at: f64) {
     // The answers here have a body, which an answer to HEAD must not: no further message could be told apart.
-    let closes = head.closes() || head.first().starts_with("HEAD ") || desk.borrow().closing;
+    let closes = head.closes() || head.first().starts_with("HEAD ") || desk.borrow().stage >= Stage::Closing;
     client.closes.set(client.closes.get() || closes);
     let mut words = head.first().split(' ');
     let (method, target) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
@@ -59,7 +60,7 @@
     let left =
         left.parse::<u32>().ok().filter(|_| digits).ok_or((400, "X-Time-Left-Ms is not a whole number"))?;
     let mut desk = desk.borrow_mut();
-    let vertical = desk.verticals.iter().position(|v| v == class).ok_or((400, "an unknown vertical"))?;
+    let vertical = desk.verticals.iter().position(|v| v.name == class).ok_or((400, "an unknown vertical"))?;
     if desk.queries.is_open(id) {
         return Err((400, "a query with this X-Correlation-Id is open"));
     }
--- a/crates/router/src/tier/planner.rs
+++ b/crates/router/src/tier/planner.rs
@@ -67,7 +67,6 @@
 /// All but the module, which writes into it.
 pub struct Planner {
     pub clock: Clock,
-    dial: f64,
     verticals: usize,
     deadline: f64,
     room: usize,
@@ -112,17 +111,9 @@
 }
 
 impl Planner {
-    pub fn new(
-        clock: Clock,
-        dial: f64,
-        verticals: usize,
-        deadline: f64,
-        room: usize,
-        roster: Roster,
-    ) -> Self {
+    pub fn new(clock: Clock, verticals: usize, deadline: f64, room: usize, roster: Roster) -> Self {
         Planner {
             clock,
-            dial,
             verticals,
             deadline,
             room,
@@ -446,9 +437,6 @@
     fn clock(&self) -> Clock {
         self.clock
     }
-    fn dial(&self) -> f64 {
-        self.dial
-    }
     fn follows(&self) -> bool {
         false
     }
@@ -462,9 +450,12 @@
         self.counters.one("roster_changes");
         self.wake.notify_one();
     }
-    fn watch_lost(&mut self) {
+    fn watch_lost(&mut self, _answered: bool) {
         self.counters.one("discovery_watches_lost");
     }
+    fn quiet(&mut self, span: f64) {
+        self.counters.most("discovery_quiet_ms_most", (span * 1e3) as u64);
+    }
     fn moved(&mut self) {
         self.counters.one("discovery_moves");
     }
--- a/crates/router/src/tier/post.rs
+++ b/crates/router/src/tier/post.rs
@@ -36,9 +36,9 @@
     let mut router = module().map_err(io::Error::other)?;
     // It tells forwarders what it sees of data nodes, as one core tells others.
     router.join(Common::new(2).of(0));
-    let (dial, verticals) = (station.trunk.dial, station.verticals.len());
+    let verticals = station.verticals.len();
     let (deadline, room) = (station.room.deadline, station.room.room);
-    let shared = Rc::new(RefCell::new(Planner::new(clock, dial, verticals, deadline, room, roster)));
+    let shared = Rc::new(RefCell::new(Planner::new(clock, verticals, deadline, room, roster)));
     let listener = TcpListener::bind(listen).await?;
     let at = listener.local_addr()?;
     tracing::info!(target: "start", "{name} listens at {at}: a planner");
--- a/crates/router/src/wire/discovery.rs
+++ b/crates/router/src/wire/discovery.rs
@@ -7,7 +7,7 @@
 use std::io::Write;
 use std::net::SocketAddr;
 
-/// Longest line that is read: a whole list of some ten thousand data nodes.
+/// Longest object that is read: a whole list of some ten thousand data nodes.
 pub const LONGEST: usize = 2 * 1024 * 1024;
 
 /// Asks to follow the changes since a version, or from the whole list on where none is held; and, where layouts are
@@ -20,19 +20,27 @@
 
 /// The version of one object and whether it is the whole list, once all of it has proved readable.
 pub fn version(bytes: &[u8]) -> Result<(u64, bool), Fault> {
-    walk(bytes, &mut |_, _, _, _, _| ())
+    walk(bytes, &mut |_, _| ())
 }
 
-/// Every entry of a readable object goes straight into `entry`: name, address, cell, state, and the Unix time
-/// in milliseconds of the last start, 0 for long ago.
-pub fn entries(
-    bytes: &[u8],
-    mut entry: impl FnMut(&str, SocketAddr, u32, NodeState, u64),
-) -> Result<(), Fault> {
+/// A data node as a list names it. `since` is the Unix time in milliseconds of its last start, 0 for long ago.
+#[derive(Debug, PartialEq)]
+pub struct Node {
+    pub address: SocketAddr,
+    pub cell: u32,
+    pub state: NodeState,
+    pub since: u64,
+}
+
+/// An entry of which something cannot be used: its state, where that can be read, and what is wrong.
+pub type Wrong = (Option<NodeState>, Fault);
+
+/// Every entry of a readable object goes straight into `entry`, by its name; one without a name by none.
+pub fn entries(bytes: &[u8], mut entry: impl FnMut(&str, Result<Node, Wrong>)) -> Result<(), Fault> {
     walk(bytes, &mut entry).map(drop)
 }
 
-type Entry<'a> = &'a mut dyn FnMut(&str, SocketAddr, u32, NodeState, u64);
+type Entry<'a> = &'a mut dyn FnMut(&str, Result<Node, Wrong>);
 
 /// Where a deleted data node, which needs no address any more, is said to be if discovery does not say.
 const NOWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED), 0);
@@ -58,51 +66,79 @@
     Ok((index.ok_or("no `index`")?, whole.ok_or("no `snapshot`")?))
 }
 
+fn state(json: &mut Json) -> Result<NodeState, Fault> {
+    match json.text()?.as_ref() {
+        "SERVING" => Ok(NodeState::Serving),
+        "DRAINING" => Ok(NodeState::Draining),
+        "DELETED" => Ok(NodeState::Gone),
+        _ => Err("an unknown `status`"),
+    }
+}
+
+/// One entry. Guards against one that is wrong hiding all others of its list: it alone is told as wrong.
 fn one(json: &mut Json, entry: Entry) -> Result<(), Fault> {
-    let (mut name, mut address, mut cell, mut state, mut since) = (None, None, None, None, 0);
+    let (mut name, mut address, mut cell) = (None, None, None);
+    let (mut status, mut since) = (Err("an entry without `status`"), Ok(0));
     json.object(|json, key| {
         match key {
-            "name" => name = Some(json.text()?),
+            "name" => name = json.or_skip(Json::text)?.ok(),
             "address" => {
-                address = Some(json.text()?.parse().map_err(|_| "`address` is not address:port")?);
+                let found = json.or_skip(Json::text)?;
+                address = Some(found.and_then(|a| a.parse().map_err(|_| "`address` is not address:port")));
             }
-            "group" => cell = Some(json.whole()?),
-            "since_ms" => since = json.whole()?,
-            "status" => {
-                state = Some(match json.text()?.as_ref() {
-                    "SERVING" => NodeState::Serving,
-                    "DRAINING" => NodeState::Draining,
-                    "DELETED" => NodeState::Gone,
-                    _ => return Err("an unknown `status`"),
-                });
+            "group" => {
+                let found = json.or_skip(Json::whole)?.map_err(|_| "`group` is not a whole number");
+                cell = Some(found.and_then(|cell| u32::try_from(cell).map_err(|_| "`group` is too large")));
             }
+            "since_ms" => since = json.or_skip(Json::whole)?.map_err(|_| "`since_ms` is not a whole number"),
+            "status" => status = json.or_skip(state)?,
             _ => json.skip()?,
         }
         Ok(())
     })?;
-    let (name, state) = (name.ok_or("an entry without `name`")?, state.ok_or("an entry without `status`")?);
-    let gone = state == NodeState::Gone;
-    let address = address.or(gone.then_some(NOWHERE)).ok_or("an entry without `address`")?;
-    let cell = cell.or(gone.then_some(0)).ok_or("an entry without `group`")?;
-    entry(&name, address, u32::try_from(cell).map_err(|_| "`group` is too large")?, state, since);
+    let gone = status == Ok(NodeState::Gone);
+    let (address, cell) = (address.or(gone.then_some(Ok(NOWHERE))), cell.or(gone.then_some(Ok(0))));
+    let read = || {
+        let (address, cell) =
+            (address.ok_or("an entry without `address`"), cell.ok_or("an entry without `group`"));
+        name.as_ref().ok_or("an entry without `name`")?;
+        Ok(Node { address: address??, cell: cell??, state: status?, since: since? })
+    };
+    let told = read().map_err(|why| (status.ok(), why));
+    entry(name.as_deref().unwrap_or_default(), told);
     Ok(())
 }
 
-/// The stream of a watch: a head, then chunks, in which every line is one object or blank.
+/// What has come whole on a watch.
+#[derive(Debug, PartialEq)]
+pub enum Word {
+    /// The answer has begun.
+    Head,
+    /// A line with nothing on it: nothing has changed.
+    Blank,
+    /// An object, which ends so many bytes from the start of the buffer.
+    Object(usize),
+}
+
+/// The stream of a watch: a head, then chunks, which hold objects and blank lines. An object may be written over
+/// several lines.
 #[derive(Default)]
 pub struct Watch {
     head: Messages,
     headed: bool,
     chunks: Chunks,
-    /// How much of the buffer is decoded, and how much of that holds no end of a line.
+    /// How much of the buffer is decoded, how much of that is looked at, and how much is of a word told already.
     decoded: usize,
     seen: usize,
-    line: usize,
+    told: usize,
+    depth: usize,
+    in_text: bool,
+    escaped: bool,
 }
 
 impl Watch {
-    /// Looks for a whole line at the start of the buffer and returns where it ends.
-    pub fn line(&mut self, buffer: &mut Buffer) -> Result<Option<usize>, Fault> {
+    /// The next word that stands whole in the buffer; an object stays there until the next call.
+    pub fn word(&mut self, buffer: &mut Buffer) -> Result<Option<Word>, Fault> {
         if !self.headed {
             if !self.head.find_head(buffer).map_err(|refusal| refusal.1)? {
                 return Ok(None);
@@ -116,26 +152,54 @@
             }
             self.head.done(buffer);
             self.headed = true;
+            return Ok(Some(Word::Head));
+        }
+        if self.told > 0 {
+            buffer.used(self.told);
+            self.decoded -= self.told;
+            self.seen -= self.told;
+            self.told = 0;
         }
         self.decoded = self.chunks.decode(buffer, self.decoded).map_err(|refusal| refusal.1)?;
-        let end = buffer.data()[self.seen..self.decoded].iter().position(|&b| b == b'\n');
-        match end {
-            Some(end) => {
-                self.line = self.seen + end;
-                Ok(Some(self.line))
-            }
-            None if self.chunks.done() => Err("the watch has ended"),
-            None if self.decoded >= LONGEST => Err("a line is too long"),
-            None => {
-                self.seen = self.decoded;
-                Ok(None)
+        while self.seen < self.decoded {
+            let byte = buffer.data()[self.seen];
+            self.seen += 1;
+            if let Some(word) = self.take(byte)? {
+                self.told = self.seen;
+                return Ok(Some(word));
             }
         }
+        match () {
+            () if self.chunks.done() => Err("the watch has ended"),
+            () if self.decoded >= LONGEST => Err("an object is too long"),
+            () => Ok(None),
+        }
     }
 
-    /// The line is done with; the next one may be looked for.
-    pub fn done(&mut self, buffer: &mut Buffer) {
-        buffer.used(self.line + 1);
-        (self.decoded, self.seen) = (self.decoded - self.line - 1, 0);
+    fn take(&mut self, byte: u8) -> Result<Option<Word>, Fault> {
+        if self.in_text {
+            match byte {
+                _ if self.escaped => self.escaped = false,
+                b'\\' => self.escaped = true,
+                b'"' => self.in_text = false,
+                0..0x20 => return Err("a control character in a string"),
+                _ => {}
+            }
+            return Ok(None);
+        }
+        match byte {
+            b'{' => self.depth += 1,
+            b'}' if self.depth == 1 => {
+                self.depth = 0;
+                return Ok(Some(Word::Object(self.seen)));
+            }
+            b'}' if self.depth > 0 => self.depth -= 1,
+            b'"' if self.depth > 0 => self.in_text = true,
+            b'\n' if self.depth == 0 => return Ok(Some(Word::Blank)),
+            b' ' | b'\t' | b'\r' => {}
+            _ if self.depth == 0 => return Err("something that is no object"),
+            _ => {}
+        }
+        Ok(None)
     }
 }
--- a/crates/router/src/wire/json.rs
+++ b/crates/router/src/wire/json.rs
@@ -195,6 +195,17 @@
         }
     }
 
+    /// Reads a value, or passes over it where it is not what it should be; an error only where it is no JSON.
+    pub fn or_skip<T>(&mut self, read: impl FnOnce(&mut Self) -> Read<T>) -> Read<Read<T>> {
+        let (at, depth) = (self.at, self.depth);
+        let found = read(self);
+        if found.is_err() {
+            (self.at, self.depth) = (at, depth);
+            self.skip()?;
+        }
+        Ok(found)
+    }
+
     pub fn end(&mut self) -> Read<()> {
         if self.peek().is_none() { Ok(()) } else { Err("something follows the end") }
     }
--- a/crates/router/tests/desk.rs
+++ b/crates/router/tests/desk.rs
@@ -6,13 +6,13 @@
 use alderway_router::memory::clients::{Client, Clients};
 use alderway_router::memory::clock::Clock;
 use alderway_router::memory::descriptors;
-use alderway_router::memory::desk::{Desk, Dial};
+use alderway_router::memory::desk::{Desk, Dial, Stage};
 use alderway_router::memory::house::{House, Sharing};
 use alderway_router::memory::queries::{Part, Query};
 use alderway_router::memory::roster::Entry;
 use rstest::rstest;
 use std::rc::Rc;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 /// Writes down what the module is told.
 #[derive(Default)]
@@ -251,14 +251,79 @@
 fn a_time_out_ends_the_call_and_tells_the_node() {
     let mut desk = desk();
     take(&mut desk, "q", &[1]);
-    desk.call("q.1", "s", 0.0);
+    desk.call("q.1", "s", 0.05);
     let now = desk.clock.now();
     let dial = desk.post(now).remove(0);
-    write(&mut desk, &dial);
+    assert!(write(&mut desk, &dial).is_some_and(|text| text.starts_with("Sq.1 ")));
+    std::thread::sleep(std::time::Duration::from_millis(60));
     assert_eq!(told(&mut desk), ["q.1 0 s TimedOut"]);
     assert_eq!(write(&mut desk, &dial).as_deref(), Some("Cq.1"));
 }
 
+/// How the first call of a part ends, and whether another may begin once its window is over.
+#[rstest]
+#[case::failed(Ending::Error, None)]
+#[case::turned_away(Ending::Full, Some("Sq.1 "))]
+fn a_deduplicated_part_that_waited_past_its_window_does_not_begin_again(
+    #[case] first: Ending,
+    #[case] second: Option<&str>,
+) {
+    let mut desk = desk();
+    desk.verticals[0].window = Some(0.05);
+    take(&mut desk, "q", &[1]);
+    let dial = send(&mut desk, "s", &["q.1"]).remove(0);
+    write(&mut desk, &dial);
+    desk.replied("s", dial.line, "q.1", first, "");
+    // Decided in time; the connection comes up when the node drops no repeat any more.
+    let dial = send(&mut desk, "t", &["q.1"]).remove(0);
+    told(&mut desk);
+    std::thread::sleep(std::time::Duration::from_millis(60));
+    let text = write(&mut desk, &dial);
+    assert_eq!(text.as_deref().map(|text| &text[..5]), second);
+    let ended = if second.is_none() { vec!["q.1 1 t NeverSent"] } else { vec![] };
+    assert_eq!(told(&mut desk), ended);
+}
+
+#[rstest]
+fn a_call_whose_time_is_over_does_not_begin_and_those_beside_it_do() {
+    let mut desk = desk();
+    take(&mut desk, "q", &[1, 2]);
+    desk.call("q.1", "s", 0.0);
+    desk.call("q.2", "s", 5.0);
+    let now = desk.clock.now();
+    let dial = desk.post(now).remove(0);
+    let text = write(&mut desk, &dial).expect("a call");
+    assert!(text.starts_with("Sq.2 "), "{text}");
+    assert_eq!(told(&mut desk), ["q.1 0 s NeverSent"]);
+}
+
+#[rstest]
+fn a_query_that_comes_as_the_program_ends_is_turned_away_at_once() {
+    let mut desk = desk();
+    desk.stage = Stage::Ended;
+    let client = Rc::new(Client::default());
+    let (id, part) = ("q".into(), Part::new("q.1".into(), 1, 1.0));
+    let (not_after, text, parts) = (desk.clock.now() + 5.0, String::new(), vec![part]);
+    let (of, coverage) = (client.clone(), None);
+    let query = Query { id, vertical: 0, not_after, text, parts, client: of, coverage };
+    desk.take(&client, query).expect("answered");
+    assert!(client.out.borrow().starts_with(b"HTTP/1.1 503 "));
+    assert!(told(&mut desk).is_empty() && desk.queries.is_empty());
+}
+
+#[rstest]
+fn an_older_list_brings_no_node_back_that_was_told_to_drain() {
+    let mut desk = desk();
+    let list = |desk: &mut Desk, index, state| {
+        desk.roster.begin(index, true);
+        roster(desk, "s", 1, state, None);
+        desk.roster.nodes["s"].state
+    };
+    assert_eq!(list(&mut desk, 9, NodeState::Draining), NodeState::Draining);
+    assert_eq!(list(&mut desk, 8, NodeState::Serving), NodeState::Draining);
+    assert_eq!(list(&mut desk, 10, NodeState::Serving), NodeState::Serving);
+}
+
 #[rstest]
 fn a_node_that_moved_or_started_again_loses_its_connections() {
     let mut desk = desk();
@@ -346,6 +411,113 @@
     });
 }
 
+/// Plays a story in the test's own runtime, where nothing runs between two of its steps that do not wait.
+fn played(story: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, story);
+}
+
+#[rstest]
+fn a_connection_that_the_system_accepted_is_served_though_the_listener_closes() {
+    played(async {
+        let desk = Rc::new(std::cell::RefCell::new(desk()));
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let mut client = std::net::TcpStream::connect(address).expect("connected");
+        std::io::Write::write_all(&mut client, b"GET /up HTTP/1.1\r\n\r\n").expect("written");
+        client.set_nonblocking(true).expect("set");
+        // The runtime has not looked at the listener since.
+        let (share, close) = (descriptors::shares(64, usize::MAX, 1).0, Rc::new(tokio::sync::Notify::new()));
+        close.notify_one();
+        clients::listen(desk, listener, share, close).await;
+        let mut answer = [0; 200];
+        let mut client = tokio::net::TcpStream::from_std(client).expect("a stream");
+        let count = client.read(&mut answer).await.expect("an answer");
+        assert!(answer[..count].starts_with(b"HTTP/1.1 200 "));
+    });
+}
+
+#[rstest]
+fn a_connection_dismissed_as_a_request_begins_to_come_serves_it_and_closes() {
+    played(async {
+        let desk = Rc::new(std::cell::RefCell::new(desk()));
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let share = descriptors::shares(64, usize::MAX, 1).0;
+        tokio::task::spawn_local(clients::listen(desk.clone(), listener, share, Rc::default()));
+        let mut stream = tokio::net::TcpStream::connect(address).await.expect("connected");
+        let mut answer = [0; 200];
+        stream.write_all(b"GET /up HTTP/1.1\r\n\r\n").await.expect("written");
+        assert!(stream.read(&mut answer).await.expect("an answer") > 0);
+        // Both in one instant; the rest comes once the first half is read.
+        stream.try_write(b"GET /up HTTP/1.1\r\n").expect("written");
+        desk.borrow().clients.dismiss_idle();
+        while desk.borrow().figures().contains("bytes_from_clients 20\n") {
+            tokio::task::yield_now().await;
+        }
+        stream.write_all(b"\r\n").await.expect("written");
+        let count = stream.read(&mut answer).await.expect("an answer");
+        assert!(answer[..count].starts_with(b"HTTP/1.1 200 "));
+        assert_eq!(stream.read(&mut answer).await.expect("an end"), 0);
+    });
+}
+
+#[rstest]
+fn a_client_that_speaks_as_its_connection_closes_is_not_reset() {
+    played(async {
+        let desk = Rc::new(std::cell::RefCell::new(desk()));
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let share = descriptors::shares(64, usize::MAX, 1).0;
+        tokio::task::spawn_local(clients::listen(desk.clone(), listener, share, Rc::default()));
+        let mut stream = tokio::net::TcpStream::connect(address).await.expect("connected");
+        let mut answer = [0; 200];
+        stream.write_all(b"GET /up HTTP/1.1\r\n\r\n").await.expect("written");
+        assert!(stream.read(&mut answer).await.expect("an answer") > 0);
+        desk.borrow().clients.dismiss_idle();
+        assert_eq!(stream.read(&mut answer).await.expect("an end"), 0);
+        // What crosses the close: the client has not looked at its connection yet.
+        stream.write_all(b"GET /up HTTP/1.1\r\n\r\n").await.expect("written");
+        while !desk.borrow().clients.is_empty() {
+            tokio::task::yield_now().await;
+        }
+        assert!(
+            stream.take_error().expect("readable").is_none(),
+            "no reset, which would take an answer with it"
+        );
+        assert!(desk.borrow().figures().contains("bytes_from_clients 20\n"), "nor is it read as a request");
+    });
+}
+
+#[rstest]
+fn a_call_on_a_connection_that_its_node_closes_just_then_goes_out_on_another() {
+    played(async {
+        let desk = Rc::new(std::cell::RefCell::new(desk()));
+        let node = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let port = node.local_addr().expect("an address").port();
+        roster(&mut desk.borrow_mut(), "u", port, NodeState::Serving, None);
+        let share = descriptors::shares(64, usize::MAX, 1).1;
+        let _client = take(&mut desk.borrow_mut(), "q", &[1, 2]);
+        let dial = send(&mut desk.borrow_mut(), "u", &["q.1"]).remove(0);
+        tokio::task::spawn_local(nodes::run(desk.clone(), dial, share.clone()));
+        let (mut first, _) = node.accept().await.expect("a connection");
+        let mut frame = [0; 100];
+        assert!(first.read(&mut frame).await.expect("a call") > 0);
+        first.write_all(b"\0\0\0\x0fRq.1 done 1 -\nv").await.expect("written");
+        while desk.borrow().calls.count_out() > 0 {
+            tokio::task::yield_now().await;
+        }
+        // Nothing of the router runs in between: it does not know of the end as it decides.
+        drop(first);
+        assert!(send(&mut desk.borrow_mut(), "u", &["q.2"]).is_empty(), "a connection with places is there");
+        let (mut second, _) = node.accept().await.expect("another connection");
+        let count = second.read(&mut frame).await.expect("the call");
+        assert!(frame[4..count].starts_with(b"Sq.2 "));
+        let told = told(&mut desk.borrow_mut());
+        assert!(!told.iter().any(|t| t.starts_with("q.2")), "it is still out: {told:?}");
+    });
+}
+
 #[rstest]
 fn a_frame_that_gets_no_further_ends_its_connection() {
     let desk = Rc::new(std::cell::RefCell::new(desk()));
@@ -380,12 +552,12 @@
     busy.idle.set(None);
     half.half_sent.set(true);
     for goes in [&silent, &half, &kept] {
-        assert!(!goes.dismissed.get());
+        assert!(!goes.is_dismissed());
         all.dismiss_oldest(2.0, 0.25);
-        assert!(goes.dismissed.get());
+        assert!(goes.is_dismissed());
     }
     all.dismiss_oldest(2.0, 0.25);
-    assert!(!busy.dismissed.get());
+    assert!(!busy.is_dismissed());
 }
 
 #[rstest]
--- a/crates/router/tests/wire.rs
+++ b/crates/router/tests/wire.rs
@@ -1,7 +1,7 @@
 //! The wire's state machines on good bytes cut at every place, and on bytes that are none of theirs.
 use alderway::host::NodeState;
 use alderway_router::wire::buffer::Buffer;
-use alderway_router::wire::discovery::{self, Watch};
+use alderway_router::wire::discovery::{self, Node, Watch, Word};
 use alderway_router::wire::http::{MESSAGE, Messages};
 use alderway_router::wire::json::Json;
 use alderway_router::wire::{answer, frames, query};
@@ -172,38 +172,72 @@
 const LIST: &str = r#"{"index":41,"snapshot":true,"endpoints":[{"name":"s-1","address":"127.0.0.1:50","zone":"a","type":"m","group":3,"status":"SERVING","weight":1.0,"since_ms":7}]}"#;
 const GONE: &str = r#"{"index":43,"snapshot":false,"endpoints":[{"name":"s-1","status":"DELETED"}]}"#;
 
-/// What a watch makes of `bytes` fed in pieces of `size`: its lines, or why it ended.
-fn lines(bytes: &[u8], size: usize) -> (Vec<String>, Option<&'static str>) {
+/// What a watch makes of `bytes` fed in pieces of `size`: its objects and, empty, its blank lines; or why it ended.
+fn words(bytes: &[u8], size: usize) -> (Vec<String>, Option<&'static str>) {
     let (mut buffer, mut watch, mut found) = (Buffer::new(discovery::LONGEST), Watch::default(), vec![]);
     for piece in bytes.chunks(size) {
         buffer.feed(piece);
         loop {
-            match watch.line(&mut buffer) {
-                Ok(Some(end)) => found.push(String::from_utf8_lossy(&buffer.data()[..end]).to_string()),
+            match watch.word(&mut buffer) {
+                Ok(Some(Word::Head)) => {}
+                Ok(Some(Word::Blank)) => found.push(String::new()),
+                Ok(Some(Word::Object(end))) => {
+                    found.push(String::from_utf8_lossy(&buffer.data()[..end]).trim().to_string());
+                }
                 Ok(None) => break,
                 Err(why) => return (found, Some(why)),
             }
-            watch.done(&mut buffer);
         }
     }
     (found, None)
 }
 
 #[rstest]
-fn a_watch_is_read_line_by_line_wherever_its_chunks_are_cut() {
+fn a_watch_is_read_object_by_object_wherever_its_chunks_are_cut() {
     let text = format!("{LIST}\n\n{GONE}\n");
     let (a, b) = text.split_at(60);
     let stream = format!("{WATCH}{:x}\r\n{a}\r\n{:x}\r\n{b}\r\n", a.len(), b.len());
     for size in 1..stream.len() {
-        let found = lines(stream.as_bytes(), size);
+        // The end of an object's line says no more than that nothing has changed since.
+        let all = [LIST, "", "", GONE, ""].map(str::to_string).to_vec();
+        assert_eq!(words(stream.as_bytes(), size), (all, None), "pieces of {size}");
+    }
+    let ended = words((stream + "0\r\n\r\n").as_bytes(), 7);
+    assert_eq!((ended.0.len(), ended.1), (5, Some("the watch has ended")));
+}
+
+/// `text` as one chunk.
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+#[rstest]
+fn an_object_of_a_watch_may_be_written_over_several_lines() {
+    let indented = LIST.replace(',', ",\n  ").replace('{', "{\n\t").replace('}', "\r\n}");
+    let stream = format!("{WATCH}{}{}", chunk(&indented), chunk(&format!("\n{GONE}\n")));
+    for size in [1, 7, 60, stream.len()] {
+        let (found, why) = words(stream.as_bytes(), size);
         assert_eq!(
-            found,
-            (vec![LIST.to_string(), String::new(), GONE.to_string()], None),
-            "pieces of {size}"
+            (found.as_slice(), why),
+            ([&*indented, "", GONE, ""].map(str::to_string).as_slice(), None)
         );
     }
-    let ended = lines((stream + "0\r\n\r\n").as_bytes(), 7);
-    assert_eq!((ended.0.len(), ended.1), (3, Some("the watch has ended")));
+    let read = discovery::version(indented.as_bytes());
+    assert_eq!(read, Ok((41, true)));
+}
+
+#[rstest]
+#[case::half_an_object(&chunk(&LIST[..LIST.len() - 1]), None)]
+#[case::blanks_without_an_end(&chunk("  \t"), None)]
+#[case::braces_in_a_name(&chunk(r#"{"name":"}\"}""#), None)]
+#[case::no_object(&chunk("nothing"), Some("something that is no object"))]
+#[case::an_end_without_a_begin(&chunk("}"), Some("something that is no object"))]
+#[case::a_line_break_in_a_name(&chunk("{\"na\nme\":1}"), Some("a control character in a string"))]
+fn what_is_not_whole_is_no_word_of_a_watch(#[case] body: &str, #[case] why: Option<&str>) {
+    let stream = format!("{WATCH}{body}");
+    for size in [1, stream.len()] {
+        assert_eq!(words(stream.as_bytes(), size), (vec![], why));
+    }
 }
 
 #[rstest]
@@ -211,36 +245,85 @@
 #[case::not_chunked("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", "the answer is not chunked")]
 #[case::bad_chunk(&(WATCH.to_string() + "zz\r\n"), "a chunk's size is not a number")]
 fn a_watch_that_is_none_ends(#[case] bytes: &str, #[case] why: &str) {
-    assert_eq!(lines(bytes.as_bytes(), 5), (vec![], Some(why)));
+    assert_eq!(words(bytes.as_bytes(), 5), (vec![], Some(why)));
 }
 
 #[rstest]
 fn entries_of_a_list_are_told_one_by_one() {
     let mut told = vec![];
     for line in [LIST, GONE] {
-        let entry = |name: &str, address: std::net::SocketAddr, cell, state, since| {
-            told.push((name.to_string(), address.port(), cell, state, since));
-        };
-        discovery::entries(line.as_bytes(), entry).expect("readable");
+        discovery::entries(line.as_bytes(), |name, node| told.push((name.to_string(), node)))
+            .expect("readable");
     }
-    let first = ("s-1".to_string(), 50, 3, NodeState::Serving, 7);
-    assert_eq!(told, [first, ("s-1".to_string(), 0, 0, NodeState::Gone, 0)]);
+    let node = |port, cell, state, since| {
+        let address = if port > 0 { ([127, 0, 0, 1], port) } else { ([0; 4], 0) }.into();
+        ("s-1".to_string(), Ok(Node { address, cell, state, since }))
+    };
+    assert_eq!(told, [node(50, 3, NodeState::Serving, 7), node(0, 0, NodeState::Gone, 0)]);
     assert_eq!(discovery::version(GONE.as_bytes()), Ok((43, false)));
 }
 
 #[rstest]
 #[case::no_index(r#"{"snapshot":true,"endpoints":[]}"#)]
 #[case::no_list(r#"{"index":1,"snapshot":true}"#)]
+#[case::list_of_numbers(r#"{"index":1,"snapshot":true,"endpoints":[7]}"#)]
+#[case::value_that_is_none(r#"{"index":1,"snapshot":true,"endpoints":[{"name":"a","status":SERVING}]}"#)]
+#[case::cut_short(r#"{"index":1,"snapshot":true,"endpoints":[{"name":"a""#)]
+fn an_object_that_cannot_be_read_tells_nothing(#[case] line: &str) {
+    assert!(discovery::version(line.as_bytes()).is_err());
+}
+
+#[rstest]
 #[case::no_name(
-    r#"{"index":1,"snapshot":true,"endpoints":[{"address":"127.0.0.1:5","group":0,"status":"SERVING"}]}"#
+    r#""address":"127.0.0.1:5","group":0,"status":"DRAINING""#,
+    "",
+    Some(NodeState::Draining),
+    "`name`"
 )]
 #[case::name_for_address(
-    r#"{"index":1,"snapshot":true,"endpoints":[{"name":"a","address":"a:5","group":0,"status":"SERVING"}]}"#
+    r#""name":"a","address":"a:5","group":0,"status":"SERVING""#,
+    "a",
+    Some(NodeState::Serving),
+    "`address`"
 )]
-#[case::other_status(r#"{"index":1,"snapshot":true,"endpoints":[{"name":"a","address":"127.0.0.1:5","group":0,"status":"?"}]}"#)]
-#[case::cut_short(r#"{"index":1,"snapshot":true,"endpoints":[{"name":"a""#)]
-fn an_object_that_cannot_be_read_tells_nothing(#[case] line: &str) {
-    assert!(discovery::version(line.as_bytes()).is_err());
+#[case::no_address(
+    r#""name":"a","group":0,"status":"DRAINING""#,
+    "a",
+    Some(NodeState::Draining),
+    "`address`"
+)]
+#[case::cell_in_words(
+    r#""name":"a","address":"127.0.0.1:5","group":"x","status":"SERVING""#,
+    "a",
+    Some(NodeState::Serving),
+    "`group`"
+)]
+#[case::list_for_start(
+    r#""name":"a","address":"127.0.0.1:5","group":0,"status":"SERVING","since_ms":[]"#,
+    "a",
+    Some(NodeState::Serving),
+    "`since_ms`"
+)]
+#[case::other_status(r#""name":"a","address":"127.0.0.1:5","group":0,"status":"?""#, "a", None, "`status`")]
+fn an_entry_that_cannot_be_used_hides_no_other(
+    #[case] fields: &str,
+    #[case] name: &str,
+    #[case] state: Option<NodeState>,
+    #[case] why: &str,
+) {
+    let good = r#"{"name":"b","address":"127.0.0.1:6","group":1,"status":"SERVING"}"#;
+    let line = format!(r#"{{"index":1,"snapshot":true,"endpoints":[{{{fields}}},{good}]}}"#);
+    let mut told = vec![];
+    discovery::entries(line.as_bytes(), |name, node| told.push((name.to_string(), node))).expect("readable");
+    let Some(((wrong, Err((read, said))), (other, Ok(_)))) = told
+        .first()
+        .zip(told.get(1))
+        .map(|(a, b)| ((a.0.as_str(), a.1.as_ref()), (b.0.as_str(), b.1.as_ref())))
+    else {
+        panic!("{told:?}");
+    };
+    assert_eq!((wrong, *read, other), (name, state, "b"));
+    assert!(said.contains(why), "{said}");
 }
 
 #[rstest]
@@ -277,7 +360,7 @@
         bytes.truncate(draw() % (2 * bytes.len()));
         let size = 1 + draw() % 40;
         let _ = requests(&bytes, &[size.min(bytes.len())]);
-        let _ = lines(&bytes, size);
+        let _ = words(&bytes, size);
         let _ = discovery::version(&bytes);
         let _ = query::read(&bytes, |_, _| Ok(()));
         let mut left = &bytes[..];
