--- a/crates/router/tests/desk.rs
+++ b/crates/router/tests/desk.rs
@@ -416,8 +416,10 @@
 /// Plays a story in the test's own runtime, where nothing runs between two of its steps that do not wait.
 fn played(story: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    let story = tokio::time::timeout(std::time::Duration::from_secs(20), story);
-    tokio::task::LocalSet::new().block_on(&runtime, story).expect("the story comes to its end");
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let ended = tokio::time::timeout(std::time::Duration::from_secs(20), story).await;
+        ended.expect("the story comes to its end");
+    });
 }
 
 #[rstest]
