--- a/crates/router/src/drive/arrival.rs
+++ b/crates/router/src/drive/arrival.rs
@@ -17,14 +17,16 @@
 
 /// Whether bytes have come that are not read yet, whatever the runtime has been told so far.
 pub fn waits(stream: &TcpStream) -> bool {
-    let look = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
-    recv(stream.as_raw_fd(), &mut [0], look).is_ok_and(|count| count > 0)
+    peek(stream).is_ok_and(|count| count > 0)
+}
+
+fn peek(stream: &TcpStream) -> nix::Result<usize> {
+    recv(stream.as_raw_fd(), &mut [0], MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT)
 }
 
 /// Whether the other side has ended a connection on which nothing is unread.
 pub fn ended(stream: &TcpStream) -> bool {
-    let look = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
-    recv(stream.as_raw_fd(), &mut [0], look) == Ok(0)
+    peek(stream) == Ok(0)
 }
 
 /// Reads what is there and says how much, and when the last of it came.
--- a/crates/router/src/drive/clients.rs
+++ b/crates/router/src/drive/clients.rs
@@ -49,15 +49,22 @@
     }
 }
 
+/// Waits for a descriptor, for which idle connections make room.
+async fn descriptor(door: &impl Door, share: &Arc<Share>) -> Held {
+    loop {
+        if let Some(held) = share.take() {
+            return held;
+        }
+        door.make_room();
+        let _ = timeout(PAUSE, share.released.notified()).await;
+    }
+}
+
 /// Accepts for as long as descriptors are left; idle connections make room. Ends with `close`, after taking
 /// in all that the system had accepted by then, whether or not the runtime had been told of it.
 pub async fn listen(door: impl Door, listener: TcpListener, share: Arc<Share>, close: Rc<Notify>) {
     loop {
-        let Some(held) = share.take() else {
-            door.make_room();
-            let _ = timeout(PAUSE, share.released.notified()).await;
-            continue;
-        };
+        let held = descriptor(&door, &share).await;
         let came = tokio::select! {
             biased;
             came = listener.accept() => came,
@@ -73,11 +80,7 @@
     }
     let Ok(listener) = listener.into_std() else { return };
     loop {
-        let Some(held) = share.take() else {
-            door.make_room();
-            let _ = timeout(PAUSE, share.released.notified()).await;
-            continue;
-        };
+        let held = descriptor(&door, &share).await;
         let Ok((stream, _)) = listener.accept() else { return };
         if let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
             door.take(stream, held).await;
--- a/crates/router/src/drive/discovery.rs
+++ b/crates/router/src/drive/discovery.rs
@@ -121,29 +121,21 @@
         (list.clock(), list.follows(), list.asked())
     };
     let (mut state, mut whole, mut heard) = (Follows::new(follows), false, clock.now());
-    let mut there = true;
     loop {
-        // Without a sender discovery never moves again.
-        let moves = async |agent: &mut Receiver<SocketAddr>| {
-            if agent.changed().await.is_err() {
-                std::future::pending::<()>().await;
-            }
-        };
         let due = state.due();
         let rest = async {
             tokio::select! {
                 () = asked.notified(), if state.state == Watching::Unasked => {}
                 () = until(clock, due), if due.is_finite() => {}
-                () = moves(&mut agent), if there => {}
+                Ok(()) = agent.changed() => {}
             }
         };
         unwatched(&list, rest).await;
-        there = agent.has_changed().is_ok();
         let address = *agent.borrow_and_update();
         state.open(clock.now());
         let why = tokio::select! {
             why = watch(&list, address, &mut state, &mut whole, &mut heard) => why,
-            () = moves(&mut agent), if there => {
+            Ok(()) = agent.changed() => {
                 list.borrow_mut().moved();
                 state.state = Watching::Pausing { until: clock.now() };
                 continue;
