A call given up in the midst of its frame ends once

Cause: a part given up in the midst of its frame cuts the connection and ends its call ("cancelled", which may have run), but stood on as one of the connection's. The end of the connection then ended it a second time, as one that never ran: the desk dropped its record of the part's beginning, so the part could begin again past its window. In the drawn order that did no harm, half a frame never runs. Where the client asks again by the same id before the driver leaves, the second ending hit the later call, which may be written whole elsewhere, and told the module that it never ran.

Change: the connection forgets the call as it is cut (`Line::cut_over`). The model's rule stays as it was.

--- a/crates/router/src/memory/desk.rs
+++ b/crates/router/src/memory/desk.rs
@@ -453,10 +453,7 @@
             match line.place(id) {
                 Place::Waiting => line.take_back(id),
                 Place::Out => line.give_up(id, now, now + longest, dial),
-                Place::Begun => {
-                    line.cut = true;
-                    line.wake.notify_one();
-                }
+                Place::Begun => line.cut_over(id),
                 Place::Nowhere => {}
             }
         }
--- a/crates/router/src/memory/lines.rs
+++ b/crates/router/src/memory/lines.rs
@@ -156,6 +156,17 @@
         }
     }
 
+    /// Cuts the connection over a part given up in the midst of its frame, whose call has ended. Guards against
+    /// its being ended a second time with the connection, as one that never ran, or a later call by the same id
+    /// in its place.
+    pub fn cut_over(&mut self, id: &CallId) {
+        if let Some(Frame::Call(parts)) = &mut self.begun {
+            parts.retain(|p| p != id);
+        }
+        self.cut = true;
+        self.wake.notify_one();
+    }
+
     /// A reply has come; returns the number of the call that it ends, none where the part is over, or nothing
     /// at all for a part that is not asked for here.
     pub fn replied(&mut self, part: &str, now: f64) -> Option<Option<usize>> {
--- a/crates/router/tests/desk.rs
+++ b/crates/router/tests/desk.rs
@@ -11,6 +11,7 @@
 use alderway_router::memory::queries::{Part, Query};
 use alderway_router::memory::roster::Entry;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use rstest::rstest;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -214,6 +215,27 @@
     assert!(desk.roster.line("s", dial.line).expect("a connection").cut);
 }
 
+#[rstest]
+#[case::broken(|desk: &mut Desk, dial: &Dial| desk.line_lost("s", dial.line))]
+#[case::spoilt(|desk: &mut Desk, dial: &Dial| desk.spoilt("s", dial.line, None))]
+fn a_connection_cut_over_a_part_says_nothing_of_a_later_call_by_the_same_id(
+    #[case] ends: impl FnOnce(&mut Desk, &Dial),
+) {
+    let mut desk = desk();
+    take(&mut desk, "q", &[1]);
+    let cut = send(&mut desk, "s", &["q.1"]).remove(0);
+    assert!(desk.next_frame("s", cut.line, &mut vec![]));
+    desk.reject("q", None);
+    // The client asks again by the same id before the driver has left the connection.
+    take(&mut desk, "q", &[1]);
+    let dial = send(&mut desk, "t", &["q.1"]).remove(0);
+    assert!(write(&mut desk, &dial).is_some_and(|text| text.starts_with("Sq.1 ")));
+    told(&mut desk);
+    ends(&mut desk, &cut);
+    assert!(told(&mut desk).is_empty(), "the later call is out, and may have run");
+    assert_eq!(desk.calls.count_out(), 1);
+}
+
 #[rstest]
 fn a_late_reply_is_not_taken_for_that_of_a_later_call_to_the_same_node() {
     let mut desk = desk();
@@ -853,20 +875,49 @@
     }
 }
 
+/// Plays events in order; in the end every connection is lost, and every call has ended.
+fn play_out(events: impl IntoIterator<Item = Event>) {
+    let mut model = Model::new();
+    events.into_iter().for_each(|event| model.play(event));
+    model.play(Event::Post);
+    for (node, line) in model.lines.clone() {
+        model.desk.line_lost(&node, line);
+    }
+    model.tell();
+    assert_eq!(model.open.len(), 0, "calls without an end: {:?}", model.open);
+    assert_eq!(model.desk.calls.count_out(), 0);
+}
+
+/// Found by the property below: what was said of a call as it ended stands, whatever its connection comes to.
+#[rstest]
+fn a_part_given_up_in_the_midst_of_its_frame_counts_as_begun_after_its_connection_is_gone() {
+    use Event::*;
+    play_out([
+        Take(false),
+        Take(true),
+        Call(51, false),
+        Post,
+        Begin(0),
+        Cancel(3, 0),
+        Call(0, true),
+        Take(false),
+        Take(false),
+        Take(false),
+        Call(53, false),
+        Spoilt(0),
+        Post,
+        Begin(2),
+    ]);
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig {
+        cases: 400, rng_seed: RngSeed::Fixed(6), failure_persistence: None, ..ProptestConfig::default()
+    })]
 
     /// Calls, frames, answers, breaks, drains and leaving clients in any order.
     #[test]
     fn calls_keep_their_rules_in_any_order(events in prop::collection::vec(event(), 1..160)) {
-        let mut model = Model::new();
-        events.into_iter().for_each(|event| model.play(event));
-        model.play(Event::Post);
-        for (node, line) in model.lines.clone() {
-            model.desk.line_lost(&node, line);
-        }
-        model.tell();
-        assert_eq!(model.open.len(), 0, "calls without an end: {:?}", model.open);
-        assert_eq!(model.desk.calls.count_out(), 0);
+        play_out(events);
     }
 }
