A call of an earlier query by the same id is given up as the id is taken anew

Cause: a call's name is its part's id and number. Where nothing may be cancelled, calls stay out after their query's answer; a client that asks again by the same id gets parts and calls of the same names. The earlier call's answer then ended the later call, "full" as one that never ran though it may be written elsewhere. If its frame still waited, the frame held a call that had ended: `sift` found it too late, had nothing to give up, and looked again for ever; beside others in its frame it went out all the same.

Change: `Desk::take` gives up what is out by the names of the new query's parts; `sift` takes a call that is too late out of its frame also where it has ended.

--- a/crates/router/src/memory/desk.rs
+++ b/crates/router/src/memory/desk.rs
@@ -219,6 +219,11 @@
             answer::plain(out, 503, "too many queries are open, or none is taken any more", None, closes);
             return Ok(());
         };
+        // Guards against the answer to a call of an earlier query by the same id, which is out still where
+        // nothing is cancelled: it would be taken for that of a call of this one.
+        for id in query.parts.iter().flat_map(|part| self.calls.of_part(&part.id)).collect::<Vec<_>>() {
+            self.give_up(&id, Ending::Cancelled);
+        }
         if let Some(ground) = &mut self.ground {
             query.parts.iter().for_each(|part| ground.opened(part));
         }
@@ -525,14 +530,18 @@
     }
 
     /// Ends the calls of the next frame that come too late to begin, as ones that were never sent.
-    fn sift(&mut self, node: &str, line: u64) {
+    fn sift(&mut self, node: &str, number: u64) {
         let now = self.clock.now();
         loop {
-            let Some(line) = self.roster.line(node, line) else { return };
+            let Some(line) = self.roster.line(node, number) else { return };
             let next = line.next_call().to_vec();
             let late: Vec<_> = next.iter().filter(|id| self.too_late(id, now)).collect();
             self.counters.add("calls_too_late_to_begin", late.len());
-            late.iter().for_each(|id| self.give_up(id, Ending::NeverSent));
+            for id in &late {
+                self.give_up(id, Ending::NeverSent);
+                // Guards against a call that has ended and waits here still: nothing is left to give up.
+                self.roster.line(node, number).into_iter().for_each(|line| line.take_back(id));
+            }
             // A frame with nothing left in it is gone, and the one behind it is next.
             if late.is_empty() || late.len() < next.len() {
                 return;
--- a/crates/router/tests/desk.rs
+++ b/crates/router/tests/desk.rs
@@ -236,6 +236,34 @@
     assert_eq!(desk.calls.count_out(), 1);
 }
 
+#[rstest]
+fn a_late_reply_is_not_taken_for_that_of_a_later_query_by_the_same_id() {
+    let mut desk = desk();
+    take(&mut desk, "q", &[1]);
+    let old = send(&mut desk, "s", &["q.1"]).remove(0);
+    write(&mut desk, &old);
+    // Where nothing may be cancelled, the call stays out after its query's answer.
+    desk.reject("q", None);
+    take(&mut desk, "q", &[1]);
+    let dial = send(&mut desk, "t", &["q.1"]).remove(0);
+    told(&mut desk);
+    desk.replied("s", old.line, "q.1", Ending::Full, "");
+    assert!(told(&mut desk).is_empty(), "the later call waits to go out");
+    assert!(write(&mut desk, &dial).is_some_and(|text| text.starts_with("Sq.1 ")));
+    assert!(told(&mut desk).is_empty());
+}
+
+#[rstest]
+fn a_call_that_ended_while_its_frame_waited_does_not_begin() {
+    let mut desk = desk();
+    take(&mut desk, "q", &[1, 2]);
+    let dial = send(&mut desk, "s", &["q.1", "q.2"]).remove(0);
+    let now = desk.clock.now();
+    desk.calls.end(&("q.1".into(), 0), Ending::Cancelled, now);
+    assert!(write(&mut desk, &dial).is_some_and(|text| text.starts_with("Sq.2 ")));
+    assert_eq!(write(&mut desk, &dial), None);
+}
+
 #[rstest]
 fn a_late_reply_is_not_taken_for_that_of_a_later_call_to_the_same_node() {
     let mut desk = desk();
