Every property draws from a fixed seed; a long draw is asked for by variables

Change: the layouts' runner, made by hand, reads proptest's variables as the others do; the mesh's property writes no file of failures, as the others.

--- a/crates/peers/tests/mesh.rs
+++ b/crates/peers/tests/mesh.rs
@@ -401,7 +401,9 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(11), ..ProptestConfig::with_cases(256) })]
+    #![proptest_config(ProptestConfig {
+        cases: 256, rng_seed: RngSeed::Fixed(11), failure_persistence: None, ..ProptestConfig::default()
+    })]
 
     /// Whatever the order, and however often each comes, the same words make the same view.
     #[test]
--- a/crates/router/tests/layouts.rs
+++ b/crates/router/tests/layouts.rs
@@ -14,7 +14,7 @@
 use alderway_router::memory::queries::Query;
 use alderway_router::wire::{layout, query};
 use proptest::prelude::*;
-use proptest::test_runner::{RngSeed, TestRunner};
+use proptest::test_runner::{RngSeed, TestRunner, contextualize_config};
 use rstest::rstest;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -628,12 +628,12 @@
 /// held.
 #[rstest]
 fn any_order_of_changes_and_answers_ends_in_one_right_answer_for_each_query() {
-    let config = ProptestConfig {
+    let config = contextualize_config(ProptestConfig {
         cases: 400,
         rng_seed: RngSeed::Fixed(20),
         failure_persistence: None,
         ..ProptestConfig::default()
-    };
+    });
     let steps = prop::collection::vec((0..10u8, any::<u8>(), 0..100u32, 1..60u32), 20..120);
     let totals: [Cell<u64>; NAMES.len()] = Default::default();
     let played = TestRunner::new(config).run(&(steps, any::<bool>()), |(steps, once)| {
