Module: terms that change while queries are open, each kept to what it was promised

A decision module took its verticals, shares, budget and cold rule at the start alone. Now `Terms` holds all it is started with and `Records::terms` changes them between two rounds. A vertical that changed has a place of its own with what it had shown; queries that are open stay in the old one until `vertical_over`. The bucket is never filled up by a change and loses what a lesser capacity takes, once for all cores.

Constructor only: tests/fake, crates/router/tests/layouts.rs, examples/event_cost.rs.

--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -4,6 +4,8 @@
 use alderway::host::*;
 use serde_json::Value;
 
+pub mod live;
+
 /// What a reading gives, or the setting that is lacking or at fault.
 pub type Read<T> = Result<T, String>;
 
@@ -76,6 +78,12 @@
 
 /// A query router as its settings describe it, with the names of its verticals in their order.
 pub fn router(seed: u64, all: &Value) -> Read<(Router, Vec<String>)> {
+    let (terms, names) = terms(all)?;
+    Ok((Router::new(seed, terms), names))
+}
+
+/// What a decision module is started with, or goes by from here on, with the names of its verticals in their order.
+pub fn terms(all: &Value) -> Read<(Terms, Vec<String>)> {
     let (extra, limits, rules) = (item(all, "Extra")?, item(all, "Limits")?, item(all, "Obligations")?);
     let mut names = Vec::new();
     let mut verticals = Vec::new();
@@ -128,7 +136,7 @@
         }),
     };
     let peers = whole(all, "ReplicasOfMe")?;
-    Ok((Router::new(seed, peers, verticals, customers, placement, allowance, budget, cold), names))
+    Ok((Terms { peers, verticals, customers, placement, allowance, budget, cold }, names))
 }
 
 /// What connections to data nodes keep to.
--- a/crates/router/tests/layouts.rs
+++ b/crates/router/tests/layouts.rs
@@ -469,7 +469,8 @@
     let placement = Placement { cells: 6, reach: 2, bundle: 8, call_work: 0.0, listed: None };
     let allowance =
         Allowance { cancel: true, parallel: true, calls: 4, come_back: None, follow: false, over_share: 0.1 };
-    Router::new(7, 1, vec![vertical], vec![], placement, allowance, None, None)
+    let verticals = vec![vertical];
+    Router::new(7, Terms { peers: 1, verticals, placement, allowance, ..Terms::default() })
 }
 
 /// A call whose frame has gone out and that nobody has answered: node, connection, part, keys.
--- a/examples/event_cost.rs
+++ b/examples/event_cost.rs
@@ -47,7 +47,9 @@
         };
         let allowance = Allowance { cancel: true, parallel: true, calls: 4, ..Allowance::default() };
         let budget = Some(Budget { free: 5.0, ratio: 0.0 });
-        let mut router = Router::new(7, 20, vec![vertical], vec![], placement, allowance, budget, None);
+        let verticals = vec![vertical];
+        let terms = Terms { peers: 20, verticals, placement, allowance, budget, ..Terms::default() };
+        let mut router = Router::new(7, terms);
         round(&mut router, 100.0, |r| {
             (0..270).for_each(|n| r.roster_entry(&format!("n{n}"), n % 90, NodeState::Serving, None));
         });
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -6,6 +6,7 @@
 use crate::host::*;
 use crate::kept::{ByAge, Call, Part, Pcg, Recent, share};
 mod moves;
+mod settings;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 const LOOK: f64 = 0.010; // Seconds between two looks at what is open.
@@ -126,9 +127,9 @@
 }
 
 impl Purse {
-    fn new(budget: Option<Budget>, ratio: f64, capacity: f64) -> Self {
-        let ratio = budget.map_or(ratio, |b| ratio.min(b.ratio));
-        let capacity = budget.map_or(capacity, |b| capacity.min(b.free));
+    fn new(budget: Option<Budget>) -> Self {
+        let ratio = budget.map_or(0.1, |b| b.ratio.min(0.1));
+        let capacity = budget.map_or(40.0, |b| b.free.min(40.0));
         Purse { ratio, capacity, stated: budget.is_some() }
     }
 }
@@ -403,19 +404,10 @@
 }
 
 impl Router {
-    #[allow(clippy::too_many_arguments)]
-    pub fn new(
-        seed: u64,
-        peers: usize,
-        verticals: Vec<Vertical>,
-        customers: Vec<Customer>,
-        placement: Placement,
-        allowance: Allowance,
-        budget: Option<Budget>,
-        cold: Option<ColdRule>,
-    ) -> Self {
-        let (common, purse) = (Common::default(), Purse::new(budget, 0.1, 40.0));
-        common.fill(purse.capacity);
+    pub fn new(seed: u64, terms: Terms) -> Self {
+        let Terms { peers, verticals, customers, placement, allowance, budget, cold } = terms;
+        let (common, purse) = (Common::default(), Purse::new(budget));
+        common.bring_to(purse.capacity, purse.stated);
         Router {
             chance: Pcg(seed),
             common,
@@ -436,7 +428,7 @@
 
     /// Makes this the module of one core among several; before the first round.
     pub fn join(&mut self, common: Common) {
-        common.fill(self.purse.capacity);
+        common.bring_to(self.purse.capacity, self.purse.stated);
         self.common = common;
     }
 
--- a/src/choice/moves.rs
+++ b/src/choice/moves.rs
@@ -2,7 +2,7 @@
 //! part that is divided leaves its leaf calls to its heirs, a query that another decided for brings its calls along.
 //! Records only: nothing is decided here, and no value is chosen.
 use super::{LEARNED, Router, Shard};
-use crate::host::{Ending, Held, Records};
+use crate::host::{Ending, Held, Placed, Records, Terms};
 use crate::kept::{Call, Part, Recent};
 
 impl Records for Router {
@@ -27,6 +27,14 @@
     fn part_tried(&mut self, part: &str, node: &str, age: f64, ending: Option<Ending>) {
         self.adopt(part, node, age, ending);
     }
+
+    fn terms(&mut self, terms: &Terms, placed: &[Placed]) {
+        self.take_over(terms, placed);
+    }
+
+    fn vertical_over(&mut self, at: usize) {
+        self.forget_vertical(at);
+    }
 }
 
 impl Router {
--- a/src/host.rs
+++ b/src/host.rs
@@ -18,7 +18,7 @@
 }
 
 /// One sort of query.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Vertical {
     pub slo: f64,
     pub deadline: f64,
@@ -35,7 +35,7 @@
 }
 
 /// A customer and what it may ask of one query router within its share.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Customer {
     pub name: String,
     pub quota: f64,
@@ -111,14 +111,14 @@
 }
 
 /// The stated budget for leaf calls past a part's first.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Budget {
     pub free: f64,
     pub ratio: f64,
 }
 
 /// When a cold data node is pushed over.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ColdRule {
     pub share: f64,
     pub warm_up: f64,
@@ -126,6 +126,28 @@
     pub span: f64,
 }
 
+/// All that a decision module is started with, and that may change while it runs, but for the ring in `placement`.
+#[derive(Clone, Debug, Default)]
+pub struct Terms {
+    /// Query routers of the tier.
+    pub peers: usize,
+    pub verticals: Vec<Vertical>,
+    pub customers: Vec<Customer>,
+    pub placement: Placement,
+    pub allowance: Allowance,
+    pub budget: Option<Budget>,
+    pub cold: Option<ColdRule>,
+}
+
+/// Where a vertical of new terms stands among those that the module knows by number: in a place of its own from here
+/// on, or unchanged in the one that it has.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Placed {
+    pub at: usize,
+    /// The place that it had until now; what was learnt there goes with it.
+    pub follows: Option<usize>,
+}
+
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum NodeState {
     #[default]
@@ -182,6 +204,8 @@
     shared: bool,
     /// The bucket's tokens, as the bits of their negative, so that an empty bucket is told from an untouched one.
     tokens: Arc<AtomicU64>,
+    /// The most that it may hold by a stated budget, in the same bits; infinite where none is stated.
+    capacity: Arc<AtomicU64>,
     /// For cold nodes, by a hash of their ids: in milliseconds until when one core alone may send, and its number.
     cold: Arc<[AtomicU64]>,
 }
@@ -225,8 +249,38 @@
         let _ = self.tokens.compare_exchange(0, Self::bits(tokens), Relaxed, Relaxed);
     }
 
+    /// Fills an untouched bucket; one that was filled by other terms is brought to this capacity, once, by the first of
+    /// the cores that comes with it.
+    ///
+    /// A stated budget allows in any window so many calls as the bucket holds when the window begins and as its parts
+    /// earn. Across a change from capacity a to capacity b:
+    /// - nothing is filled up, so a window that begins before the change still begins with a at most, and what b has
+    ///   more than a has to be earned after it;
+    /// - where b is less, the difference is taken away, into debt if it has been spent: with s spent in a window before
+    ///   the change, b - s at most is left for the rest of it, beside what its parts earn, or nothing where s is more.
+    ///
+    /// So in every window across it, the calls past what had been spent when it came are within the lesser capacity
+    /// and what the window's parts earn, each by the ratio that held when it was taken. Where no budget was stated
+    /// before, none was promised until here: the bucket holds b at most from here on.
+    pub fn bring_to(&self, capacity: f64, stated: bool) {
+        let promised = if stated { capacity } else { f64::INFINITY };
+        let before = self.capacity.swap(Self::bits(promised), Relaxed);
+        self.fill(capacity);
+        if before == 0 {
+            return;
+        }
+        let before = Self::held(before);
+        let less = if before.is_finite() { (before - promised).max(0.0) } else { 0.0 };
+        // An empty bucket, not an untouched one, where the sum is a negative zero.
+        let brought = |held| Some(Self::bits((Self::held(held) - less).min(capacity) + 0.0));
+        let _ = self.tokens.fetch_update(Relaxed, Relaxed, brought);
+    }
+
+    /// Never past the capacity of the newest terms, though the core that earns may not have taken those over yet.
     pub fn earn(&self, tokens: f64, capacity: f64) {
-        let more = |held| Some(Self::bits((Self::held(held) + tokens).min(capacity)));
+        let promised = self.capacity.load(Relaxed);
+        let most = if promised == 0 { capacity } else { capacity.min(Self::held(promised)) };
+        let more = |held| Some(Self::bits((Self::held(held) + tokens).min(most)));
         let _ = self.tokens.fetch_update(Relaxed, Relaxed, more);
     }
 
@@ -271,6 +325,11 @@
     /// A part of an open query was sent for before, by whoever decided until now; its calls are told in their order.
     /// One that has not ended is this module's from here on. `age` in seconds.
     fn part_tried(&mut self, _part: &str, _node: &str, _age: f64, _ending: Option<Ending>) {}
+    /// Other terms hold from here on, each vertical in the place that is told for it. A place that is not among them
+    /// stays as it is for the queries that are open there, which none is added to, until `vertical_over`.
+    fn terms(&mut self, _terms: &Terms, _placed: &[Placed]) {}
+    /// A place that no query is open in and none will be, until another vertical is put there.
+    fn vertical_over(&mut self, _at: usize) {}
 }
 
 /// What a host tells the module; one call for each thing that came in, in order.
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -95,8 +95,9 @@
 impl Host {
     pub fn new(d: Deployment) -> Self {
         let verticals = [vec![d.vertical], d.others].concat();
+        let Deployment { peers, customers, placement, allowance, budget, cold, .. } = d;
         let router =
-            Router::new(7, d.peers, verticals, d.customers, d.placement, d.allowance, d.budget, d.cold);
+            Router::new(7, Terms { peers, verticals, customers, placement, allowance, budget, cold });
         let mut host = Host { router, now: 100.0, notes: vec![], told: vec![], limits: vec![] };
         for cell in 0..d.nodes {
             host.roster(&format!("n{cell}"), cell, NodeState::Serving, None);
