Router: settings taken over while it serves, by one path, whole or not at all

SIGHUP took over discovery's address alone. Now a file's settings go through `Live::offer`: checked as at a start, refused by name where a key holds from the start to the end, else told to every core, which takes them over before the next request it reads and round it plays. A module or core that starts anew starts with the newest. Counters settings_taken, settings_refused and settings_version; one log line each.

--- a/crates/router/src/drive/core.rs
+++ b/crates/router/src/drive/core.rs
@@ -2,7 +2,6 @@
 //! lead and the other cores send it; where its module or a driver of it fails, what is open is aborted and it
 //! tells the lead, which has it start anew.
 use super::{clients, rounds};
-use crate::life::start::Recipe;
 use crate::life::{logger, stop};
 use crate::memory::Shared;
 use crate::memory::clock::Clock;
@@ -11,6 +10,7 @@
 use crate::memory::ground::{Following, Ground};
 use crate::memory::house::{House, Order, Word};
 use crate::memory::roster::Entry;
+use crate::memory::terms::Issue;
 use alderway_cores::board::Board;
 use alderway_deployment::{Intake, Trunk};
 use alderway_layouts::layout::Layout;
@@ -67,7 +67,9 @@
     pub room: Intake,
     pub verticals: Vec<Class>,
     pub layouts: Option<Following>,
-    pub module: Recipe,
+    /// The start of the module's chance, and the settings, of which the newest hold.
+    pub seed: u64,
+    pub settings: watch::Receiver<Arc<Issue>>,
     pub for_nodes: Arc<Share>,
     pub orders: mpsc::Receiver<Order>,
     pub roster: watch::Receiver<Told>,
@@ -113,6 +115,7 @@
     desk.counters = berth.house.seats[core].figures.borrow().counters.clone();
     desk.board = std::mem::take(board);
     desk.ground = berth.layouts.map(Ground::new);
+    desk.follow_settings(berth.settings.clone());
     let desk = Rc::new(RefCell::new(desk));
     let lived = catch_unwind(AssertUnwindSafe(|| local.block_on(runtime, tend(&desk, berth, gossip))));
     let why = match lived {
@@ -183,8 +186,8 @@
     adopt(desk, &berth.roster.borrow_and_update().clone());
     desk.borrow_mut().roster.whole = true;
     desk.borrow_mut().hear_board();
-    let module = berth.module.clone();
-    let mut rounds = spawn_local(rounds::run(desk.clone(), move || module(), berth.for_nodes.clone()));
+    let module = rounds::newest(desk, berth.seed);
+    let mut rounds = spawn_local(rounds::run(desk.clone(), module, berth.for_nodes.clone()));
     let mut failures = berth.roster.borrow().failures;
     let mut stopping: Option<JoinHandle<()>> = None;
     // A core that starts anew in the midst of a stop hears of it as of news.
@@ -210,6 +213,8 @@
                 Ok(Err(why)) => format!("its module: {why}"),
                 _ => "its rounds panicked".into(),
             }),
+            // The round takes them over.
+            Ok(()) = berth.settings.changed() => desk.borrow().came.notify_one(),
             changed = berth.phase.changed(), if stopping.is_none() => {
                 if changed.is_ok() && *berth.phase.borrow_and_update() != Phase::Serving {
                     let closed = closed(berth.phase.clone());
--- a/crates/router/src/drive/lead.rs
+++ b/crates/router/src/drive/lead.rs
@@ -4,6 +4,7 @@
 use super::core::{self, BEAT, Berth, Phase, Report, Told};
 use super::{arrival, discovery};
 use crate::life::reload::Was;
+use crate::life::settings::Live;
 use crate::life::start::Station;
 use crate::life::{logger, reload, stop};
 use crate::memory::clock::Clock;
@@ -155,12 +156,14 @@
 
 /// Runs a router on several cores until SIGTERM has been seen through.
 pub async fn run(station: Station, sharing: Sharing, clock: Clock) -> io::Result<()> {
-    let Station { path, beside, name, listen, discovery, roster, module, fixed, .. } = station;
+    let Station { path, beside, name, listen, discovery, roster, seed, fixed, role, .. } = station;
     let (trunk, room, verticals) = (station.trunk, station.room, station.verticals);
     let was = Was { path, beside, fixed };
     let (terms, hangups) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
     let (for_clients, for_nodes) = descriptors::shares(station.sockets, station.memory, sharing.cores);
     let (house, inboxes) = House::new(room.room, sharing, PATIENCE);
+    let longest = station.layouts.map(|_| room.deadline);
+    let live = Live::new(house.clone(), role, station.settings, station.began, longest);
     let (told, roster_told) = watch::channel(Told::default());
     let (phase, phase_told) = watch::channel(Phase::Serving);
     let (reports, mut came) = mpsc::unbounded_channel();
@@ -186,7 +189,8 @@
             room,
             verticals: verticals.clone(),
             layouts,
-            module: module.clone(),
+            seed,
+            settings: live.news(),
             for_nodes: for_nodes.clone(),
             orders,
             roster: roster_told.clone(),
@@ -202,8 +206,14 @@
     arrival::stamp(&listener)?;
     let (at, cores) = (listener.local_addr()?, sharing.cores);
     tracing::info!(target: "start", "{name} listens at {at}: {known} data nodes known, {cores} cores");
-    spawn_local(discovery::run(list.clone(), agent_of(discovery, hangups, was, clock)));
     let crew = Rc::new(RefCell::new(Crew::new(cores, clock.now())));
+    let (counts, states) = (list.clone(), crew.clone());
+    let away =
+        move |core| matches!(states.borrow().state(core), State::Hung(_) | State::Failed(_) | State::Lost);
+    let counts = Box::new(move |what: &'static str| counts.borrow_mut().counters.one(what));
+    live.attach(counts, Some(Box::new(move |core| !away(core))));
+    station.driver.into_iter().for_each(|driver| driver(live.clone()));
+    spawn_local(discovery::run(list.clone(), agent_of(discovery, hangups, was, clock, live.clone())));
     let dealer = Rc::new(Dealer { house: house.clone(), crew: crew.clone(), next: RefCell::new(0) });
     let close = Rc::new(Notify::new());
     let listening = spawn_local(clients::listen(dealer, listener, for_clients, close.clone()));
@@ -213,7 +223,7 @@
     // Whether a core is still there or not, the stop takes no longer than on one core.
     if watched.is_ok() {
         let _ = phase.send(Phase::Stopping);
-        let over = clock.now() + stop::limit(room.deadline) + 0.3;
+        let over = clock.now() + stop::limit(live.longest_deadline()) + 0.3;
         stop::listener_closed(close, listening).await;
         let _ = phase.send(Phase::Closed);
         let mut left = crew.borrow().count(|state| !matches!(state, State::Failed(_) | State::Lost));
@@ -234,9 +244,15 @@
 }
 
 /// Discovery's address, which moves with each SIGHUP.
-fn agent_of(at: SocketAddr, hangups: Signal, was: Was, clock: Clock) -> watch::Receiver<SocketAddr> {
+fn agent_of(
+    at: SocketAddr,
+    hangups: Signal,
+    was: Was,
+    clock: Clock,
+    live: Live,
+) -> watch::Receiver<SocketAddr> {
     let (agent, moves) = watch::channel(at);
-    spawn_local(async move { reload::at_sighup(hangups, was, agent, clock).await });
+    spawn_local(async move { reload::follow(hangups, was, agent, clock, Some(live)).await });
     moves
 }
 
--- a/crates/router/src/drive/rounds.rs
+++ b/crates/router/src/drive/rounds.rs
@@ -71,6 +71,16 @@
     }
 }
 
+/// Makes a module by the newest settings that the desk has taken over; without any there is none to make.
+pub fn newest(desk: &Shared, seed: u64) -> impl Fn() -> Result<Router, String> + 'static {
+    let desk = desk.clone();
+    move || {
+        let desk = desk.borrow();
+        let terms = desk.terms.newest().ok_or("no settings")?;
+        Ok(Router::new(seed, terms.clone()))
+    }
+}
+
 /// Plays rounds for as long as the program runs, the settings' tick apart at least. `module` makes the module,
 /// at the start and again if it has failed; returns only where that is impossible.
 pub async fn run<E>(
@@ -78,12 +88,12 @@
     module: impl Fn() -> Result<Router, E>,
     share: Arc<Share>,
 ) -> Result<(), E> {
-    let (clock, came, tick, common) = {
+    let (clock, came, common) = {
         let desk = desk.borrow();
         // Who has peers tells them what it sees, as one core tells others.
         let common = if desk.peers.is_some() { Common::new(2) } else { desk.house.common.clone() };
         let common = common.of(desk.core as u8);
-        (desk.clock, desk.came.clone(), desk.room.tick, common)
+        (desk.clock, desk.came.clone(), common)
     };
     let module = || {
         let mut router = module()?;
@@ -123,6 +133,7 @@
         }
         desk.borrow_mut().counters.one("rounds");
         post(&desk, &share);
+        let tick = desk.borrow().room.tick;
         until(clock, now + tick).await;
     }
 }
--- a/crates/router/src/life/mod.rs
+++ b/crates/router/src/life/mod.rs
@@ -2,5 +2,6 @@
 pub mod logger;
 pub mod reload;
 pub mod serve;
+pub mod settings;
 pub mod start;
 pub mod stop;
--- a/crates/router/src/life/serve.rs
+++ b/crates/router/src/life/serve.rs
@@ -1,13 +1,16 @@
 //! Runs a query router as it was started: on one core in this thread, or on several with this thread as their lead.
 use super::reload::Was;
+use super::settings::Live;
 use super::start::{Role, Station};
 use super::{logger, reload, stop};
 use crate::drive::{arrival, clients, discovery, lead, rounds};
+use crate::memory::Shared;
 use crate::memory::clock::Clock;
 use crate::memory::descriptors;
 use crate::memory::desk::Desk;
 use crate::memory::ground::Ground;
 use crate::memory::house::{House, Sharing};
+use crate::memory::terms::Issue;
 use crate::peers::{self, Circle};
 use crate::tier::forwarder::Forwarder;
 use crate::tier::{links, post};
@@ -15,6 +18,7 @@
 use std::cell::RefCell;
 use std::io;
 use std::rc::Rc;
+use std::sync::Arc;
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
@@ -35,13 +39,15 @@
 }
 
 async fn alone(station: Station, sharing: Sharing, clock: Clock) -> io::Result<()> {
-    let Station { path, beside, name, listen, discovery, roster, module, fixed, peers, .. } = station;
+    let Station { path, beside, name, listen, discovery, roster, seed, fixed, peers, role, .. } = station;
     // Before anybody can know that this program is up: unhandled, either of them would end it.
     let (terms, hangups) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
     let kept = peers.as_ref().map_or(0, Circle::descriptors);
     let (for_clients, for_nodes) = descriptors::shares(station.sockets - kept, station.memory, 1);
     let house = House::new(station.room.room, sharing, f64::INFINITY).0;
+    let live = Live::new(house.clone(), role.clone(), station.settings, station.began, None);
     let mut desk = Desk::on(house, 0, clock, station.trunk, station.room, station.verticals);
+    desk.follow_settings(live.news());
     desk.roster = roster;
     desk.ground = station.layouts.map(Ground::new);
     desk.came.notify_one();
@@ -50,7 +56,7 @@
     let (at, known) = (listener.local_addr()?, desk.roster.nodes.len());
     tracing::info!(target: "start", "{name} listens at {at}: {known} data nodes known");
     let desk = Rc::new(RefCell::new(desk));
-    if let Role::Forwarder { planners, beat, patience } = &station.role {
+    if let Role::Forwarder { planners, beat, patience } = &role {
         let (watch, came) = (Watch { beat: *beat, patience: *patience }, desk.borrow().came.clone());
         let tier = Rc::new(RefCell::new(Forwarder::new(&name, post::incarnation(), watch, clock, came)));
         desk.borrow_mut().tier = Some(tier.clone());
@@ -60,10 +66,14 @@
         peers::start(&desk, circle, &name, post::incarnation()).await?;
     }
     let close = Rc::default();
-    let rounds = spawn_local(rounds::run(desk.clone(), move || module(), for_nodes));
+    let rounds = spawn_local(rounds::run(desk.clone(), rounds::newest(&desk, seed), for_nodes));
+    spawn_local(wake(desk.clone(), live.news()));
+    let counts = desk.clone();
+    live.attach(Box::new(move |what| counts.borrow_mut().counters.one(what)), None);
     let (agent, at) = watch::channel(discovery);
     spawn_local(discovery::run(desk.clone(), at));
-    spawn_local(reload::at_sighup(hangups, Was { path, beside, fixed }, agent, clock));
+    station.driver.into_iter().for_each(|driver| driver(live.clone()));
+    spawn_local(reload::follow(hangups, Was { path, beside, fixed }, agent, clock, Some(live)));
     let listening = spawn_local(clients::listen(desk.clone(), listener, for_clients, Rc::clone(&close)));
     // A router whose module has failed must not go on as if it served.
     tokio::select! {
@@ -73,3 +83,10 @@
     logger::last_words(&desk.borrow().figures());
     Ok(())
 }
+
+/// Has a round played for settings that are new, with nothing else to play it for.
+async fn wake(desk: Shared, mut news: watch::Receiver<Arc<Issue>>) {
+    while news.changed().await.is_ok() {
+        desk.borrow().came.notify_one();
+    }
+}
--- a/crates/router/src/life/start.rs
+++ b/crates/router/src/life/start.rs
@@ -1,4 +1,5 @@
 //! The one place where the configuration is read, checked and given defaults. Every message names its key.
+use super::settings::Live;
 use crate::memory::clock::Clock;
 use crate::memory::desk::Class;
 use crate::memory::ground::Following;
@@ -32,6 +33,12 @@
     pub roster: Roster,
     /// Makes the decision module, which its settings have proved to allow.
     pub module: Recipe,
+    /// The same as values: the start of its chance, and the settings, as the file has them and as read.
+    pub seed: u64,
+    pub settings: Value,
+    pub began: deployment::live::Settings,
+    /// What is to be told of the running router once it serves, so that it can bring it settings.
+    pub driver: Option<Driver>,
     pub verticals: Vec<Class>,
     pub trunk: deployment::Trunk,
     pub room: deployment::Intake,
@@ -59,6 +66,9 @@
 /// A second reading of other files: an error, or whether anything that it was started by has changed.
 pub type Beside = Arc<dyn Fn() -> Read<bool> + Send + Sync>;
 
+/// Started in the router's own thread once it listens.
+pub type Driver = Box<dyn FnOnce(Live) + Send>;
+
 /// Makes a decision module.
 pub type Recipe = Arc<dyn Fn() -> Read<Router> + Send + Sync>;
 
@@ -128,11 +138,13 @@
     };
     let settings = all.get("settings").ok_or("key `settings`: missing")?;
     let wrong = |why: String| format!("key `settings`: expected {why}");
-    let (_, verticals) = deployment::router(seed, settings).map_err(wrong)?;
-    let (trunk, room) = deployment::sockets(settings).map_err(wrong)?;
-    let windows = deployment::windows(settings).map_err(wrong)?;
-    let class = |(name, window)| Class { name, window };
-    let verticals = verticals.into_iter().zip(windows).map(class).collect();
+    let mut began = deployment::live::settings(settings).map_err(wrong)?;
+    if let Some(peers) = peers {
+        began.terms.peers = peers as usize;
+    }
+    let class = |(name, window): (&String, &Option<f64>)| Class { name: name.clone(), window: *window };
+    let verticals = began.names.iter().zip(&began.windows).map(class).collect();
+    let (trunk, room) = (began.trunk, began.intake);
     Ok(Station {
         path: PathBuf::new(),
         beside: None,
@@ -143,12 +155,13 @@
         memory: limit("memory_mb", MEMORY_MB, 1)? as usize * 1024 * 1024,
         roster: known(all.get("known"), clock).map_err(|why| format!("key `known`: {why}"))?,
         module: Arc::new({
-            let mut settings = settings.clone();
-            if let Some(peers) = peers {
-                settings["ReplicasOfMe"] = Value::from(peers);
-            }
-            move || deployment::router(seed, &settings).map(|made| made.0)
+            let terms = began.terms.clone();
+            move || Ok(Router::new(seed, terms.clone()))
         }),
+        seed,
+        settings: settings.clone(),
+        began,
+        driver: None,
         verticals,
         trunk,
         room,
--- a/crates/router/src/life/stop.rs
+++ b/crates/router/src/life/stop.rs
@@ -46,7 +46,7 @@
         desk.stage = Stage::Stopping;
         let (queries, clients) = (desk.queries.len(), desk.clients.len());
         tracing::info!(target: "stop", "SIGTERM: {queries} queries open, {clients} clients");
-        (desk.clock, began, limit(desk.room.deadline), desk.room.slo)
+        (desk.clock, began, limit(desk.longest_deadline(began)), desk.room.slo)
     };
     closed.await;
     while clock.now() < began + limit && !desk.borrow().clients.is_empty() {
--- a/crates/router/src/memory/desk.rs
+++ b/crates/router/src/memory/desk.rs
@@ -9,6 +9,7 @@
 use super::lines::{Frame, Line, Place};
 use super::queries::{self, Queries, Query};
 use super::roster::Roster;
+use super::terms::Places;
 use crate::tier::links::Tier;
 use crate::wire::http::Refusal;
 use crate::wire::{answer, frames};
@@ -64,7 +65,9 @@
     pub clock: Clock,
     pub trunk: Trunk,
     pub room: Room,
+    /// By their places, of which `terms` says who has them.
     pub verticals: Vec<Class>,
+    pub terms: Places,
     pub queries: Queries,
     pub calls: Calls,
     pub roster: Roster,
@@ -141,6 +144,7 @@
             trunk,
             room,
             verticals,
+            terms: Places::default(),
             queries: Queries::default(),
             calls: Calls::default(),
             roster: Roster::default(),
@@ -448,7 +452,8 @@
         if let Some(record) = self.roster.nodes.get_mut(&node) {
             record.fresh.retain(|fresh| fresh != id);
         }
-        let (now, longest, dial) = (self.clock.now(), self.room.deadline, self.trunk.dial);
+        let (now, dial) = (self.clock.now(), self.trunk.dial);
+        let longest = self.longest_deadline(now);
         if let Some(line) = line.and_then(|l| self.roster.line(&node, l)) {
             match line.place(id) {
                 Place::Waiting => line.take_back(id),
@@ -638,6 +643,7 @@
             self.ready = true;
             tracing::info!(target: "ready", "serves: {} data nodes known", self.roster.nodes.len());
         }
+        self.tell_terms(module);
         self.roster.tell(module);
         if let Some((late, in_time)) = self.fleet.take() {
             module.fleet(late, in_time);
@@ -669,6 +675,9 @@
         for query in std::mem::take(&mut self.left) {
             module.client_left(&query);
         }
+        if self.stage < Stage::Ended {
+            self.tell_places(module);
+        }
         let due: Vec<u64> = self.alarms.extract_if(.., |a| a.0 <= now).map(|a| a.1).collect();
         due.into_iter().for_each(|tag| module.alarm(tag));
         if let Some(ground) = &mut self.ground {
@@ -699,6 +708,7 @@
         self.new.clear();
         self.left.clear();
         self.alarms.clear();
+        self.begin_terms();
         self.roster.whole = true;
         self.roster.changed = self.roster.nodes.keys().cloned().collect();
         self.ground.iter_mut().for_each(Ground::tell_all);
--- a/crates/router/src/memory/house.rs
+++ b/crates/router/src/memory/house.rs
@@ -83,6 +83,8 @@
     /// Of a thousand parts of its time lately, how many it worked.
     pub busy: AtomicU64,
     pub figures: watch::Sender<Arc<Figures>>,
+    /// The serial of the settings that its module goes by.
+    pub settings: watch::Sender<u64>,
     inbox: Option<mpsc::Sender<Order>>,
 }
 
@@ -104,6 +106,8 @@
     pub lost: AtomicUsize,
     /// What the lead itself counts.
     pub lead: watch::Sender<Arc<Figures>>,
+    /// The number of the settings in force, if they came with one.
+    pub version: AtomicU64,
 }
 
 /// How several cores share.
@@ -132,6 +136,7 @@
             active: AtomicUsize::new(0),
             busy: AtomicU64::new(0),
             figures: watch::channel(Arc::default()).0,
+            settings: watch::channel(0).0,
             inbox,
         };
         let (senders, inboxes): (Vec<_>, Vec<_>) =
@@ -152,6 +157,7 @@
             hung: AtomicUsize::new(0),
             lost: AtomicUsize::new(0),
             lead: watch::channel(Arc::default()).0,
+            version: AtomicU64::new(0),
         };
         (Arc::new(house), inboxes)
     }
@@ -185,6 +191,10 @@
 
     /// Adds what the other cores last said to one's own figures, and how the cores are.
     pub fn add_others(&self, core: Option<usize>, figures: &mut Figures) {
+        let version = self.version.load(Relaxed);
+        if version > 0 {
+            figures.open.push(("settings_version", version));
+        }
         if !self.is_shared() {
             return;
         }
--- a/crates/router/src/memory/mod.rs
+++ b/crates/router/src/memory/mod.rs
@@ -15,6 +15,7 @@
 pub mod lines;
 pub mod queries;
 pub mod roster;
+pub mod terms;
 
 use std::cell::RefCell;
 use std::rc::Rc;
--- a/crates/router/src/memory/queries.rs
+++ b/crates/router/src/memory/queries.rs
@@ -76,6 +76,8 @@
     due: Due<u64>,
     numbers: BTreeMap<Rc<str>, u64>,
     parts: BTreeMap<Rc<str>, (u64, usize)>,
+    /// How many are open in each vertical's place.
+    verticals: BTreeMap<usize, usize>,
     last: u64,
 }
 
@@ -93,6 +95,11 @@
         self.open.len()
     }
 
+    /// How many are open in a vertical's place.
+    pub fn open_in(&self, vertical: usize) -> usize {
+        self.verticals.get(&vertical).copied().unwrap_or(0)
+    }
+
     pub fn is_open(&self, id: &str) -> bool {
         self.numbers.contains_key(id)
     }
@@ -109,6 +116,7 @@
         for (i, part) in query.parts.iter().enumerate() {
             self.parts.insert(part.id.clone(), (self.last, i));
         }
+        *self.verticals.entry(query.vertical).or_default() += 1;
         self.open.insert(self.last, query);
         self.last
     }
@@ -118,6 +126,9 @@
         self.numbers.remove(&query.id);
         self.places.remove(&number);
         self.due.remove(query.not_after, &number);
+        if let Some(open) = self.verticals.get_mut(&query.vertical) {
+            *open -= 1;
+        }
         for part in &query.parts {
             self.parts.remove(&part.id);
         }
--- a/crates/router/src/requests.rs
+++ b/crates/router/src/requests.rs
@@ -60,7 +60,8 @@
     let left =
         left.parse::<u32>().ok().filter(|_| digits).ok_or((400, "X-Time-Left-Ms is not a whole number"))?;
     let mut desk = desk.borrow_mut();
-    let vertical = desk.verticals.iter().position(|v| v.name == class).ok_or((400, "an unknown vertical"))?;
+    desk.renew();
+    let vertical = desk.vertical(class).ok_or((400, "an unknown vertical"))?;
     if desk.queries.is_open(id) {
         return Err((400, "a query with this X-Correlation-Id is open"));
     }
