--- a/crates/alderway/src/main.rs
+++ b/crates/alderway/src/main.rs
@@ -1,4 +1,9 @@
-//! The command line: `alderway serve` runs a query router, `alderway check` reads what it would run by and says so.
+//! The command line: `alderway serve` runs a query router, `alderway check` reads what it would run by and says so;
+//! `alderway control` runs a control machine, `alderway config` is for operators of these.
+mod config;
+mod control;
+mod settings;
+
 use alderway_operator::{self as operator, Count, KEPT_BACK, LogForm, Operator, Tier};
 use alderway_peers::Terms;
 use alderway_router::life::logger::{self, Form};
@@ -28,6 +33,11 @@
     Serve(Files),
     /// Reads and checks the files, and prints what would run
     Check(Files),
+    /// Runs a control machine until SIGTERM
+    Control(control::Control),
+    /// Changes, shows and checks what the control machines keep
+    #[command(subcommand)]
+    Config(config::Config),
 }
 
 #[derive(Args)]
@@ -93,6 +103,9 @@
 
 fn plan(files: &Files, clock: Clock) -> Result<Plan, String> {
     let (operator, text) = operator_at(files.operator.as_deref())?;
+    if operator.control.is_some() {
+        return Err("the operator's file says `control`: it is for `alderway control`".into());
+    }
     // Shares that all routers hold together: planners have most, forwarders keep some back.
     let peers = match &operator.tier {
         Tier::Alone => None,
@@ -185,7 +198,11 @@
 fn main() -> ExitCode {
     let clock = Clock::default();
     let verb = Line::parse().verb;
-    let (Verb::Serve(files) | Verb::Check(files)) = &verb;
+    let files = match &verb {
+        Verb::Serve(files) | Verb::Check(files) => files,
+        Verb::Control(control) => return control::run(control),
+        Verb::Config(config) => return config::run(config),
+    };
     let plan = match plan(files, clock) {
         Ok(plan) => plan,
         Err(why) => {
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -65,6 +65,8 @@
     },
     Summary {
         question: u64,
+        version: Number,
+        out: Option<String>,
         summary: crate::outlet::Summary,
     },
 }
@@ -310,6 +312,14 @@
         self.pieces.remove(from);
     }
 
+    /// What was sent to it was dropped.
+    pub fn unreachable(&mut self, name: &str) {
+        let id = self.names.iter().find(|(_, known)| *known == name).map(|(id, _)| *id);
+        if let (Some(id), Some(node)) = (id, &mut self.node) {
+            node.unreachable(id);
+        }
+    }
+
     /// Why this machine takes no part, if it doesn't.
     pub fn out(&self) -> Option<String> {
         if let Some(why) = self.node.as_ref().and_then(Consensus::broken) {
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -1,2 +1,7 @@
 //! A control machine: the drivers of `alderway-control` on sockets and on disk, and the door through which operators
 //! change the configuration. Called by `alderway control`; serves no query and knows no data node.
+pub mod client;
+pub mod door;
+pub mod driver;
+pub mod links;
+pub mod store;
--- /dev/null
+++ b/crates/controller/src/links.rs
@@ -0,0 +1,250 @@
+//! Links among control machines: each dials every other one and speaks on what it dialled; what others dialled it only
+//! reads. A link that is of no use is dialled anew after waits that are drawn and grow.
+use crate::driver::{Held, Told};
+use alderway_control::machine::{Name, Word};
+use alderway_router::tier::links::{PATIENCE, Waits, greet};
+use alderway_tier::frames::{self, Hello, Read, Reader, Speech};
+use serde::{Deserialize, Serialize};
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+/// What waits for one machine at most; past that words are dropped, as the order stands it.
+const WAITING: usize = 48 * 1024 * 1024;
+/// A machine that takes nothing of what waits for so long is dialled anew.
+const STUCK: Duration = Duration::from_secs(3);
+/// Connections that others may hold here at once.
+const HEARD_MOST: usize = 64;
+/// A link that lasted so long was of use.
+const OF_USE: Duration = Duration::from_secs(1);
+
+/// A word on the wire.
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Said(pub Word);
+
+impl Speech for Said {
+    const WORD: [u8; 4] = *b"ALDC";
+    const VERSION: u16 = 1;
+}
+
+/// What waits to be written, by machine; nothing for one whose link is down.
+pub struct Posts(BTreeMap<Name, Post>);
+
+struct Post {
+    up: bool,
+    bytes: Vec<u8>,
+    wake: Rc<Notify>,
+}
+
+impl Posts {
+    pub fn to<'a>(names: impl Iterator<Item = &'a Name>) -> Posts {
+        let post = || Post { up: false, bytes: vec![], wake: Rc::default() };
+        Posts(names.map(|name| (name.clone(), post())).collect())
+    }
+
+    /// False where it was dropped.
+    pub fn put(&mut self, to: &str, word: &Word) -> bool {
+        let Some(post) = self.0.get_mut(to).filter(|post| post.up && post.bytes.len() < WAITING) else {
+            return false;
+        };
+        let put = frames::message(&mut post.bytes, &Said(word.clone()));
+        post.wake.notify_one();
+        put
+    }
+
+    fn set(&mut self, to: &str, up: bool) -> Option<Rc<Notify>> {
+        let post = self.0.get_mut(to)?;
+        post.up = up;
+        post.bytes = vec![];
+        Some(post.wake.clone())
+    }
+
+    fn take(&mut self, to: &str) -> Vec<u8> {
+        self.0.get_mut(to).map(|post| std::mem::take(&mut post.bytes)).unwrap_or_default()
+    }
+}
+
+pub fn start(held: &Held, listener: TcpListener, others: &BTreeMap<Name, SocketAddr>, seed: u64) {
+    spawn_local(accept(held.clone(), listener));
+    for (n, (name, at)) in others.iter().enumerate() {
+        let (held, name, at, seed) = (held.clone(), name.clone(), *at, seed ^ (n as u64) << 17);
+        spawn_local(async move { keep(held, name, at, seed).await });
+    }
+}
+
+fn hello(held: &Held) -> Hello {
+    let machine = &held.borrow().machine;
+    Hello { version: Said::VERSION, planner: false, incarnation: machine.id(), name: machine.name().into() }
+}
+
+/// Keeps up the link to another machine for as long as the program runs.
+async fn keep(held: Held, name: Name, at: SocketAddr, seed: u64) {
+    let mut waits = Waits::new(seed);
+    loop {
+        if let Ok(Ok(stream)) = timeout(PATIENCE, TcpStream::connect(at)).await {
+            let from = Instant::now();
+            if let Err(why) = speak(&held, &name, &stream).await {
+                tracing::warn!(target: "links", "{name} at {at}: {why}");
+            }
+            held.borrow_mut().posts.set(&name, false);
+            if from.elapsed() > OF_USE {
+                waits.met();
+            }
+        }
+        waits.wait().await;
+    }
+}
+
+async fn speak(held: &Held, name: &str, stream: &TcpStream) -> Result<(), String> {
+    let _ = stream.set_nodelay(true);
+    let (mut out, mut reader, mut space) = (vec![], Reader::<Said>::default(), vec![0; 1024]);
+    frames::hello_of::<Said>(&mut out, &hello(held));
+    let met = timeout(PATIENCE, greet(stream, &mut out, &mut reader, &mut space));
+    let met = met.await.map_err(|_| "no hello in time".to_string())??;
+    if met.name != name {
+        return Err(format!("it is {}", met.name));
+    }
+    let wake = {
+        let mut held = held.borrow_mut();
+        let wake = held.posts.set(name, true).ok_or("not of the members")?;
+        let first = held.machine.linked();
+        held.posts.put(name, &first);
+        wake
+    };
+    let mut moved = Instant::now();
+    loop {
+        if out.is_empty() {
+            out = held.borrow_mut().posts.take(name);
+            moved = Instant::now();
+        }
+        if !out.is_empty() {
+            match stream.try_write(&out) {
+                Ok(count) => {
+                    drop(out.drain(..count));
+                    moved = Instant::now();
+                    continue;
+                }
+                Err(why) if why.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => return Ok(()),
+            }
+        }
+        tokio::select! {
+            ready = stream.readable() => {
+                if ready.is_err() {
+                    return Ok(());
+                }
+                // Nobody answers on a link that was dialled: what can be read is its end.
+                match stream.try_read(&mut space) {
+                    Err(why) if why.kind() == ErrorKind::WouldBlock => {}
+                    Ok(0) | Err(_) => return Ok(()),
+                    Ok(_) => return Err("it speaks on a link that it did not dial".into()),
+                }
+            }
+            _ = stream.writable(), if !out.is_empty() => {}
+            () = wake.notified(), if out.is_empty() => {}
+            () = sleep(STUCK), if !out.is_empty() => {}
+        }
+        if !out.is_empty() && moved.elapsed() > STUCK {
+            return Err("it takes nothing of what it is sent".into());
+        }
+    }
+}
+
+async fn accept(held: Held, listener: TcpListener) {
+    let (open, newest) = (Rc::new(Cell::new(0)), Rc::default());
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        if open.get() >= HEARD_MOST {
+            continue;
+        }
+        open.set(open.get() + 1);
+        let (held, open, newest) = (held.clone(), open.clone(), Rc::clone(&newest));
+        spawn_local(async move {
+            if let Err(why) = hear(&held, &stream, &newest).await {
+                tracing::warn!(target: "links", "one that dialled: {why}");
+            }
+            open.set(open.get() - 1);
+        });
+    }
+}
+
+/// The newest connection of each machine counts; an earlier one is read no further.
+type Newest = std::cell::RefCell<BTreeMap<Name, u64>>;
+
+async fn hear(held: &Held, stream: &TcpStream, newest: &Newest) -> Result<(), String> {
+    let _ = stream.set_nodelay(true);
+    let (mut out, mut reader, mut space) = (vec![], Reader::<Said>::default(), vec![0; 64 * 1024]);
+    frames::hello_of::<Said>(&mut out, &hello(held));
+    let met = timeout(PATIENCE, greet(stream, &mut out, &mut reader, &mut space));
+    let met = met.await.map_err(|_| "no hello in time".to_string())??;
+    let own = {
+        let mut held = held.borrow_mut();
+        if !held.doors.contains_key(&met.name) || met.name == held.machine.name() {
+            return Err(format!("{} is not of the members here", met.name));
+        }
+        held.machine.unlinked(&met.name);
+        held.count()
+    };
+    newest.borrow_mut().insert(met.name.clone(), own);
+    loop {
+        let mut fed = false;
+        loop {
+            match reader.read() {
+                Ok(Some(Read::Message(Said(word)))) => {
+                    if newest.borrow().get(&met.name) != Some(&own) {
+                        return Ok(());
+                    }
+                    came(held, &met.name, word);
+                    fed = true;
+                }
+                Ok(Some(Read::Hello(_))) => return Err("it says hello twice".into()),
+                Ok(None) => break,
+                Err(why) => return Err(why.to_string()),
+            }
+        }
+        if fed {
+            held.borrow_mut().run();
+        }
+        if stream.readable().await.is_err() {
+            return Ok(());
+        }
+        match stream.try_read(&mut space) {
+            Ok(0) => return Ok(()),
+            Ok(count) => reader.feed(&space[..count]),
+            Err(why) if why.kind() == ErrorKind::WouldBlock => {}
+            Err(_) => return Ok(()),
+        }
+    }
+}
+
+fn came(held: &Held, from: &str, word: Word) {
+    let mut held = held.borrow_mut();
+    match word {
+        Word::Summarise { question } => {
+            let (version, out) = (held.machine.history().number(), held.machine.out());
+            let summary = held.outlet.summary();
+            held.posts.put(from, &Word::Summary { question, version, out, summary });
+        }
+        Word::Summary { question, version, out, summary } => {
+            if let Some(asking) = held.asking.get(&question) {
+                // One that has gone needs no answer.
+                let _ = asking.send(Told { question, from: from.into(), version, out, summary });
+            }
+        }
+        word => {
+            let now = held.now();
+            held.machine.came(from, word, now);
+        }
+    }
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -34,6 +34,7 @@
 /// A core is told apart by eight bits.
 pub const MOST_CORES: usize = 128;
 pub const MOST_MEMBERS: usize = 1000;
+pub const MOST_CONTROL: usize = 7;
 
 /// How many cores serve.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -107,6 +108,19 @@
     pub verdicts: bool,
 }
 
+/// One of the machines that decide the order of configurations; a program of its own.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Control {
+    pub name: String,
+    /// All of them by name, this one among them: where each hears the others, and where it hears operators.
+    pub members: BTreeMap<String, SocketAddr>,
+    pub doors: BTreeMap<String, SocketAddr>,
+    /// The folder of what it keeps.
+    pub data: String,
+    /// Where it hears routers; none: nobody is told.
+    pub routers: Option<SocketAddr>,
+}
+
 /// What part of each share that all routers hold together forwarders keep for when no planner can be asked; planners have
 /// the rest. Fixed, so that whoever is cut off from whom, the sum holds.
 pub const KEPT_BACK: f64 = 0.25;
@@ -121,6 +135,8 @@
     pub tier: Tier,
     /// None: this router knows of no other.
     pub peers: Option<Peers>,
+    /// None: this program is no control machine.
+    pub control: Option<Control>,
 }
 
 /// What has been said so far.
@@ -131,6 +147,7 @@
     layouts: RefCell<Option<Layouts>>,
     tier: RefCell<Option<Tier>>,
     peers: RefCell<Option<Peers>>,
+    control: RefCell<Option<Control>>,
 }
 
 fn said<'a>(eval: &Evaluator<'_, 'a, '_>) -> anyhow::Result<&'a Said> {
@@ -163,6 +180,25 @@
     given.ok_or_else(|| anyhow::anyhow!("`{subject}`: `{name}` is True or False, found {}", value.to_repr()))
 }
 
+/// Names, each with its own address.
+fn addresses(subject: &str, what: &str, value: Value) -> anyhow::Result<BTreeMap<String, SocketAddr>> {
+    let wrong = || {
+        let found = value.to_repr();
+        anyhow::anyhow!("`{subject}`: `{what}` gives names, each with its address:port, found {found}")
+    };
+    let given = DictRef::from_value(value).ok_or_else(wrong)?;
+    let entry = |(name, at): (Value, Value)| {
+        let name = name.unpack_str().filter(|name| !name.is_empty() && name.len() <= 64)?;
+        Some((name.to_string(), at.unpack_str()?.parse().ok()?))
+    };
+    let all = given.iter().map(entry).collect::<Option<BTreeMap<String, SocketAddr>>>().ok_or_else(wrong)?;
+    let apart: BTreeSet<&SocketAddr> = all.values().filter(|at| at.port() > 0).collect();
+    if apart.len() < all.values().filter(|at| at.port() > 0).count() {
+        return Err(anyhow::anyhow!("`{subject}`: `{what}` gives one address twice"));
+    }
+    Ok(all)
+}
+
 #[starlark_module]
 fn subjects(globals: &mut GlobalsBuilder) {
     /// How many cores serve and how they share.
@@ -258,21 +294,7 @@
         #[starlark(require = named)] verdicts: Option<Value<'v>>,
         eval: &mut Evaluator<'v, '_, '_>,
     ) -> anyhow::Result<NoneType> {
-        let wrong = || {
-            let found = members.to_repr();
-            anyhow::anyhow!("`peers`: `members` gives names, each with its address:port, found {found}")
-        };
-        let given = DictRef::from_value(members).ok_or_else(wrong)?;
-        let entry = |(name, at): (Value<'v>, Value<'v>)| {
-            let name = name.unpack_str().filter(|name| !name.is_empty() && name.len() <= 64)?;
-            Some((name.to_string(), at.unpack_str()?.parse().ok()?))
-        };
-        let members =
-            given.iter().map(entry).collect::<Option<BTreeMap<String, SocketAddr>>>().ok_or_else(wrong)?;
-        let addresses: BTreeSet<&SocketAddr> = members.values().filter(|at| at.port() > 0).collect();
-        if addresses.len() < members.values().filter(|at| at.port() > 0).count() {
-            return Err(anyhow::anyhow!("`peers`: `members` gives one address twice"));
-        }
+        let members = addresses("peers", "members", members)?;
         if !(2..=MOST_MEMBERS).contains(&members.len()) {
             let found = members.len();
             return Err(anyhow::anyhow!("`peers`: `members` are 2 to {MOST_MEMBERS}, found {found}"));
@@ -308,6 +330,47 @@
         once(&said(eval)?.peers, "peers", Peers { members, beat, pulse, stale, witnesses, verdicts })
     }
 
+    /// That this program is a control machine.
+    fn control<'v>(
+        #[starlark(require = named)] name: Value<'v>,
+        #[starlark(require = named)] members: Value<'v>,
+        #[starlark(require = named)] doors: Value<'v>,
+        #[starlark(require = named)] data: Value<'v>,
+        #[starlark(require = named)] routers: Option<Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        let text = |what: &str, value: Value<'v>| {
+            let text = value.unpack_str().filter(|text| !text.is_empty()).map(str::to_string);
+            text.ok_or_else(|| anyhow::anyhow!("`control`: `{what}` is a text, found {}", value.to_repr()))
+        };
+        let (name, data) = (text("name", name)?, text("data", data)?);
+        let members = addresses("control", "members", members)?;
+        let doors = addresses("control", "doors", doors)?;
+        if members.len() > MOST_CONTROL || members.len().is_multiple_of(2) {
+            let found = members.len();
+            return Err(anyhow::anyhow!("`control`: `members` are 1, 3, 5 or 7, found {found}"));
+        }
+        if !members.contains_key(&name) {
+            return Err(anyhow::anyhow!("`control`: `members` does not name this machine, `{name}`"));
+        }
+        if !members.keys().eq(doors.keys()) {
+            return Err(anyhow::anyhow!("`control`: `doors` does not name the same machines as `members`"));
+        }
+        let routers = routers.map(|value| {
+            let at = value.unpack_str().and_then(|text| text.parse::<SocketAddr>().ok());
+            at.ok_or_else(|| {
+                anyhow::anyhow!("`control`: `routers` is address:port, found {}", value.to_repr())
+            })
+        });
+        let routers = routers.transpose()?;
+        let own = [members.get(&name), doors.get(&name), routers.as_ref()];
+        let own: Vec<&SocketAddr> = own.into_iter().flatten().filter(|at| at.port() > 0).collect();
+        if own.iter().collect::<BTreeSet<_>>().len() < own.len() {
+            return Err(anyhow::anyhow!("`control`: this machine has one address for two things"));
+        }
+        once(&said(eval)?.control, "control", Control { name, members, doors, data, routers })
+    }
+
     /// How the log is written.
     fn log<'v>(
         #[starlark(require = named)] form: Value<'v>,
@@ -382,6 +445,16 @@
         eval.extra = Some(&said);
         eval.eval_module(ast, &globals).map(drop).map_err(|why| line(name, &why))
     })?;
+    let control = said.control.take();
+    let others = [
+        said.cores.borrow().is_some(),
+        said.layouts.borrow().is_some(),
+        said.tier.borrow().is_some(),
+        said.peers.borrow().is_some(),
+    ];
+    if control.is_some() && others.contains(&true) {
+        return Err(format!("{name}: `control` is of a program of its own: it goes with `log` only"));
+    }
     let (cores, log) = (said.cores.take().unwrap_or_default(), said.log.take().unwrap_or_default());
     let (layouts, tier) = (said.layouts.take(), said.tier.take().unwrap_or_default());
     if tier != Tier::Alone && layouts.is_some() {
@@ -397,7 +470,7 @@
     if peers.is_some() && cores.count != Count::Cores(1) {
         return Err(format!("{name}: `peers` goes with one core yet"));
     }
-    Ok(Operator { cores, log, layouts, tier, peers })
+    Ok(Operator { cores, log, layouts, tier, peers, control })
 }
 
 struct Silent;
--- a/crates/operator/tests/stories.rs
+++ b/crates/operator/tests/stories.rs
@@ -178,3 +178,42 @@
     assert_eq!(with("cores(count = 2)"), "f: `peers` goes with one core yet");
     assert_eq!(with("planner(count = 2)"), "f: `peers` goes with neither `forwarder` nor `planner` yet");
 }
+
+const CONTROL: &str = r#"control(name = "c1", data = "/var/lib/alderway", routers = "10.0.0.1:7300",
+    members = {"c1": "10.0.0.1:7100", "c2": "10.0.0.2:7100", "c3": "10.0.0.3:7100"},
+    doors = {"c1": "10.0.0.1:7200", "c2": "10.0.0.2:7200", "c3": "10.0.0.3:7200"})"#;
+
+#[rstest]
+fn a_control_machine_has_its_members_doors_and_folder() {
+    let said = read("f", CONTROL).expect("a good file").control.expect("said");
+    assert_eq!((said.name.as_str(), said.members.len(), said.data.as_str()), ("c1", 3, "/var/lib/alderway"));
+    assert_eq!(said.doors.get("c2").map(ToString::to_string), Some("10.0.0.2:7200".into()));
+    assert_eq!(said.routers.map(|at| at.port()), Some(7300));
+}
+
+#[rstest]
+#[case::two(r#", "c3": "10.0.0.3:7100""#, "", "`control`: `members` are 1, 3, 5 or 7, found 2")]
+#[case::stranger("\"c1\",", "\"c9\",", "`control`: `members` does not name this machine, `c9`")]
+#[case::no_door(
+    "\"c3\": \"10.0.0.3:7200\"",
+    "",
+    "`control`: `doors` does not name the same machines as `members`"
+)]
+#[case::twice("10.0.0.2:7100", "10.0.0.1:7100", "`control`: `members` gives one address twice")]
+#[case::no_address(
+    "10.0.0.2:7100",
+    "c2:7100",
+    "`control`: `members` gives names, each with its address:port"
+)]
+#[case::no_folder("/var/lib/alderway", "", "`control`: `data` is a text, found")]
+#[case::one_for_two(
+    "10.0.0.1:7300",
+    "10.0.0.1:7200",
+    "`control`: this machine has one address for two things"
+)]
+#[case::routers("10.0.0.1:7300", "here", "`control`: `routers` is address:port, found")]
+#[case::beside("control(", "cores(count = 2)\ncontrol(", "`control` is of a program of its own")]
+fn a_control_machines_file_is_refused_in_one_line(#[case] from: &str, #[case] to: &str, #[case] says: &str) {
+    let why = read("f", &CONTROL.replace(from, to)).expect_err("refused");
+    assert!(why.starts_with("f:") && why.contains(says) && !why.contains('\n'), "{why}");
+}
