--- a/crates/alderway/src/config.rs
+++ b/crates/alderway/src/config.rs
@@ -89,7 +89,7 @@
     #[arg(long, value_name = "TEXT")]
     why: String,
     /// Who; the user of this shell if it is left out
-    #[arg(long, value_name = "NAME", env = "USER", default_value = "")]
+    #[arg(long, value_name = "NAME", env = "USER", default_value = "unknown")]
     author: String,
     /// The version that this was made from; the newest if it is left out
     #[arg(long, value_name = "N")]
