--- a/crates/alderway/src/config.rs
+++ b/crates/alderway/src/config.rs
@@ -155,7 +155,7 @@
         match client::ask(*at, ask, wait) {
             Ok(Reply::Wrong { why }) => return Err(failed(format!("{at}: {why}"))),
             Ok(reply) => return Ok(reply),
-            Err(why) => faults.push(why),
+            Err(fault) => faults.push(fault.why),
         }
     }
     Err(unsettled(format!("no control machine answers: {}", faults.join("; "))))
@@ -336,11 +336,10 @@
             }
             Ok(Reply::Wrong { why }) => return Err(failed(why)),
             Ok(_) => return Err(odd()),
-            Err(why) => {
-                // It may have come there: only an answer says that it has not.
-                sent = sent || !why.contains("refused");
-                eprintln!("{why}");
-                last = why;
+            Err(fault) => {
+                sent = sent || fault.sent;
+                eprintln!("{fault}");
+                last = fault.why;
                 continue;
             }
         };
--- a/crates/alderway/src/control.rs
+++ b/crates/alderway/src/control.rs
@@ -25,7 +25,7 @@
         doors: control.doors,
         data: control.data.into(),
         check: Box::new(settings::check),
-        outlet: Box::new(|| Ok(Box::new(Nowhere) as Box<dyn Outlet>)),
+        outlet: Box::new(|| Box::pin(async { Ok(Box::new(Nowhere) as Box<dyn Outlet>) })),
     })
 }
 
--- a/crates/alderway/tests/control.rs
+++ b/crates/alderway/tests/control.rs
@@ -4,17 +4,18 @@
 use alderway_control::machine::Answer;
 use alderway_control::version::{Number, Proposal};
 use alderway_controller::client;
-use alderway_controller::door::{Ask, Overall, Reply};
+use alderway_controller::door::{Ask, Overall, Reply, Text};
 use alderway_lab::program::Setting;
 use alderway_lab::wires::Wires;
+use alderway_tier::frames::{self, Hello};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use rstest::rstest;
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::fs;
-use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -145,7 +146,7 @@
         self.programs.remove(name);
     }
 
-    fn ask(&self, name: &str, ask: &Ask) -> Result<Reply, String> {
+    fn ask(&self, name: &str, ask: &Ask) -> Result<Reply, client::Fault> {
         client::ask(self.doors[name], ask, Duration::from_secs(10))
     }
 
@@ -314,7 +315,12 @@
             let status = house.status(&follower);
             status.is_some_and(|all| all.machine.majority && all.machine.leader.is_some_and(|l| l != leader))
         });
-        ends(&house.propose(&[&follower], 300, &["--base", "1"]), 0, &["in order: version 2"]);
+        // A stopped machine is passed over: it says no hello.
+        ends(
+            &house.propose(&[&leader, &follower], 300, &["--base", "1"]),
+            0,
+            &["no hello", "in order: version 2"],
+        );
         until("5 s are over", || stopped.elapsed() > Duration::from_secs(5));
         house.programs[&leader].signal(Signal::SIGCONT);
         let Ok(Ok(Reply::Answer { answer, .. })) = asked.join() else { panic!("no answer") };
@@ -493,3 +499,39 @@
     assert!(from.elapsed() < Duration::from_secs(180));
     house.all_have(650);
 }
+
+#[rstest]
+fn nonsense_at_a_door_or_on_a_link_ends_its_connection_and_changes_nothing() {
+    let house = House::new();
+    ends(&house.propose(&["c1"], 100, &[]), 0, &[]);
+    house.all_have(1);
+    let member = house.wires.address("c2", "c1");
+    let mut hello = vec![];
+    let word = Hello { version: 1, planner: false, incarnation: 1, name: "c9".into() };
+    frames::hello_of::<Text>(&mut hello, &word);
+    let mut long = hello.clone();
+    long.extend([0xff; 64]);
+    let mut unread = hello.clone();
+    frames::message(&mut unread, &Text("{}".repeat(9)));
+    let spoken: [(&[u8], &str); 4] =
+        [(b"GET / HTTP/1.1\r\n\r\n", ""), (&long, ""), (&[0xff; 4096], ""), (&unread, "not a question")];
+    for (bytes, says) in spoken {
+        for at in [house.doors["c1"], member] {
+            let mut stream = TcpStream::connect(at).expect("connected");
+            stream.set_read_timeout(Some(PATIENCE)).expect("set");
+            // It may be refused before all is written.
+            let _ = stream.write_all(bytes);
+            let _ = stream.shutdown(Shutdown::Write);
+            let mut text = vec![];
+            let _ = stream.read_to_end(&mut text);
+            assert!(at == member || String::from_utf8_lossy(&text).contains(says), "{text:?}");
+        }
+    }
+    let wrong = Proposal { why: " ".into(), ..proposal("p", 1, 200) };
+    for (proposal, wait_s) in [(wrong, 1.0), (proposal("p", 1, 200), 1e9)] {
+        let reply = house.ask("c1", &Ask::Propose { proposal, wait_s });
+        assert!(matches!(reply, Ok(Reply::Wrong { .. })), "{reply:?}");
+    }
+    ends(&house.propose(&["c1"], 200, &["--base", "1"]), 0, &["in order: version 2"]);
+    house.all_have(2);
+}
--- a/crates/controller/src/driver.rs
+++ b/crates/controller/src/driver.rs
@@ -13,6 +13,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
@@ -26,7 +27,7 @@
 pub type Check = Box<dyn Fn(&Value, Option<&Value>) -> Result<(), String>>;
 
 /// Makes the place that committed versions go to, on the machine's own thread.
-pub type MakeOutlet = Box<dyn FnOnce() -> io::Result<Box<dyn Outlet>>>;
+pub type MakeOutlet = Box<dyn FnOnce() -> Pin<Box<dyn Future<Output = io::Result<Box<dyn Outlet>>>>>>;
 
 /// What a control machine runs by.
 pub struct Plan {
@@ -168,7 +169,7 @@
     let controller = Controller {
         machine,
         posts: Posts::to(others.keys()),
-        outlet: (plan.outlet)()?,
+        outlet: (plan.outlet)().await?,
         check: plan.check,
         doors: plan.doors,
         disk,
--- a/deploy/operator.star
+++ b/deploy/operator.star
@@ -14,5 +14,11 @@
 # Routers that know each other: the same list at each, by the configuration's names. docs/peers.md.
 # peers(members = {"n0": "10.0.0.1:7000", "n1": "10.0.0.2:7000", "n2": "10.0.0.3:7000"}, stale_ms = 2000, witnesses = 2)
 
+# One of the machines that keep the order of configurations, in a file of its own: `alderway control --operator FILE`.
+# docs/operators.md, 'Control machines'.
+# control(name = "c1", data = "/var/lib/alderway", routers = "10.0.0.1:7300",
+#     members = {"c1": "10.0.0.1:7100", "c2": "10.1.0.1:7100", "c3": "10.2.0.1:7100"},
+#     doors = {"c1": "10.0.0.1:7200", "c2": "10.1.0.1:7200", "c3": "10.2.0.1:7200"})
+
 # How the log is written: "text" or "json".
 # log(form = "json")
