Control: the log is compacted by its bytes too; files for something else are refused, with stories

Cause: a thousand entries of the longest proposals would be 256 MiB in memory. The folder of a new log is synced.

--- a/crates/alderway/tests/control.rs
+++ b/crates/alderway/tests/control.rs
@@ -535,3 +535,25 @@
     ends(&house.propose(&["c1"], 200, &["--base", "1"]), 0, &["in order: version 2"]);
     house.all_have(2);
 }
+
+#[rstest]
+#[case::no_control("control", "log(form = \"text\")", "it says nothing of `control`")]
+#[case::two(
+    "control",
+    "control(name = \"a\", data = \"d\", members = {}, doors = {})",
+    "`members` are 1, 3, 5 or 7, found 0"
+)]
+#[case::a_routers(
+    "check",
+    "control(name = \"a\", data = \"d\", members = {\"a\": \"1.1.1.1:1\"}, doors = {\"a\": \"1.1.1.1:2\"})",
+    "it is for `alderway control`"
+)]
+fn a_file_that_is_for_something_else_is_refused(#[case] verb: &str, #[case] text: &str, #[case] says: &str) {
+    let name = format!("alderway-control-{}-{verb}-{}.star", std::process::id(), text.len());
+    let file = std::env::temp_dir().join(name);
+    fs::write(&file, text).expect("written");
+    let mut command = Command::new(ALDERWAY);
+    let output = command.arg(verb).arg("--operator").arg(&file).env("PROXY_CONFIG", "none.json").output();
+    ends(&output.expect("run"), 2, &[says]);
+    fs::remove_file(&file).expect("removed");
+}
--- a/crates/control/src/consensus.rs
+++ b/crates/control/src/consensus.rs
@@ -79,6 +79,12 @@
     snapshot: Snapshot,
     floor: (u64, u64),
     entries: Vec<Entry>,
+    /// Of the entries' data.
+    weight: usize,
+}
+
+fn weight(entries: &[Entry]) -> usize {
+    entries.iter().map(|entry| entry.data.len()).sum()
 }
 
 impl Log {
@@ -109,18 +115,22 @@
                 hard.commit
             ));
         }
-        Ok(Log { hard, snapshot, floor: held.floor, entries })
+        let weight = weight(&entries);
+        Ok(Log { hard, snapshot, floor: held.floor, entries, weight })
     }
 
     fn append(&mut self, entries: &[Entry]) {
         let Some(first) = entries.first() else { return };
         let kept = first.index.saturating_sub(self.floor.0 + 1) as usize;
+        self.weight -= weight(self.entries.get(kept..).unwrap_or_default());
         self.entries.truncate(kept);
         self.entries.extend_from_slice(entries);
+        self.weight += weight(entries);
     }
 
     fn drop_to(&mut self, floor: (u64, u64)) {
         let gone = (floor.0.saturating_sub(self.floor.0) as usize).min(self.entries.len());
+        self.weight -= weight(&self.entries[..gone]);
         self.entries.drain(..gone);
         self.floor = floor;
     }
@@ -445,6 +455,7 @@
             let meta = snapshot.get_metadata();
             log.floor = (meta.index, meta.term);
             log.entries.clear();
+            log.weight = 0;
             log.hard.commit = log.hard.commit.max(meta.index);
             self.conf = meta.get_conf_state().clone();
             self.applied = meta.index;
@@ -510,6 +521,11 @@
         self.compact = Some((Box::new(snapshot), floor));
     }
 
+    /// Bytes of the log's entries.
+    pub fn weight(&self) -> usize {
+        self.raw.store().weight
+    }
+
     /// Entries applied since the last snapshot.
     pub fn behind_snapshot(&self) -> u64 {
         let compact = self.compact.as_ref().map(|(snapshot, _)| snapshot.get_metadata().index);
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -21,6 +21,8 @@
 pub const TICK: f64 = 0.1;
 /// Entries after which a snapshot is taken and older entries go.
 pub const SNAPSHOT_AFTER: u64 = 1000;
+/// Bytes of entries after which that is done too; none are kept behind it then.
+pub const LOG_BYTES: usize = 16 * 1024 * 1024;
 /// The longest proposal, as it is ordered.
 pub const PROPOSAL_BYTES: usize = 256 * 1024;
 /// Those who may wait for an answer at once.
@@ -182,6 +184,8 @@
     started: bool,
     /// `SNAPSHOT_AFTER`; half of it is kept behind a snapshot.
     pub snapshot_after: u64,
+    /// `LOG_BYTES`.
+    pub log_bytes: usize,
 }
 
 impl Machine {
@@ -228,6 +232,7 @@
             led_by: 0,
             started: false,
             snapshot_after: SNAPSHOT_AFTER,
+            log_bytes: LOG_BYTES,
         };
         if machine.identity.group != 0 {
             machine.begin(held)?;
@@ -691,14 +696,15 @@
         for (_, at) in self.confirmed.extract_if(.., |(index, _)| *index <= applied) {
             self.as_of = Some(self.as_of.map_or(at, |held| held.max(at)));
         }
-        if changed || node.behind_snapshot() >= self.snapshot_after {
+        let heavy = node.weight() > self.log_bytes && node.behind_snapshot() > 0;
+        if changed || heavy || node.behind_snapshot() >= self.snapshot_after {
             let conf = node.conf().clone();
             let holds = |id: &Id| {
                 conf.voters.contains(id) || conf.learners.contains(id) || conf.voters_outgoing.contains(id)
             };
             self.names.retain(|id, _| holds(id));
             let applied = Applied { names: self.names.clone(), versions: self.history.versions().clone() };
-            node.compact(encode(&applied), self.snapshot_after / 2);
+            node.compact(encode(&applied), if heavy { 0 } else { self.snapshot_after / 2 });
         }
     }
 
--- a/crates/control/tests/order.rs
+++ b/crates/control/tests/order.rs
@@ -145,7 +145,6 @@
     assert!(matches!(house.answer(0, small, 4.0), Answer::NoMajority { .. }));
     assert_eq!(ordered(&mut house, 3), 2);
     assert_eq!(house.number(0), 1, "it serves its last version");
-    // An hour of it.
     house.pass(60.0);
     assert_eq!(ordered(&mut house, 3), 3);
     assert!(house.sites[0].machine.as_ref().is_some_and(|m| m.age(house.now) > 60.0));
@@ -296,3 +295,23 @@
     assert_eq!(history.number(), number);
     assert_eq!(History::read(history.versions().clone()), history);
 }
+
+/// Guards against large settings that fill the memory long before entries are many.
+#[test]
+fn a_log_of_large_settings_is_compacted_by_its_bytes() {
+    let mut house = five();
+    for site in &mut house.sites {
+        let machine = site.machine.as_mut().expect("runs");
+        (machine.snapshot_after, machine.log_bytes) = (1000, 20_000);
+    }
+    for _ in 0..60 {
+        let mut proposal = house.proposal(0);
+        proposal.settings["Name"] = "x".repeat(1500).into();
+        assert!(matches!(house.answer(0, proposal, 5.0), Answer::Ordered(_)));
+    }
+    for site in &house.sites {
+        let bytes: usize = site.disk.held.entries.iter().map(Vec::len).sum();
+        assert!(bytes < 30_000, "{bytes}");
+    }
+    sound(house);
+}
--- a/crates/controller/src/store.rs
+++ b/crates/controller/src/store.rs
@@ -60,6 +60,8 @@
         let open = Disk::database(&path).map_err(refused)?;
         if fresh {
             guarded(|| Disk::make(&open)).map_err(tell)?;
+            // That there is such a file has to be on disk too.
+            File::open(folder).and_then(|folder| folder.sync_all()).map_err(|why| tell(why.to_string()))?;
         }
         let held = Disk::read(&open).map_err(refused)?;
         Ok((Disk { path, open: Some(open), _lock: lock }, held))
