The capacity page, made from results by `alderway-lab capacity`, with the arithmetic first

Cause: nothing said what each role spends at the users' size of 550 query routers and 3,200 data nodes, beside which budget, and a page by hand would part from what runs show.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,9 +3,11 @@
 //! `agent` is discovery's, `load` sends queries on a schedule or in a loop and checks every answer, `relay` is the bare
 //! limit of the machine, `inventory` knows what every key is worth and checks answers by it, `shuffle` changes layouts
 //! under load, `tiers` sets two levels against lone routers,
-//! `program` runs and watches what is measured, `trial` compares, `wires` makes every fault between processes. What is drawn is seeded; load
+//! `program` runs and watches what is measured, `trial` compares, `wires` makes every fault between processes, `capacity` makes the capacity page
+//! from results. What is drawn is seeded; load
 //! goes to loopback only and ends by itself; a stand-in never decides anything for the router.
 pub mod agent;
+pub mod capacity;
 pub mod fleet;
 pub mod inventory;
 pub mod load;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,4 +1,5 @@
 //! `alderway-lab`: trials on loopback. Each prints a table; what it compares, the seed and the machine stand above it.
+use alderway_lab::capacity::Capacity;
 use alderway_lab::load::{Load, Pace};
 use alderway_lab::model::Make;
 use alderway_lab::program::{Build, Setting, beside};
@@ -50,6 +51,8 @@
     Layouts(Shards),
     /// Forwarders and planners against lone routers, or planners killed under load
     Tiers(Tiers),
+    /// The capacity page made anew from results, or one of its scale tests
+    Capacity(Capacity),
     /// Data nodes drain one after the other: when the last new call reached each
     Drain {
         #[command(flatten)]
@@ -391,6 +394,7 @@
     match &line.trial {
         What::Layouts(shards) => return ended(shards.run()),
         What::Tiers(tiers) => return ended(tiers.run()),
+        What::Capacity(capacity) => return ended(capacity.run()),
         _ => {}
     }
     let (What::Cores { common, .. }
@@ -406,7 +410,7 @@
         What::Slow { times, rate, .. } => trial::slow_node(trial, subject, seed, *times, *rate),
         What::Cost { rate, .. } => trial::cost(trial, subject, seed, *rate),
         What::Drain { rate, .. } => trial::drain(trial, subject, seed, *rate),
-        What::Layouts(_) | What::Tiers(_) => Err("not a trial of subjects".into()),
+        What::Layouts(_) | What::Tiers(_) | What::Capacity(_) => Err("not a trial of subjects".into()),
     });
     let machine = std::thread::available_parallelism().map_or(0, usize::from);
     println!(
