--- a/crates/lab/src/capacity/results.rs
+++ b/crates/lab/src/capacity/results.rs
@@ -35,6 +35,11 @@
     pub fn number(&self, key: &str) -> Option<f64> {
         self.at.get(key).and_then(Value::as_f64)
     }
+
+    /// Whether what was to be measured was measured; otherwise its note says so in its first word.
+    pub fn is_sound(&self) -> bool {
+        self.note.as_ref().is_none_or(|note| !note.starts_with("unsound"))
+    }
 }
 
 #[derive(Clone, Debug, Default)]
--- a/crates/lab/src/capacity/size.rs
+++ b/crates/lab/src/capacity/size.rs
@@ -247,6 +247,26 @@
         ),
     ]);
     let burst = of("burst_times");
+    // Both ways of a ring in which each dials those 1, 2, 4, ... places on.
+    let links = 2.0 * routers.log2().ceil();
+    let lost = routers / zones;
+    let words = vec![
+        figure("links", "links of a router to others", "2 x digits of routers", links, ""),
+        figure(
+            "routers_x_links",
+            "over which a word of each router goes",
+            "routers x links",
+            routers * links,
+            "",
+        ),
+        figure(
+            "missed_x_links",
+            "over which words go that a zone's routers are missed",
+            "routers left x routers lost x links",
+            (routers - lost) * lost * links,
+            "",
+        ),
+    ];
     let bursts = vec![
         figure("burst_queries", "queries a second a router", "at the mean x burst", a_router * burst, ""),
         figure(
@@ -382,5 +402,6 @@
         ("A change of configuration", changes),
         ("A day's failures and restarts", failures),
         ("A cold node", colds),
+        ("Routers that know each other", words),
     ]
 }
