--- a/crates/lab/src/capacity/page.rs
+++ b/crates/lab/src/capacity/page.rs
@@ -10,8 +10,6 @@
 /// Blocks that the page must have, beside one for each role.
 const BLOCKS: [&str; 8] =
     ["size", "arithmetic", "modes", "over budget", "moments", "not run", "runs", "further figures"];
-/// Numbers of cores that a query router may be given.
-const MODES: [f64; 4] = [1.0, 2.0, 4.0, 8.0];
 
 /// In this order of each role.
 pub const SORTS: [&str; 6] = ["state", "messages", "processor", "memory", "descriptors", "connections"];
@@ -252,26 +250,27 @@
     out
 }
 
-/// Which number of cores carries a query router's queries: by the processor of one core, spread evenly.
+/// Which number of cores carries a query router's queries: what a leaf call takes on so many, spread evenly.
 fn modes(sources: &Sources) -> String {
-    let mut out = String::new();
-    let names = MODES.map(|cores| format!("busy of each, `cores(count = {cores})`"));
-    let mut columns = vec!["moment", "what", "cores' worth"];
-    columns.extend(names.iter().map(String::as_str));
-    head(&mut out, &columns);
-    for moment in sources.plan.moments.iter().filter(|moment| moment.unit == "cores") {
+    let (mut out, plan) = (String::new(), &sources.plan);
+    let line = |mode: &(f64, String)| plan.line(&mode.1);
+    let mut columns = vec!["moment".to_string(), "what".to_string()];
+    for mode in &plan.modes {
+        let point = line(mode).and_then(|line| Some((line.known(&sources.results)?.value?, line)));
+        let took = point.map_or("not run".into(), |(value, line)| origin(&value, &line.unit));
+        columns.push(format!("busy of each, `cores(count = {})`, {took} a leaf call", number(mode.0)));
+    }
+    head(&mut out, &columns.iter().map(String::as_str).collect::<Vec<_>>());
+    for moment in plan.moments.iter().filter(|moment| moment.unit == "cores") {
         let mut cells = vec![moment.moment.clone(), moment.what.clone()];
-        match moment.value(&sources.size, &sources.plan, &sources.results) {
-            None => cells.extend(["not run".to_string()].into_iter().chain(MODES.map(|_| String::new()))),
-            Some((value, _)) => {
-                cells.push(number(value));
-                let busy = MODES.map(|cores| match value / cores {
-                    busy if busy > 1.0 => "not enough".to_string(),
-                    busy if busy > 0.5 => per_cent(busy),
-                    busy => format!("**{}**", per_cent(busy)),
-                });
-                cells.extend(busy);
-            }
+        for mode in &plan.modes {
+            let value = line(mode).and_then(|line| moment.by(line, &sources.size, &sources.results));
+            cells.push(match value.map(|value| value / mode.0) {
+                None => "not run".into(),
+                Some(busy) if busy > 1.0 => format!("not enough ({})", per_cent(busy)),
+                Some(busy) if busy > 0.5 => per_cent(busy),
+                Some(busy) => format!("**{}**", per_cent(busy)),
+            });
         }
         row(&mut out, &cells);
     }
--- a/crates/lab/src/capacity/plan.rs
+++ b/crates/lab/src/capacity/plan.rs
@@ -55,6 +55,8 @@
 #[derive(Debug)]
 pub struct Plan {
     pub lines: Vec<Line>,
+    /// Numbers of cores that a query router may be given, each with the line of what a leaf call takes on them.
+    pub modes: Vec<(f64, String)>,
     pub moments: Vec<Moment>,
 }
 
@@ -169,10 +171,19 @@
             }
             lines.push(line);
         }
+        let known = |at: At, id: &str| match lines.iter().any(|line| line.id == id) {
+            true => Ok(id.to_string()),
+            false => Err(at.wrong(&format!("no line is called `{id}`"))),
+        };
+        let mut modes = vec![];
+        for mode in at.key("modes")?.list()? {
+            let line = mode.key("line")?;
+            modes.push((mode.key("cores")?.number()?, known(line.clone(), line.text()?)?));
+        }
         let moments = at.key("moments")?.list()?;
         let moments = moments.iter().map(|told| one_moment(told, size, &lines));
         let moments = moments.collect::<Result<Vec<Moment>, String>>()?;
-        Ok(Plan { lines, moments })
+        Ok(Plan { lines, modes, moments })
     }
 
     pub fn line(&self, id: &str) -> Option<&Line> {
@@ -241,9 +252,21 @@
                 Some(known.at(n)?)
             }
         };
+        Some((from.as_ref().map_or(1.0, Value::number) * self.factor(size), from))
+    }
+
+    /// All of the product but the line's value.
+    fn factor(&self, size: &Size) -> f64 {
         let number = |name: &String| name.parse().ok().or_else(|| size.get(name)).unwrap_or(f64::NAN);
         let times: f64 = self.times.iter().map(number).product();
         let over: f64 = self.over.iter().map(number).product();
-        Some((from.as_ref().map_or(1.0, Value::number) * times / over * self.scale, from))
+        times / over * self.scale
+    }
+
+    /// The same product with another line's value: there where it was measured along the same, else as at the size.
+    pub fn by(&self, line: &Line, size: &Size, results: &Results) -> Option<f64> {
+        let known = line.known(results)?;
+        let there = self.along.as_ref().filter(|_| known.fit.is_some()).and_then(|along| known.at(along.1));
+        Some(there.or(known.value)?.number() * self.factor(size))
     }
 }
--- a/crates/lab/tests/capacity.rs
+++ b/crates/lab/tests/capacity.rs
@@ -54,7 +54,11 @@
     absent["absent"] = json!("nothing does it");
     json!({
         "lines": [line("small", 100.0), line("under", 1e9), absent, line("great", 1.0), line("unmeasured", 1.0)],
-        "moments": [{"moment": "a zone lost", "what": "of all nodes left", "unit": "B", "line": "small",
+        "modes": [{"cores": 1, "line": "small"}, {"cores": 20, "line": "great"}, {"cores": 3, "line": "under"},
+                  {"cores": 4, "line": "unmeasured"}],
+        "moments": [{"moment": "a zone lost", "what": "processor", "unit": "cores", "line": "small", "along": "zone_nodes",
+                     "times": ["zone_routers"], "over": ["routers", 1000], "carried_by": ["README.md"]},
+                    {"moment": "a zone lost", "what": "of all nodes left", "unit": "B", "line": "small",
                      "along": "zone_nodes", "times": ["zone_routers"], "over": ["routers"], "carried_by": ["README.md"],
                      "budget": {"value": 200, "why": "stated"}, "mend": "mend a zone"}]
     })
@@ -211,6 +215,19 @@
     assert!(made.contains("| `run.json` | `by hand` | none | 1 | none | 2026-12-02 |"));
 }
 
+/// Each number of cores by what a leaf call takes on so many: at the moment's nodes where there is a line, else at the size.
+#[rstest]
+fn modes_say_how_busy_each_core_is_and_which_are_not_enough() {
+    let folder = Folder::new();
+    folder.write("run.json", &good());
+    let made = page::make(PAGE, &folder.sources().expect("read")).expect("made");
+    let modes = made.split("<!-- made: modes -->").nth(1).expect("the block");
+    // (100 + 0.5 x 2,560) x 0.8 / 1,000; 3 x 2,560 x 0.8 / 1,000 on 20; 5 x 0.8 / 1,000 on 3.
+    let row = "| a zone lost | processor | not enough (110.4%) | **30.7%** | **0.1%** | not run |";
+    assert!(modes.contains(row), "{modes}");
+    assert!(modes.contains("`cores(count = 4)`, not run a leaf call"), "{modes}");
+}
+
 /// Guards against a figure of a run that did not measure what it was to, and shows where it is put.
 #[rstest]
 fn rows_that_say_that_they_are_unsound_make_no_line() {
@@ -333,10 +350,11 @@
 }
 
 #[rstest]
-#[case::no_such_figure("/moments/0/times/0", json!("zone_ruters"), "key `moments[0].times[0]`: no figure is called `zone_ruters`")]
-#[case::no_such_line("/moments/0/line", json!("smal"), "key `moments[0].line`: no line is called `smal`")]
+#[case::no_such_figure("/moments/1/times/0", json!("zone_ruters"), "key `moments[1].times[0]`: no figure is called `zone_ruters`")]
+#[case::no_such_line("/moments/1/line", json!("smal"), "key `moments[1].line`: no line is called `smal`")]
 #[case::two_of_a_name("/lines/1/id", json!("small"), "key `lines[1].id`: two lines are called so")]
 #[case::no_size("/lines/0/along", json!("tides"), "key `lines[0].along`: no figure is called so")]
+#[case::no_such_mode("/modes/2/line", json!("smal"), "key `modes[2].line`: no line is called `smal`")]
 #[case::no_such_sort("/lines/0/sort", json!("tide"), "key `lines[0].sort`: expected one of state, messages")]
 #[case::no_budget("/lines/0/budget", json!({"why": "stated"}), "key `lines[0].budget.value`: missing")]
 fn a_faulty_plan_is_named_with_its_key(#[case] at: &str, #[case] value: Json, #[case] expected: &str) {
