--- a/crates/lab/src/agent.rs
+++ b/crates/lab/src/agent.rs
@@ -2,7 +2,7 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::thread;
 use std::time::Duration;
@@ -41,6 +41,8 @@
     Change(Vec<Entry>),
     /// What watches are told of the layout, and the whole of it for new ones.
     Layout(String, String),
+    Line(String),
+    Cut,
 }
 
 /// Runs until it is dropped.
@@ -48,6 +50,7 @@
     pub address: SocketAddr,
     words: Sender<Word>,
     stop: Arc<AtomicBool>,
+    bytes: Arc<AtomicU64>,
 }
 
 impl Agent {
@@ -63,8 +66,10 @@
                 }
             }
         });
-        thread::spawn(move || tell(&came, entries));
-        Ok(Agent { address, words, stop })
+        let bytes = Arc::new(AtomicU64::new(0));
+        let written = bytes.clone();
+        thread::spawn(move || tell(&came, entries, &written));
+        Ok(Agent { address, words, stop, bytes })
     }
 
     /// Changes the layout, told in discovery's form; every watch is told at once, new ones the whole of it.
@@ -76,6 +81,21 @@
     pub fn change(&self, entries: Vec<Entry>) {
         let _ = self.words.send(Word::Change(entries));
     }
+
+    /// Tells every watch an object as it stands; the list that is held stays as it was.
+    pub fn line(&self, object: String) {
+        let _ = self.words.send(Word::Line(object));
+    }
+
+    /// Ends every watch: whoever still wants the list asks for it anew.
+    pub fn cut(&self) {
+        let _ = self.words.send(Word::Cut);
+    }
+
+    /// Bytes written to watches so far, of objects and empty lines, with the framing of their chunks.
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Relaxed)
+    }
 }
 
 impl Drop for Agent {
@@ -86,10 +106,11 @@
 }
 
 /// Whole lists to new watches, changes to all, an empty line while nothing changes.
-fn tell(came: &Receiver<Word>, mut list: Vec<Entry>) {
+fn tell(came: &Receiver<Word>, mut list: Vec<Entry>, bytes: &AtomicU64) {
     let (mut watches, mut index, mut layout) = (Vec::<TcpStream>::new(), 100u64, None::<String>);
     let chunk = |stream: &mut TcpStream, line: &str| {
         let whole = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+        bytes.fetch_add(whole.len() as u64, Relaxed);
         stream.write_all(whole.as_bytes()).is_ok()
     };
     loop {
@@ -122,6 +143,8 @@
                 let line = object_with(index, false, &[], Some(&told));
                 watches.retain_mut(|watch| chunk(watch, &line));
             }
+            Ok(Word::Line(object)) => watches.retain_mut(|watch| chunk(watch, &object)),
+            Ok(Word::Cut) => watches.clear(),
             Err(RecvTimeoutError::Timeout) => watches.retain_mut(|watch| chunk(watch, "")),
             Err(RecvTimeoutError::Disconnected) => return,
         }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,9 +2,9 @@
 //! sockets: a queue, cores, service times and faults, fed events and times. `fleet` puts many of them on sockets,
 //! `agent` is discovery's, `load` sends queries on a schedule or in a loop and checks every answer, `relay` is the bare
 //! limit of the machine, `inventory` knows what every key is worth and checks answers by it, `shuffle` changes layouts
-//! under load, `tiers` sets two levels against lone routers,
-//! `program` runs and watches what is measured, `trial` compares, `wires` makes every fault between processes. What is drawn is seeded; load
-//! goes to loopback only and ends by itself; a stand-in never decides anything for the router.
+//! under load, `tiers` sets two levels against lone routers, `program` runs and watches what is measured, `trial`
+//! compares, `wires` makes every fault between processes, `scale` measures one router by the size of its site. What is
+//! drawn is seeded; load goes to loopback only and ends by itself; a stand-in never decides anything for the router.
 pub mod agent;
 pub mod fleet;
 pub mod inventory;
@@ -12,6 +12,7 @@
 pub mod model;
 pub mod program;
 pub mod relay;
+pub mod scale;
 pub mod shuffle;
 pub mod tiers;
 pub mod trial;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,6 +2,7 @@
 use alderway_lab::load::{Load, Pace};
 use alderway_lab::model::Make;
 use alderway_lab::program::{Build, Setting, beside};
+use alderway_lab::scale::Scale;
 use alderway_lab::shuffle::{self, Run};
 use alderway_lab::tiers::{self, Day};
 use alderway_lab::trial::{self, Subject, Trial};
@@ -50,6 +51,9 @@
     Layouts(Shards),
     /// Forwarders and planners against lone routers, or planners killed under load
     Tiers(Tiers),
+    /// One router at the size of its site: processor, memory, descriptors and latency by nodes, parts, rate and cores
+    #[command(subcommand)]
+    Scale(Scale),
     /// Data nodes drain one after the other: when the last new call reached each
     Drain {
         #[command(flatten)]
@@ -391,6 +395,7 @@
     match &line.trial {
         What::Layouts(shards) => return ended(shards.run()),
         What::Tiers(tiers) => return ended(tiers.run()),
+        What::Scale(scale) => return scale.run(),
         _ => {}
     }
     let (What::Cores { common, .. }
@@ -406,7 +411,7 @@
         What::Slow { times, rate, .. } => trial::slow_node(trial, subject, seed, *times, *rate),
         What::Cost { rate, .. } => trial::cost(trial, subject, seed, *rate),
         What::Drain { rate, .. } => trial::drain(trial, subject, seed, *rate),
-        What::Layouts(_) | What::Tiers(_) => Err("not a trial of subjects".into()),
+        What::Layouts(_) | What::Tiers(_) | What::Scale(_) => Err("not a trial of subjects".into()),
     });
     let machine = std::thread::available_parallelism().map_or(0, usize::from);
     println!(
