--- a/crates/lab/tests/scale.rs
+++ b/crates/lab/tests/scale.rs
@@ -119,6 +119,24 @@
     assert!(!ran.rows(1).is_empty(), "what was measured is kept");
 }
 
+#[rstest]
+fn a_generator_short_of_connections_makes_its_rows_unsound() {
+    router_is_built();
+    let line = "real --at nodes=4,parts=2,rate=40 --connections 1 --service-ms 100 --span 0.6 --warm 0.1 --repeats 1";
+    let ran = scale("behind", &format!("{line} --budget memory=4000"));
+    let told = ran.told();
+    assert!(
+        !ran.out.status.success() && told.contains("its budget cannot be judged: the generator was"),
+        "{told}"
+    );
+    let rows = ran.rows(1);
+    let unsound =
+        |row: &&Value| row["note"].as_str().is_some_and(|note| note.starts_with("unsound: the generator"));
+    let at = |rate: f64| rows.iter().filter(move |row| row["at"]["rate"] == rate);
+    assert!(at(40.0).count() > 10 && at(40.0).all(|row| unsound(&row)), "{rows:?}");
+    assert_eq!(at(0.0).filter(unsound).count(), 0, "nothing is sent to the idle router");
+}
+
 #[rstest]
 fn rounds_are_measured_by_nodes_and_a_budget_is_set_by_their_own_figure() {
     let line =
