Subscription: publisher, subscriber, words and buckets of bytes, with stories and a property

Neither end existed. words: parts of a whole or of a JSON Patch with a digest of what must come out; beats answer pulses, so that an age is a bound by the router's own steady clock. publisher: committed versions only, one content a number, turns within a budget for each router and one for all, a summary. subscriber: own zone first, waits that grow by the round, never back, silence, ages, what to keep. Found by the property: a bucket that was full with each connection let a router that reconnects have more in a second; it begins empty now.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,5 +2,9 @@
 //! hundreds of query routers come to have the newest one. `version` is what is ordered, `consensus` orders it, `history`
 //! is the order as applied, `publisher` and `subscriber` are the two ends of a router's subscription. State machines
 //! that are fed events and a time; sockets, disks and clocks are the drivers'. Never decides anything about a query.
+pub mod bucket;
 pub mod outlet;
+pub mod publisher;
+pub mod subscriber;
 pub mod version;
+pub mod words;
