--- a/crates/alderway/src/main.rs
+++ b/crates/alderway/src/main.rs
@@ -1,6 +1,8 @@
 //! The command line: `alderway serve` runs a query router, `alderway check` reads what it would run by and says so.
+use alderway_control::subscriber::{self as control, Machine};
 use alderway_operator::{self as operator, Count, KEPT_BACK, LogForm, Operator, Tier};
 use alderway_peers::Terms;
+use alderway_router::control::{Subscription, kept};
 use alderway_router::life::logger::{self, Form};
 use alderway_router::life::start::Role;
 use alderway_router::life::{serve, start};
@@ -91,6 +93,18 @@
     Ok(Some(Circle { members: peers.members.clone(), terms, verdicts, again }))
 }
 
+/// The control machines that tell this router its settings, if the operator's file names any.
+fn subscription(operator: &Operator) -> Option<Subscription> {
+    let said = operator.subscription.as_ref()?;
+    let (zone, keep) = (said.zone.clone(), said.keep.clone().map(PathBuf::from));
+    let terms = control::Terms { silent: said.silent, old: said.old, ..control::Terms::default() };
+    let machines = said.control.iter().map(|(name, (at, zone))| {
+        let (name, zone) = (name.clone(), zone.clone());
+        (Machine { name, zone }, *at)
+    });
+    Some(Subscription { machines: machines.collect(), zone, terms, keep, kept: None, said: None })
+}
+
 fn plan(files: &Files, clock: Clock) -> Result<Plan, String> {
     let (operator, text) = operator_at(files.operator.as_deref())?;
     // Shares that all routers hold together: planners have most, forwarders keep some back.
@@ -99,7 +113,11 @@
         Tier::Forwarder { count, .. } => Some(*count as f64 / KEPT_BACK),
         Tier::Planner { count } => Some(*count as f64 / (1.0 - KEPT_BACK)),
     };
-    let mut station = start::read_among(&files.config, clock, peers.map(|peers| peers.ceil() as u64))?;
+    let peers = peers.map(|peers| peers.ceil() as u64);
+    let mut station = match subscription(&operator) {
+        None => start::read_among(&files.config, clock, peers)?,
+        Some(subscription) => kept::station(subscription, &files.config, clock, peers)?,
+    };
     if let Some(path) = files.operator.clone() {
         let held = operator.clone();
         station.beside = Some(Arc::new(move || says_else(&path, &held, &text)));
@@ -116,7 +134,8 @@
         Count::All => std::thread::available_parallelism().map_or(1, usize::from).min(operator::MOST_CORES),
     };
     let for_peers = station.peers.as_ref().map_or(0, Circle::descriptors);
-    let least = descriptors::least(cores) + for_peers;
+    let for_control = station.control.as_ref().map_or(0, |_| alderway_router::control::DESCRIPTORS);
+    let least = descriptors::least(cores) + for_peers + for_control;
     if station.sockets < least {
         let what = if for_peers > 0 { " and its peers" } else { "" };
         return Err(format!("key `limits.sockets`: {cores} cores{what} need {least} at least"));
@@ -154,6 +173,17 @@
             if peers.verdicts { "sick or late" } else { "nothing" }
         ),
     };
+    let settings = match (&operator.subscription, &station.control) {
+        (Some(said), Some(Subscription { kept: Some(kept), .. })) => {
+            format!(
+                "version {} as kept, then by {} control machines",
+                kept.settled.number,
+                said.control.len()
+            )
+        }
+        (Some(said), _) => format!("the configuration's, then by {} control machines", said.control.len()),
+        (None, _) => "the configuration's".to_string(),
+    };
     let shards = match operator.layouts {
         None => "in the configuration's ring".to_string(),
         Some(layouts) => format!(
@@ -176,6 +206,7 @@
         ("shards", shards),
         ("role", role),
         ("peers", peers),
+        ("settings", settings),
         ("log", format!("{:?}", operator.log).to_lowercase()),
     ]
     .map(|(what, value)| format!("{what}: {value}\n"))
--- a/crates/control/src/publisher.rs
+++ b/crates/control/src/publisher.rs
@@ -9,6 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// Versions that are kept to make deltas upon; who is further back gets the whole.
 pub const GAP: usize = 64;
@@ -55,7 +56,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Kept {
     digest: Digest,
-    text: Rc<str>,
+    text: Arc<str>,
 }
 
 /// Committed versions as a machine has them. Numbers only grow, each with the content that came first.
@@ -172,9 +173,8 @@
     sending: Option<(Rc<Content>, usize)>,
     beat: Option<u64>,
     held: Number,
-    /// Of which version, and since when.
-    refused: Option<(Number, String)>,
-    waits: Option<(f64, String)>,
+    /// The version that it did not take over, and why not.
+    lacks: Option<(Number, String)>,
 }
 
 /// What was met, for counters.
@@ -292,8 +292,7 @@
             sending: None,
             beat: None,
             held: 0,
-            refused: None,
-            waits: None,
+            lacks: None,
         };
         self.links.insert(self.last_link, link);
         self.by_name.insert(name.into(), self.last_link);
@@ -331,15 +330,16 @@
                 self.beats.insert(number);
             }
             Say::Outcome { number: version, outcome } => {
-                (link.refused, link.waits) = (None, None);
-                match outcome {
-                    Outcome::InForce => link.held = version,
-                    Outcome::Waits(keys) => {
+                link.lacks = match outcome {
+                    Outcome::InForce => {
                         link.held = version;
-                        link.waits = Some((now, keys.join(", ")));
+                        None
+                    }
+                    Outcome::Waits(keys) => {
+                        Some((version, format!("{version} waits for a start: {}", keys.join(", "))))
                     }
-                    Outcome::Refused(why) => link.refused = Some((version, why)),
-                }
+                    Outcome::Refused(why) => Some((version, format!("refused {version}: {why}"))),
+                };
             }
         }
     }
@@ -459,20 +459,18 @@
         let (newest, mut summary) = (self.shelf.newest(), Summary::default());
         for link in self.links.values() {
             *summary.by_version.entry(link.held).or_default() += 1;
-            let waits = link.waits.as_ref().filter(|_| link.held >= newest);
-            if link.held >= newest && waits.is_none() {
+            if link.held >= newest {
                 continue;
             }
             let missed = self.came.range(link.held + 1..).next().map_or(now, |(_, came)| *came);
-            let (since, why) = match (&link.refused, waits) {
-                (_, Some((since, keys))) => (*since, format!("waits for a start: {keys}")),
-                (Some((version, why)), _) => (missed, format!("refused {version}: {why}")),
-                _ if link.told.is_none() => (missed, "has not asked yet".into()),
-                _ if link.sending.is_some() => (missed, "is being told".into()),
-                _ if self.clashes(link) => (missed, "has other content under the newest number".into()),
-                _ => (missed, "has not answered yet".into()),
+            let why = match &link.lacks {
+                Some((version, why)) if *version == newest => why.clone(),
+                _ if link.told.is_none() => "has not asked yet".into(),
+                _ if link.sending.is_some() => "is being told".into(),
+                _ if self.clashes(link) => "has other content under the newest number".into(),
+                _ => "has not answered yet".into(),
             };
-            let (router, version, since_s) = (link.name.clone(), link.held, (now - since).max(0.0));
+            let (router, version, since_s) = (link.name.clone(), link.held, (now - missed).max(0.0));
             summary.lagging.push(Lagging { router, version, since_s, why });
         }
         // Sorts by who lags longest and leaves out past the bound.
--- a/crates/control/src/subscriber.rs
+++ b/crates/control/src/subscriber.rs
@@ -9,7 +9,7 @@
 use serde_json::Value;
 use std::collections::VecDeque;
 use std::fmt;
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// Pulses whose beats may still come.
 const PULSES: usize = 64;
@@ -73,7 +73,7 @@
 pub struct Settled {
     pub number: Number,
     pub digest: Digest,
-    pub text: Rc<str>,
+    pub text: Arc<str>,
 }
 
 impl Settled {
@@ -100,19 +100,22 @@
     Clash,
 }
 
-/// What a router has: what it got, what is in force, and what it was offered. The one place where a version is taken.
+/// What a router has: what it got, what it was offered, what is in force, and what the next start is to be with. The one
+/// place where a version is taken.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Holding {
     got: Settled,
     held: Settled,
+    kept: Settled,
     offered: Option<Settled>,
-    refused: Option<(Number, String)>,
+    /// Offered last and not in force.
+    lacks: Number,
 }
 
 impl Holding {
     /// As started with a version in force.
     pub fn resumed(held: Settled) -> Self {
-        Holding { got: held.clone(), held, ..Holding::default() }
+        Holding { got: held.clone(), kept: held.clone(), held, ..Holding::default() }
     }
 
     pub fn got(&self) -> &Settled {
@@ -124,8 +127,9 @@
         &self.held
     }
 
-    pub fn refused(&self) -> Option<&(Number, String)> {
-        self.refused.as_ref()
+    /// What the next start is to be with.
+    pub fn kept(&self) -> &Settled {
+        &self.kept
     }
 
     pub fn take(&mut self, content: &Content) -> Taken {
@@ -149,27 +153,22 @@
 
     /// The newest, if it is to be offered to the router now; one offer at a time.
     pub fn offer(&mut self) -> Option<Settled> {
-        let tried = self.refused.as_ref().map_or(0, |refused| refused.0).max(self.held.number);
-        if self.offered.is_some() || self.got.number <= tried {
+        if self.offered.is_some() || self.got.number <= self.lacks.max(self.held.number) {
             return None;
         }
         self.offered = Some(self.got.clone());
         self.offered.clone()
     }
 
-    /// What the router made of its offer; whether something else is in force now.
+    /// What the router made of its offer; whether that was one.
     pub fn ended(&mut self, number: Number, outcome: &Outcome) -> bool {
         let Some(offered) = self.offered.take_if(|offered| offered.number == number) else { return false };
         match outcome {
-            Outcome::InForce | Outcome::Waits(_) => {
-                (self.held, self.refused) = (offered, None);
-                true
-            }
-            Outcome::Refused(why) => {
-                self.refused = Some((number, why.clone()));
-                false
-            }
+            Outcome::InForce => (self.held, self.kept) = (offered.clone(), offered),
+            Outcome::Waits(_) => (self.kept, self.lacks) = (offered, number),
+            Outcome::Refused(_) => self.lacks = number,
         }
+        true
     }
 }
 
@@ -184,7 +183,7 @@
         number: Number,
         settings: Value,
     },
-    /// In force from here on: to be kept where something lasts.
+    /// The next start is to be with it: to be kept where something lasts.
     Keep(Settled),
     Note(Note),
 }
@@ -193,7 +192,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Note {
     InForce(Number),
-    Waits(Number, Vec<String>),
+    /// A version, and the one that holds.
+    Waits(Number, Number, Vec<String>),
     Refused(Number, Number, String),
     Connected(String),
     Lost(String),
@@ -224,11 +224,12 @@
     fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
         match self {
             Note::InForce(number) => write!(out, "version {number} in force"),
-            Note::Waits(number, keys) => {
-                write!(out, "version {number} in force, but for what waits for a start: {}", keys.join(", "))
+            Note::Waits(number, held, keys) => {
+                let keys = keys.join(", ");
+                write!(out, "version {number} waits for a start ({keys}); {}", Held(*held))
             }
             Note::Refused(number, held, why) => {
-                write!(out, "version {number} refused: {why}; version {held} holds")
+                write!(out, "version {number} refused: {why}; {}", Held(*held))
             }
             Note::Connected(machine) => write!(out, "subscribed at control machine {machine}"),
             Note::Lost(machine) => write!(out, "control machine {machine}: the connection ended"),
@@ -254,7 +255,7 @@
                 };
                 write!(out, "{what} for {span:.0} s: ")?;
                 match (number, age) {
-                    (0, _) => write!(out, "the configuration's own settings hold"),
+                    (0, _) => write!(out, "{}", Held(0)),
                     (_, Some(age)) => write!(out, "version {number} may be {age:.0} s old"),
                     (_, None) => write!(out, "version {number} may be of any age"),
                 }
@@ -264,6 +265,18 @@
     }
 }
 
+/// What holds on.
+struct Held(Number);
+
+impl fmt::Display for Held {
+    fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
+        match self.0 {
+            0 => write!(out, "the configuration's own settings hold"),
+            number => write!(out, "version {number} holds"),
+        }
+    }
+}
+
 /// What was met, for counters.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Met {
@@ -273,6 +286,7 @@
     pub behind: u64,
     pub taken_over: u64,
     pub refused: u64,
+    pub waits: u64,
     pub whole: u64,
     pub deltas: u64,
     pub mismatches: u64,
@@ -683,24 +697,32 @@
     /// What the router made of an offer.
     pub fn ended(&mut self, number: Number, outcome: Outcome) {
         let outcome = outcome.cut();
-        let changed = self.holding.ended(number, &outcome);
+        let before = self.holding.kept.number;
+        if !self.holding.ended(number, &outcome) {
+            return;
+        }
+        let held = self.holding.held.number;
         match &outcome {
-            _ if !changed && !matches!(outcome, Outcome::Refused(_)) => return,
-            Outcome::InForce => self.say(Note::InForce(number)),
-            Outcome::Waits(keys) => self.say(Note::Waits(number, keys.clone())),
+            Outcome::InForce => {
+                self.met.taken_over += 1;
+                // It was the newest later than any before it.
+                let (known, at) = self.known;
+                if known > 0 && known <= number {
+                    self.as_of = Some(self.as_of.map_or(at, |held| held.max(at)));
+                }
+                self.say(Note::InForce(number));
+            }
+            Outcome::Waits(keys) => {
+                self.met.waits += 1;
+                self.say(Note::Waits(number, held, keys.clone()));
+            }
             Outcome::Refused(why) => {
                 self.met.refused += 1;
-                self.say(Note::Refused(number, self.holding.held.number, why.clone()));
+                self.say(Note::Refused(number, held, why.clone()));
             }
         }
-        if changed {
-            self.met.taken_over += 1;
-            // It was the newest later than any before it.
-            let (known, at) = self.known;
-            if known > 0 && known <= number {
-                self.as_of = Some(self.as_of.map_or(at, |held| held.max(at)));
-            }
-            self.orders.push_back(Order::Keep(self.holding.held.clone()));
+        if self.holding.kept.number != before {
+            self.orders.push_back(Order::Keep(self.holding.kept.clone()));
         }
         self.lasting = Some((number, outcome.clone())).filter(|_| outcome != Outcome::InForce);
         self.outcome = Some((number, outcome));
--- a/crates/control/src/words.rs
+++ b/crates/control/src/words.rs
@@ -62,7 +62,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Outcome {
     InForce,
-    /// Taken over but for these keys, which wait for a start.
+    /// Nothing of it is in force, as these keys only change with a start; the next start is with it.
     Waits(Vec<String>),
     /// Nothing of it is in force.
     Refused(String),
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -14,6 +14,7 @@
 use starlark::values::dict::DictRef;
 use starlark::values::list::ListRef;
 use starlark::values::none::NoneType;
+use starlark::values::tuple::TupleRef;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -34,6 +35,7 @@
 /// A core is told apart by eight bits.
 pub const MOST_CORES: usize = 128;
 pub const MOST_MEMBERS: usize = 1000;
+pub const MOST_CONTROL: usize = 15;
 
 /// How many cores serve.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -107,6 +109,21 @@
     pub verdicts: bool,
 }
 
+/// Control machines that tell this router its settings, version by version.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Subscription {
+    /// By name, with where each listens for routers, and its zone.
+    pub control: BTreeMap<String, (SocketAddr, String)>,
+    /// Of this router: the machines there are asked first.
+    pub zone: String,
+    /// A file for the version to start with; none where no disk lasts.
+    pub keep: Option<String>,
+    /// In seconds: without a word for so long a machine is left; and a version not known for so long to be the newest is
+    /// said to be old.
+    pub silent: f64,
+    pub old: f64,
+}
+
 /// What part of each share that all routers hold together forwarders keep for when no planner can be asked; planners have
 /// the rest. Fixed, so that whoever is cut off from whom, the sum holds.
 pub const KEPT_BACK: f64 = 0.25;
@@ -121,6 +138,8 @@
     pub tier: Tier,
     /// None: this router knows of no other.
     pub peers: Option<Peers>,
+    /// None: settings only come with the configuration.
+    pub subscription: Option<Subscription>,
 }
 
 /// What has been said so far.
@@ -131,6 +150,7 @@
     layouts: RefCell<Option<Layouts>>,
     tier: RefCell<Option<Tier>>,
     peers: RefCell<Option<Peers>>,
+    subscription: RefCell<Option<Subscription>>,
 }
 
 fn said<'a>(eval: &Evaluator<'_, 'a, '_>) -> anyhow::Result<&'a Said> {
@@ -308,6 +328,74 @@
         once(&said(eval)?.peers, "peers", Peers { members, beat, pulse, stale, witnesses, verdicts })
     }
 
+    /// That control machines tell this router its settings.
+    fn subscription<'v>(
+        #[starlark(require = named)] control: Value<'v>,
+        #[starlark(require = named)] zone: Option<Value<'v>>,
+        #[starlark(require = named)] keep: Option<Value<'v>>,
+        #[starlark(require = named)] silent_ms: Option<Value<'v>>,
+        #[starlark(require = named)] old_ms: Option<Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        let wrong = || {
+            let found = control.to_repr();
+            anyhow::anyhow!(
+                "`subscription`: `control` gives names, each with its address:port or (address:port, zone), found {found}"
+            )
+        };
+        let word = |value: Value<'v>| {
+            let text = value.unpack_str().filter(|text| !text.is_empty() && text.len() <= 64)?;
+            Some(text.to_string())
+        };
+        let entry = |(name, at): (Value<'v>, Value<'v>)| {
+            let (at, zone) = match TupleRef::from_value(at) {
+                Some(pair) if pair.len() == 2 => (pair.content()[0], word(pair.content()[1])?),
+                Some(_) => return None,
+                None => (at, String::new()),
+            };
+            Some((word(name)?, (at.unpack_str()?.parse().ok()?, zone)))
+        };
+        let given = DictRef::from_value(control).ok_or_else(wrong)?;
+        let control = given.iter().map(entry).collect::<Option<BTreeMap<_, _>>>().ok_or_else(wrong)?;
+        if !(1..=MOST_CONTROL).contains(&control.len()) {
+            let found = control.len();
+            return Err(anyhow::anyhow!(
+                "`subscription`: `control` names 1 to {MOST_CONTROL} machines, found {found}"
+            ));
+        }
+        let addresses: BTreeSet<SocketAddr> = control.values().map(|(at, _)| *at).collect();
+        if addresses.len() < control.len() {
+            return Err(anyhow::anyhow!("`subscription`: `control` gives one address twice"));
+        }
+        let text = |name, value: Option<Value<'v>>| match value.filter(|value| !value.is_none()) {
+            None => Ok(None),
+            Some(value) => match value.unpack_str().filter(|text| !text.is_empty()) {
+                Some(text) => Ok(Some(text.to_string())),
+                None => Err(anyhow::anyhow!(
+                    "`subscription`: `{name}` is a text that is not empty, found {}",
+                    value.to_repr()
+                )),
+            },
+        };
+        let zone = text("zone", zone)?.unwrap_or_default();
+        if !zone.is_empty() && !control.values().any(|(_, of)| *of == zone) {
+            return Err(anyhow::anyhow!("`subscription`: no machine of `control` is in `zone` \"{zone}\""));
+        }
+        let keep = text("keep", keep)?;
+        let span = |name, value: Option<Value<'v>>, usual, least, most| {
+            let value = value.map_or(Ok(usual), |value| whole("subscription", name, value, least, most))?;
+            anyhow::Ok(value as f64 / 1e3)
+        };
+        // A machine answers a pulse a second.
+        let silent = span("silent_ms", silent_ms, 3000, 2000, 60_000)?;
+        let old = span("old_ms", old_ms, 10_000, 2000, 86_400_000)?;
+        if old < silent {
+            return Err(anyhow::anyhow!("`subscription`: `old_ms` is under `silent_ms`"));
+        }
+        let said = said(eval)?;
+        once(&said.subscription, "subscription", Subscription { control, zone, keep, silent, old })
+    }
+
     /// How the log is written.
     fn log<'v>(
         #[starlark(require = named)] form: Value<'v>,
@@ -397,7 +485,11 @@
     if peers.is_some() && cores.count != Count::Cores(1) {
         return Err(format!("{name}: `peers` goes with one core yet"));
     }
-    Ok(Operator { cores, log, layouts, tier, peers })
+    let subscription = said.subscription.take();
+    if subscription.is_some() && tier != Tier::Alone {
+        return Err(format!("{name}: `subscription` goes with neither `forwarder` nor `planner` yet"));
+    }
+    Ok(Operator { cores, log, layouts, tier, peers, subscription })
 }
 
 struct Silent;
--- /dev/null
+++ b/crates/router/src/control/kept.rs
@@ -0,0 +1,130 @@
+//! The version that a router starts with when no control machine can be asked: one file, written whole beside itself,
+//! synced and renamed, with a head that tells a torn one.
+use super::{Subscription, spawn_blocking, spawn_local, watch};
+use crate::life::start::{self, Read, Station};
+use crate::memory::clock::Clock;
+use alderway_control::subscriber::Settled;
+use alderway_control::words;
+use serde_json::Value;
+use std::fs::{self, File};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+const WORD: &str = "alderway-version 1";
+/// A head and the longest settings.
+const LONGEST: u64 = words::LARGEST as u64 + 200;
+
+/// A version as it was kept.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Kept {
+    pub settled: Settled,
+    /// When it was last known to be the newest, by the wall clock of that time.
+    pub as_of_unix_ms: Option<u64>,
+}
+
+impl Kept {
+    fn text(&self) -> String {
+        let Settled { number, digest, text } = &self.settled;
+        let as_of = self.as_of_unix_ms.map_or("-".to_string(), |ms| ms.to_string());
+        format!("{WORD} {number} {digest:016x} {as_of}\n{text}")
+    }
+
+    fn read(text: &str) -> Option<Kept> {
+        let (head, text) = text.split_once('\n')?;
+        let mut head = head.strip_prefix(WORD)?.split_whitespace();
+        let number = head.next()?.parse().ok().filter(|number| *number > 0)?;
+        let digest = u64::from_str_radix(head.next()?, 16).ok()?;
+        let as_of_unix_ms = match head.next()? {
+            "-" => None,
+            ms => Some(ms.parse().ok()?),
+        };
+        let settled = Settled::new(number, text);
+        (settled.digest == digest && head.next().is_none()).then_some(Kept { settled, as_of_unix_ms })
+    }
+}
+
+/// What is kept there; none where nothing is. Guards against a file that is torn, too long or another's.
+pub fn read(path: &Path) -> Result<Option<Kept>, String> {
+    let torn = |why: &str| Err(format!("kept file {}: {why}; ignored", path.display()));
+    match fs::metadata(path) {
+        Err(why) if why.kind() == io::ErrorKind::NotFound => return Ok(None),
+        Err(why) => return torn(&why.to_string()),
+        Ok(about) if about.len() > LONGEST => return torn("longer than any version"),
+        Ok(_) => {}
+    }
+    match fs::read(path).map(String::from_utf8) {
+        Err(why) => torn(&why.to_string()),
+        Ok(Err(_)) => torn("torn or not of this program"),
+        Ok(Ok(text)) => {
+            Kept::read(&text).map_or_else(|| torn("torn or not of this program"), |k| Ok(Some(k)))
+        }
+    }
+}
+
+/// Writes beside, syncs, renames, and syncs the directory: at any moment the old one is there whole, or the new one.
+pub fn write(path: &Path, kept: &Kept) -> io::Result<()> {
+    let beside = path.with_extension("new");
+    let mut file = File::create(&beside)?;
+    file.write_all(kept.text().as_bytes())?;
+    file.sync_all()?;
+    drop(file);
+    fs::rename(&beside, path)?;
+    let directory = path.parent().filter(|parent| !parent.as_os_str().is_empty());
+    File::open(directory.unwrap_or(Path::new(".")))?.sync_all()
+}
+
+/// Keeps the newest of what it is sent, off the thread that serves.
+pub fn keeper(path: PathBuf, clock: Clock) -> watch::Sender<Option<(Settled, Option<f64>)>> {
+    let (sender, mut news) = watch::channel(None::<(Settled, Option<f64>)>);
+    spawn_local(async move {
+        while news.changed().await.is_ok() {
+            let Some((settled, as_of)) = news.borrow_and_update().clone() else { continue };
+            let (number, path) = (settled.number, path.clone());
+            let age = as_of.map(|as_of| clock.now() - as_of);
+            let as_of_unix_ms = age.and_then(|age| {
+                let unix = SystemTime::now().duration_since(UNIX_EPOCH).ok()?.as_secs_f64();
+                Some(((unix - age).max(0.0) * 1e3) as u64)
+            });
+            let kept = Kept { settled, as_of_unix_ms };
+            let written = spawn_blocking(move || write(&path, &kept)).await;
+            let why = match written {
+                Ok(Ok(())) => continue,
+                Ok(Err(why)) => why.to_string(),
+                Err(why) => why.to_string(),
+            };
+            tracing::error!(target: "control", "version {number} is not kept on disk: {why}");
+        }
+    });
+    sender
+}
+
+/// A router's station with the settings that were kept, if there are sound ones; with the configuration's own where not.
+pub fn station(
+    mut subscription: Subscription,
+    config: &Path,
+    clock: Clock,
+    peers: Option<u64>,
+) -> Read<Station> {
+    let kept = subscription.keep.as_deref().map_or(Ok(None), read);
+    let (kept, mut said) = match kept {
+        Ok(kept) => (kept, None),
+        Err(why) => (None, Some(why)),
+    };
+    if let Some(kept) = kept {
+        let number = kept.settled.number;
+        let settings = serde_json::from_str::<Value>(&kept.settled.text).map_err(|why| why.to_string());
+        match settings.and_then(|settings| start::read_with(config, clock, peers, Some(settings))) {
+            Ok(mut station) => {
+                subscription.kept = Some(kept);
+                station.control = Some(subscription);
+                return Ok(station);
+            }
+            Err(why) => said = Some(format!("version {number} of the kept file: {why}; ignored")),
+        }
+    }
+    subscription.said = said;
+    let mut station = start::read_among(config, clock, peers)?;
+    station.control = Some(subscription);
+    Ok(station)
+}
--- /dev/null
+++ b/crates/router/src/control/mod.rs
@@ -0,0 +1,325 @@
+//! The router's subscription on sockets: one connection to a control machine, what is kept on disk, lines of the log and
+//! counters. Which machine, what of its words is taken and when what is said stands in `alderway_control::subscriber`.
+pub mod kept;
+
+use crate::memory::clock::Clock;
+use crate::memory::counters::Counters;
+use crate::memory::house::{Figures, House};
+use alderway_control::bucket::{Bucket, READ};
+use alderway_control::subscriber::{Machine, Order, Settled, Subscriber, Terms};
+use alderway_control::version::Number;
+use alderway_control::words::{Outcome, Say, Tell};
+use alderway_deployment as deployment;
+use alderway_tier::frames::{self, Hello, Read, Reader, Speech};
+use alderway_tier::{Incarnation, Name};
+use kept::Kept;
+use serde_json::Value;
+use std::future::pending;
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::{spawn_blocking, spawn_local};
+use tokio::time::sleep;
+
+/// The connection, and a file with its directory while a version is being kept.
+pub const DESCRIPTORS: usize = 3;
+/// Fewer bytes are not read at once while the budget is short.
+const SIP: usize = 200;
+/// Between two looks at the counters.
+const LOOK: f64 = 0.5;
+
+/// What the operator's file says, and what was kept.
+pub struct Subscription {
+    /// With where each listens for routers.
+    pub machines: Vec<(Machine, SocketAddr)>,
+    pub zone: String,
+    pub terms: Terms,
+    pub keep: Option<PathBuf>,
+    /// The version that this router starts with.
+    pub kept: Option<Kept>,
+    /// What was wrong with the kept file, for the log.
+    pub said: Option<String>,
+}
+
+type Soon<T> = Pin<Box<dyn Future<Output = T>>>;
+/// Brings settings to the running router, under their number.
+pub type Offer = Box<dyn Fn(Value, Number) -> Soon<Outcome>>;
+/// Is shown the subscription a few times a second, with the bytes that came in and went out.
+pub type Show = Box<dyn FnMut(&Subscriber, (u64, u64), f64)>;
+
+/// What a subscription does with the world.
+pub struct Ends {
+    pub name: Name,
+    pub incarnation: Incarnation,
+    /// In the order of the subscriber's list, each with its name.
+    pub machines: Vec<(Name, SocketAddr)>,
+    pub clock: Clock,
+    pub offer: Offer,
+    /// What the next start is to be with, and when that was known to be the newest.
+    pub keep: Box<dyn Fn(Settled, Option<f64>)>,
+    pub show: Show,
+    /// Whether notes are written to the log.
+    pub logs: bool,
+}
+
+/// For a router whose settings only change with a start: what is sound and differs from the held waits for one.
+pub fn with_a_start(held: Value) -> Offer {
+    Box::new(move |settings, _| {
+        let outcome = match deployment::router(0, &settings) {
+            Err(why) => Outcome::Refused(format!("key `settings`: expected {why}")),
+            Ok(_) if settings == held => Outcome::InForce,
+            Ok(_) => Outcome::Waits(vec!["settings".into()]),
+        };
+        Box::pin(async move { outcome })
+    })
+}
+
+/// Starts the subscription of a router, for as long as the program runs.
+pub fn start(
+    subscription: Subscription,
+    name: &str,
+    seed: u64,
+    offer: Offer,
+    house: Arc<House>,
+    clock: Clock,
+) {
+    let Subscription { machines, zone, terms, keep, kept, said } = subscription;
+    if let Some(said) = said {
+        tracing::warn!(target: "control", "{said}");
+    }
+    let now = clock.now();
+    let kept = kept.map(|kept| {
+        let number = kept.settled.number;
+        tracing::info!(target: "control", "version {number} in force, from the kept file");
+        let as_of = kept.as_of_unix_ms.and_then(|ms| clock.from_unix(ms));
+        (kept.settled, as_of.map(|as_of| as_of.min(now)))
+    });
+    let list = machines.iter().map(|(machine, _)| machine.clone()).collect();
+    let subscriber = Subscriber::new(terms, list, &zone, kept, seed, now);
+    let keeper = keep.map(|path| kept::keeper(path, clock));
+    let ends = Ends {
+        name: name.into(),
+        incarnation: seed,
+        machines: machines.into_iter().map(|(machine, at)| (machine.name, at)).collect(),
+        clock,
+        offer,
+        keep: Box::new(move |settled, as_of| {
+            if let Some(keeper) = &keeper {
+                keeper.send_replace(Some((settled, as_of)));
+            }
+        }),
+        show: Box::new(move |subscriber, bytes, now| {
+            house.control.send_replace(Arc::new(figures(subscriber, bytes, now)));
+        }),
+        logs: true,
+    };
+    spawn_local(run(subscriber, ends));
+}
+
+fn figures(subscriber: &Subscriber, (bytes_in, bytes_out): (u64, u64), now: f64) -> Figures {
+    let (met, mut counters) = (subscriber.met, Counters::default());
+    for (name, count) in [
+        ("control_dials", met.dials),
+        ("control_connections_lost", met.lost),
+        ("control_machines_silent", met.silent),
+        ("control_machines_behind", met.behind),
+        ("control_versions_in_force", met.taken_over),
+        ("control_versions_refused", met.refused),
+        ("control_versions_waiting", met.waits),
+        ("control_wholes", met.whole),
+        ("control_deltas", met.deltas),
+        ("control_mismatches", met.mismatches),
+        ("control_clashes", met.clashes),
+        ("control_words_old", met.old_words),
+        ("control_bytes_in", bytes_in),
+        ("control_bytes_out", bytes_out),
+    ] {
+        counters.add(name, count as usize);
+    }
+    let ms = |span: f64| (span * 1e3) as u64;
+    let mut open = vec![
+        ("control_version", subscriber.holding().held().number),
+        ("control_version_got", subscriber.holding().got().number),
+        ("control_connected", u64::from(subscriber.connected().is_some())),
+        ("control_quiet_ms", ms(subscriber.quiet(now))),
+    ];
+    // What may be of any age has none.
+    open.extend(subscriber.age(now).map(|age| ("control_version_age_ms", ms(age))));
+    Figures { counters, open }
+}
+
+/// A connection to a control machine.
+struct Wire {
+    stream: TcpStream,
+    machine: usize,
+    greeted: bool,
+    reader: Reader<Tell>,
+    out: Vec<u8>,
+}
+
+/// The driver: follows the subscriber's orders and tells it what came of them.
+pub async fn run(mut subscriber: Subscriber, mut ends: Ends) {
+    let clock = ends.clock;
+    let mut dial: Option<(usize, Soon<io::Result<TcpStream>>)> = None;
+    let mut offer: Option<(Number, Soon<Outcome>)> = None;
+    let mut wire: Option<Wire> = None;
+    let mut budget = Bucket::empty(READ, clock.now());
+    let (mut space, mut bytes, mut look) = (vec![0; READ.burst as usize], (0, 0), 0.0);
+    loop {
+        let now = clock.now();
+        subscriber.tick(now);
+        while let Some(order) = subscriber.order() {
+            match order {
+                Order::Dial(machine) => {
+                    wire = None;
+                    let Some((_, at)) = ends.machines.get(machine).cloned() else { continue };
+                    dial = Some((machine, Box::pin(TcpStream::connect(at))));
+                }
+                Order::Leave => (wire, dial) = (None, None),
+                Order::Offer { number, settings } => offer = Some((number, (ends.offer)(settings, number))),
+                Order::Keep(settled) => (ends.keep)(settled, subscriber.as_of()),
+                Order::Note(note) if !ends.logs => drop(note),
+                Order::Note(note) if note.warns() => tracing::warn!(target: "control", "{note}"),
+                Order::Note(note) => tracing::info!(target: "control", "{note}"),
+            }
+        }
+        if now >= look {
+            (ends.show)(&subscriber, bytes, now);
+            look = now + LOOK;
+        }
+        let mut waits = false;
+        if let Some(held) = &mut wire {
+            while held.greeted
+                && held.out.is_empty()
+                && let Some(word) = subscriber.word(now)
+            {
+                held.out = word;
+                if !flush(held, &mut bytes.1) {
+                    break;
+                }
+            }
+            waits = !held.out.is_empty();
+        }
+        let room = budget.room(now).min(space.len());
+        let reads = room >= SIP;
+        let refill = if reads || wire.is_none() { f64::INFINITY } else { budget.when(SIP) };
+        let until = (subscriber.due().min(refill).min(now + 1.0) - now).max(0.0005);
+        tokio::select! {
+            biased;
+            came = dialled(&mut dial) => {
+                let machine = dial.take().map_or(0, |dial| dial.0);
+                match came {
+                    Ok(stream) => {
+                        let _ = stream.set_nodelay(true);
+                        let (name, incarnation) = (ends.name.clone(), ends.incarnation);
+                        let hello = Hello { version: Say::VERSION, planner: false, incarnation, name };
+                        let mut out = vec![];
+                        frames::hello_of::<Say>(&mut out, &hello);
+                        wire = Some(Wire { stream, machine, greeted: false, reader: Reader::default(), out });
+                    }
+                    Err(_) => subscriber.closed(clock.now()),
+                }
+            }
+            outcome = offered(&mut offer) => {
+                if let Some((number, _)) = offer.take() {
+                    subscriber.ended(number, outcome);
+                }
+            }
+            ready = readable(&wire), if reads => {
+                let read = ready && wire.as_mut().is_some_and(|held| {
+                    let Some(space) = space.get_mut(..room) else { return false };
+                    match held.stream.try_read(space) {
+                        Ok(0) => false,
+                        Ok(count) => {
+                            budget.take(count, clock.now());
+                            bytes.0 += count as u64;
+                            held.reader.feed(&space[..count]);
+                            true
+                        }
+                        Err(why) => why.kind() == ErrorKind::WouldBlock,
+                    }
+                });
+                let sound = read && wire.as_mut().is_some_and(|held| hear(held, &mut subscriber, &ends));
+                if !sound && wire.take().is_some() {
+                    subscriber.closed(clock.now());
+                }
+            }
+            ready = writable(&wire), if waits => {
+                let sound = ready && wire.as_mut().is_some_and(|held| flush(held, &mut bytes.1));
+                if !sound && wire.take().is_some() {
+                    subscriber.closed(clock.now());
+                }
+            }
+            () = sleep(Duration::from_secs_f64(until)) => {}
+        }
+    }
+}
+
+/// Takes in all that is there; false ends the connection.
+fn hear(wire: &mut Wire, subscriber: &mut Subscriber, ends: &Ends) -> bool {
+    loop {
+        let now = ends.clock.now();
+        let expected = ends.machines.get(wire.machine).map(|machine| &machine.0);
+        match wire.reader.read() {
+            Ok(Some(Read::Hello(hello))) if !wire.greeted && Some(&hello.name) == expected => {
+                wire.greeted = true;
+                subscriber.opened(now);
+            }
+            Ok(Some(Read::Hello(hello))) => {
+                tracing::warn!(target: "control", "`{}` answers where another control machine is", hello.name);
+                return false;
+            }
+            Ok(Some(Read::Message(tell))) => subscriber.heard(tell, now),
+            Ok(None) => return true,
+            Err(why) => {
+                tracing::warn!(target: "control", "{why}");
+                return false;
+            }
+        }
+    }
+}
+
+/// Writes what waits, as far as it is taken; false ends the connection.
+fn flush(wire: &mut Wire, sum: &mut u64) -> bool {
+    match wire.stream.try_write(&wire.out) {
+        Ok(count) => {
+            drop(wire.out.drain(..count));
+            *sum += count as u64;
+            true
+        }
+        Err(why) => why.kind() == ErrorKind::WouldBlock,
+    }
+}
+
+async fn dialled(dial: &mut Option<(usize, Soon<io::Result<TcpStream>>)>) -> io::Result<TcpStream> {
+    match dial {
+        Some((_, dial)) => dial.await,
+        None => pending().await,
+    }
+}
+
+async fn offered(offer: &mut Option<(Number, Soon<Outcome>)>) -> Outcome {
+    match offer {
+        Some((_, offer)) => offer.await,
+        None => pending().await,
+    }
+}
+
+async fn readable(wire: &Option<Wire>) -> bool {
+    match wire {
+        Some(wire) => wire.stream.readable().await.is_ok(),
+        None => pending().await,
+    }
+}
+
+async fn writable(wire: &Option<Wire>) -> bool {
+    match wire {
+        Some(wire) => wire.stream.writable().await.is_ok(),
+        None => pending().await,
+    }
+}
--- a/crates/router/src/drive/lead.rs
+++ b/crates/router/src/drive/lead.rs
@@ -3,6 +3,7 @@
 use super::clients::{self, Door};
 use super::core::{self, BEAT, Berth, Phase, Report, Told};
 use super::{arrival, discovery};
+use crate::control;
 use crate::life::reload::Was;
 use crate::life::start::Station;
 use crate::life::{logger, reload, stop};
@@ -12,6 +13,7 @@
 use crate::memory::ground::{Following, Ground};
 use crate::memory::house::{Figures, House, Order, Passenger, Sharing};
 use crate::memory::roster::Roster;
+use crate::tier::post;
 use alderway_cores::balance::{Balance, Load};
 use alderway_cores::crew::{Change, Crew, State};
 use alderway_layouts::history::News;
@@ -155,11 +157,13 @@
 
 /// Runs a router on several cores until SIGTERM has been seen through.
 pub async fn run(station: Station, sharing: Sharing, clock: Clock) -> io::Result<()> {
-    let Station { path, beside, name, listen, discovery, roster, module, fixed, .. } = station;
+    let Station { path, beside, name, listen, discovery, roster, module, fixed, control, settings, .. } =
+        station;
     let (trunk, room, verticals) = (station.trunk, station.room, station.verticals);
     let was = Was { path, beside, fixed };
     let (terms, hangups) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
-    let (for_clients, for_nodes) = descriptors::shares(station.sockets, station.memory, sharing.cores);
+    let kept = control.as_ref().map_or(0, |_| control::DESCRIPTORS);
+    let (for_clients, for_nodes) = descriptors::shares(station.sockets - kept, station.memory, sharing.cores);
     let (house, inboxes) = House::new(room.room, sharing, PATIENCE);
     let (told, roster_told) = watch::channel(Told::default());
     let (phase, phase_told) = watch::channel(Phase::Serving);
@@ -203,6 +207,10 @@
     let (at, cores) = (listener.local_addr()?, sharing.cores);
     tracing::info!(target: "start", "{name} listens at {at}: {known} data nodes known, {cores} cores");
     spawn_local(discovery::run(list.clone(), agent_of(discovery, hangups, was, clock)));
+    if let Some(subscription) = control {
+        let offer = control::with_a_start(settings);
+        control::start(subscription, &name, post::incarnation(), offer, house.clone(), clock);
+    }
     let crew = Rc::new(RefCell::new(Crew::new(cores, clock.now())));
     let dealer = Rc::new(Dealer { house: house.clone(), crew: crew.clone(), next: RefCell::new(0) });
     let close = Rc::new(Notify::new());
--- a/crates/router/src/life/serve.rs
+++ b/crates/router/src/life/serve.rs
@@ -2,6 +2,7 @@
 use super::reload::Was;
 use super::start::{Role, Station};
 use super::{logger, reload, stop};
+use crate::control;
 use crate::drive::{arrival, clients, discovery, lead, rounds};
 use crate::memory::clock::Clock;
 use crate::memory::descriptors;
@@ -35,13 +36,15 @@
 }
 
 async fn alone(station: Station, sharing: Sharing, clock: Clock) -> io::Result<()> {
-    let Station { path, beside, name, listen, discovery, roster, module, fixed, peers, .. } = station;
+    let Station { path, beside, name, listen, discovery, roster, module, fixed, peers, control, .. } =
+        station;
     // Before anybody can know that this program is up: unhandled, either of them would end it.
     let (terms, hangups) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
-    let kept = peers.as_ref().map_or(0, Circle::descriptors);
+    let kept =
+        peers.as_ref().map_or(0, Circle::descriptors) + control.as_ref().map_or(0, |_| control::DESCRIPTORS);
     let (for_clients, for_nodes) = descriptors::shares(station.sockets - kept, station.memory, 1);
     let house = House::new(station.room.room, sharing, f64::INFINITY).0;
-    let mut desk = Desk::on(house, 0, clock, station.trunk, station.room, station.verticals);
+    let mut desk = Desk::on(house.clone(), 0, clock, station.trunk, station.room, station.verticals);
     desk.roster = roster;
     desk.ground = station.layouts.map(Ground::new);
     desk.came.notify_one();
@@ -59,6 +62,10 @@
     if let Some(circle) = peers {
         peers::start(&desk, circle, &name, post::incarnation()).await?;
     }
+    if let Some(subscription) = control {
+        let offer = control::with_a_start(station.settings);
+        control::start(subscription, &name, post::incarnation(), offer, house, clock);
+    }
     let close = Rc::default();
     let rounds = spawn_local(rounds::run(desk.clone(), move || module(), for_nodes));
     let (agent, at) = watch::channel(discovery);
--- a/crates/router/src/life/start.rs
+++ b/crates/router/src/life/start.rs
@@ -1,4 +1,5 @@
 //! The one place where the configuration is read, checked and given defaults. Every message names its key.
+use crate::control::Subscription;
 use crate::memory::clock::Clock;
 use crate::memory::desk::Class;
 use crate::memory::ground::Following;
@@ -32,6 +33,8 @@
     pub roster: Roster,
     /// Makes the decision module, which its settings have proved to allow.
     pub module: Recipe,
+    /// The settings themselves.
+    pub settings: Value,
     pub verticals: Vec<Class>,
     pub trunk: deployment::Trunk,
     pub room: deployment::Intake,
@@ -42,6 +45,8 @@
     pub role: Role,
     /// The routers that it tells what it sees, and hears from; none where it knows of no other.
     pub peers: Option<Circle>,
+    /// The control machines that tell it its settings; none where they only come with the configuration.
+    pub control: Option<Subscription>,
 }
 
 /// What a program is for.
@@ -81,16 +86,21 @@
 
 /// The same for one of so many that share what is stated for all, where that is not as the settings say.
 pub fn read_among(path: &Path, clock: Clock, peers: Option<u64>) -> Read<Station> {
+    read_with(path, clock, peers, None)
+}
+
+/// The same with other settings in the place of the file's.
+pub fn read_with(path: &Path, clock: Clock, peers: Option<u64>, settings: Option<Value>) -> Read<Station> {
     let text =
         std::fs::read_to_string(path).map_err(|why| format!("`PROXY_CONFIG` {}: {why}", path.display()))?;
-    let mut station = station_among(&text, |key| std::env::var(key).ok(), clock, peers)?;
+    let mut station = station_among(&text, |key| std::env::var(key).ok(), clock, peers, settings)?;
     station.path = path.to_path_buf();
     Ok(station)
 }
 
 /// A station as the configuration's text describes it; `told` gives the variables of the environment.
 pub fn station(text: &str, told: impl Fn(&str) -> Option<String>, clock: Clock) -> Read<Station> {
-    station_among(text, told, clock, None)
+    station_among(text, told, clock, None, None)
 }
 
 fn station_among(
@@ -98,8 +108,14 @@
     told: impl Fn(&str) -> Option<String>,
     clock: Clock,
     peers: Option<u64>,
+    settings: Option<Value>,
 ) -> Read<Station> {
-    let all: Value = serde_json::from_str(text).map_err(|why| format!("configuration: not JSON ({why})"))?;
+    let mut all: Value =
+        serde_json::from_str(text).map_err(|why| format!("configuration: not JSON ({why})"))?;
+    let fixed = ["name", "listen", "limits", "settings"].map(|key| (key, all[key].clone()));
+    if let (Some(settings), Some(all)) = (settings, all.as_object_mut()) {
+        all.insert("settings".into(), settings);
+    }
     let word = |key: &str, variable: &str| {
         let value = match all.get(key) {
             None => told(variable),
@@ -149,13 +165,15 @@
             }
             move || deployment::router(seed, &settings).map(|made| made.0)
         }),
+        settings: settings.clone(),
         verticals,
         trunk,
         room,
         layouts: None,
         role: Role::Router,
         peers: None,
-        fixed: ["name", "listen", "limits", "settings"].map(|key| (key, all[key].clone())),
+        control: None,
+        fixed,
     })
 }
 
--- a/crates/router/src/memory/house.rs
+++ b/crates/router/src/memory/house.rs
@@ -104,6 +104,8 @@
     pub lost: AtomicUsize,
     /// What the lead itself counts.
     pub lead: watch::Sender<Arc<Figures>>,
+    /// What the subscription to control machines counts, where there is one.
+    pub control: watch::Sender<Arc<Figures>>,
 }
 
 /// How several cores share.
@@ -152,6 +154,7 @@
             hung: AtomicUsize::new(0),
             lost: AtomicUsize::new(0),
             lead: watch::channel(Arc::default()).0,
+            control: watch::channel(Arc::default()).0,
         };
         (Arc::new(house), inboxes)
     }
@@ -185,6 +188,7 @@
 
     /// Adds what the other cores last said to one's own figures, and how the cores are.
     pub fn add_others(&self, core: Option<usize>, figures: &mut Figures) {
+        figures.join(&self.control.borrow());
         if !self.is_shared() {
             return;
         }
