Subscription: control machines' listener, hollow routers, the operator's subject, stories over sockets

A router's subscription runs where the operator's file names control machines: own connection, kept file written beside, synced and renamed, counters, lines of the log; a torn or faulty kept file is said and the configuration's own settings hold.

--- /dev/null
+++ b/crates/controller/src/hollow.rs
@@ -0,0 +1,101 @@
+//! Hollow routers, for trials of scale: the subscription of a router as it is, state machine and sockets, with a take-over
+//! that only counts. Hundreds of them share a thread.
+use alderway_control::subscriber::{Machine, Subscriber, Terms};
+use alderway_control::version::Number;
+use alderway_control::words::Outcome;
+use alderway_router::control::{Ends, run};
+use alderway_router::memory::clock::Clock;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::task::{JoinHandle, spawn_local};
+
+/// What came of one of them.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    pub name: String,
+    /// Versions as they came in force, by the common clock.
+    pub in_force: Vec<(f64, Number)>,
+    /// Bytes that came in and went out.
+    pub bytes: (u64, u64),
+    /// The machine that it is subscribed at.
+    pub machine: Option<String>,
+    /// How old its version may be, if anything is known.
+    pub age: Option<f64>,
+}
+
+/// They end with it.
+pub struct Hollow {
+    pub clock: Clock,
+    seen: Vec<Rc<RefCell<Seen>>>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Drop for Hollow {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+impl Hollow {
+    pub fn seen(&self) -> Vec<Seen> {
+        self.seen.iter().map(|seen| seen.borrow().clone()).collect()
+    }
+
+    /// How many have this version or a later one in force.
+    pub fn have(&self, number: Number) -> usize {
+        let newest = |seen: &Rc<RefCell<Seen>>| seen.borrow().in_force.last().map_or(0, |last| last.1);
+        self.seen.iter().filter(|seen| newest(seen) >= number).count()
+    }
+
+    /// Bytes in and out of all of them so far.
+    pub fn bytes(&self) -> (u64, u64) {
+        let each = self.seen.iter().map(|seen| seen.borrow().bytes);
+        each.fold((0, 0), |sum, bytes| (sum.0 + bytes.0, sum.1 + bytes.1))
+    }
+}
+
+/// Starts so many, dealt out over the zones in turn, in this thread.
+pub fn hollow(count: usize, machines: &[(Machine, SocketAddr)], zones: &[String], seed: u64) -> Hollow {
+    hollow_by(count, machines, zones, seed, Terms::default())
+}
+
+pub fn hollow_by(
+    count: usize,
+    machines: &[(Machine, SocketAddr)],
+    zones: &[String],
+    seed: u64,
+    terms: Terms,
+) -> Hollow {
+    let (clock, mut hollow) = (Clock::default(), (vec![], vec![]));
+    for n in 0..count {
+        let name = format!("hollow-{n:04}");
+        let zone = zones.get(n % zones.len().max(1)).map_or("", String::as_str);
+        let list = machines.iter().map(|(machine, _)| machine.clone()).collect();
+        let own = seed ^ (n as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let subscriber = Subscriber::new(terms, list, zone, None, own, clock.now());
+        let seen = Rc::new(RefCell::new(Seen { name: name.clone(), ..Seen::default() }));
+        let (taken, shown) = (seen.clone(), seen.clone());
+        let ends = Ends {
+            name,
+            incarnation: 1,
+            machines: machines.iter().map(|(machine, at)| (machine.name.clone(), *at)).collect(),
+            clock,
+            offer: Box::new(move |_, number| {
+                taken.borrow_mut().in_force.push((clock.now(), number));
+                Box::pin(async { Outcome::InForce })
+            }),
+            keep: Box::new(|_, _| {}),
+            show: Box::new(move |subscriber, bytes, now| {
+                let mut seen = shown.borrow_mut();
+                seen.bytes = bytes;
+                seen.machine = subscriber.connected().map(|machine| machine.name.clone());
+                seen.age = subscriber.age(now);
+            }),
+            logs: false,
+        };
+        hollow.0.push(seen);
+        hollow.1.push(spawn_local(run(subscriber, ends)));
+    }
+    Hollow { clock, seen: hollow.0, tasks: hollow.1 }
+}
--- /dev/null
+++ b/crates/controller/src/subscriptions.rs
@@ -0,0 +1,254 @@
+//! The listener of a control machine for routers: a task for each connection, and one that hands out what is due. Who is
+//! told what, and when, stands in `alderway_control::publisher`.
+use alderway_control::outlet::{Outlet, Summary};
+use alderway_control::publisher::{Met, Publisher, Terms};
+use alderway_control::version::{Number, Version};
+use alderway_control::words::{Say, Tell};
+use alderway_router::memory::clock::Clock;
+use alderway_router::tier::links::{PATIENCE, greet};
+use alderway_tier::frames::{self, Hello, Read, Reader, Speech};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::{sleep, timeout};
+
+/// Connections beside those of subscribed routers: on their way in, or about to be refused.
+const PASSING: usize = 64;
+/// No word of a router is longer.
+const LONGEST_SAY: usize = 2048;
+/// How often silences are looked at.
+const LOOK: f64 = 0.5;
+/// Before another try, where the system has no descriptor for a connection.
+const PAUSE: Duration = Duration::from_millis(50);
+
+struct Link {
+    out: RefCell<Vec<u8>>,
+    ready: Notify,
+}
+
+struct Inner {
+    name: String,
+    incarnation: u64,
+    clock: Clock,
+    terms: Terms,
+    publisher: RefCell<Publisher>,
+    links: RefCell<BTreeMap<u64, Rc<Link>>>,
+    open: Cell<usize>,
+    /// Something may be due that was not before.
+    wake: Notify,
+}
+
+/// A control machine's subscriptions; its clones are the same ones. Runs in the thread that made it, until all are gone.
+#[derive(Clone)]
+pub struct Subscriptions {
+    inner: Rc<Inner>,
+    tasks: Rc<Tasks>,
+    address: SocketAddr,
+}
+
+struct Tasks(Vec<JoinHandle<()>>);
+
+impl Drop for Tasks {
+    fn drop(&mut self) {
+        self.0.iter().for_each(JoinHandle::abort);
+    }
+}
+
+impl Subscriptions {
+    /// Listens from here on; `name` is how routers' lists call this machine.
+    pub async fn listen(name: &str, incarnation: u64, at: SocketAddr, terms: Terms) -> io::Result<Self> {
+        let listener = TcpListener::bind(at).await?;
+        let (address, clock) = (listener.local_addr()?, Clock::default());
+        let inner = Rc::new(Inner {
+            name: name.into(),
+            incarnation,
+            clock,
+            terms,
+            publisher: RefCell::new(Publisher::new(terms, clock.now())),
+            links: RefCell::default(),
+            open: Cell::new(0),
+            wake: Notify::new(),
+        });
+        let tasks = vec![spawn_local(accept(inner.clone(), listener)), spawn_local(hand_out(inner.clone()))];
+        Ok(Subscriptions { inner, tasks: Rc::new(Tasks(tasks)), address })
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    pub fn links(&self) -> usize {
+        self.inner.publisher.borrow().links()
+    }
+
+    pub fn newest(&self) -> Number {
+        self.inner.publisher.borrow().newest()
+    }
+
+    pub fn met(&self) -> Met {
+        self.inner.publisher.borrow().met
+    }
+
+    /// Stops listening and ends every connection.
+    pub fn stop(&self) {
+        self.tasks.0.iter().for_each(JoinHandle::abort);
+        let all: Vec<u64> = self.inner.links.borrow().keys().copied().collect();
+        all.into_iter().for_each(|link| self.inner.ended(link));
+    }
+}
+
+impl Outlet for Subscriptions {
+    fn committed(&mut self, version: &Version) {
+        let now = self.inner.clock.now();
+        match self.inner.publisher.borrow_mut().commit(version, now) {
+            Ok(true) => tracing::info!(target: "subscriptions", "version {} goes out", version.number),
+            Ok(false) => {}
+            Err(why) => tracing::error!(target: "subscriptions", "{why}"),
+        }
+        self.inner.wake.notify_one();
+    }
+
+    fn as_of(&mut self, age: f64, majority: bool) {
+        self.inner.publisher.borrow_mut().stands(age, majority, self.inner.clock.now());
+    }
+
+    fn summary(&self) -> Summary {
+        self.inner.publisher.borrow().summary(self.inner.clock.now())
+    }
+}
+
+impl Inner {
+    /// The connection's own task sees that it is no link any more.
+    fn ended(&self, link: u64) {
+        self.publisher.borrow_mut().closed(link);
+        if let Some(link) = self.links.borrow_mut().remove(&link) {
+            link.ready.notify_one();
+        }
+    }
+}
+
+async fn hand_out(inner: Rc<Inner>) {
+    let mut look = 0.0;
+    loop {
+        let now = inner.clock.now();
+        if now >= look {
+            look = now + LOOK;
+            let silent = inner.publisher.borrow_mut().tick(now);
+            for (link, router) in silent {
+                tracing::warn!(target: "subscriptions", "router {router} is silent: its connection ends");
+                inner.ended(link);
+            }
+        }
+        loop {
+            let next = inner.publisher.borrow_mut().next(now);
+            let Some((number, bytes)) = next else { break };
+            let link = inner.links.borrow().get(&number).cloned();
+            if let Some(link) = link {
+                *link.out.borrow_mut() = bytes;
+                link.ready.notify_one();
+            }
+        }
+        let due = inner.publisher.borrow().due().min(look);
+        let wait = Duration::from_secs_f64((due - now).clamp(0.001, LOOK));
+        let _ = timeout(wait, inner.wake.notified()).await;
+    }
+}
+
+async fn accept(inner: Rc<Inner>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(PAUSE).await;
+            continue;
+        };
+        if inner.open.get() >= inner.terms.most + PASSING {
+            continue;
+        }
+        inner.open.set(inner.open.get() + 1);
+        let inner = inner.clone();
+        spawn_local(async move {
+            if let Err(why) = speak(&inner, &stream).await {
+                tracing::warn!(target: "subscriptions", "one that dialled: {why}");
+            }
+            inner.open.set(inner.open.get() - 1);
+        });
+    }
+}
+
+/// The link of one connection: it ends with it, whoever ended that.
+struct Held<'a>(&'a Inner, u64, Rc<Link>);
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        self.0.ended(self.1);
+    }
+}
+
+/// Speaks until the connection ends; an error if it was of no use.
+async fn speak(inner: &Inner, stream: &TcpStream) -> Result<(), String> {
+    let _ = stream.set_nodelay(true);
+    let (mut out, mut reader, mut space) = (vec![], Reader::<Say>::default(), vec![0; LONGEST_SAY]);
+    let (name, incarnation) = (inner.name.clone(), inner.incarnation);
+    frames::hello_of::<Tell>(&mut out, &Hello { version: Tell::VERSION, planner: false, incarnation, name });
+    let hello = timeout(PATIENCE, greet(stream, &mut out, &mut reader, &mut space));
+    let hello = hello.await.map_err(|_| "no hello in time".to_string())??;
+    let opened = inner.publisher.borrow_mut().opened(&hello.name, hello.incarnation, inner.clock.now());
+    let number = opened.map_err(|why| why.to_string())?;
+    let link = Rc::new(Link { out: RefCell::default(), ready: Notify::new() });
+    inner.links.borrow_mut().insert(number, link.clone());
+    let held = Held(inner, number, link);
+    // Bytes since the last whole word.
+    let mut unread = 0;
+    loop {
+        loop {
+            match reader.read().map_err(|why| format!("{}: {why}", hello.name))? {
+                Some(Read::Message(say)) => {
+                    unread = 0;
+                    inner.publisher.borrow_mut().heard(number, say, inner.clock.now());
+                    inner.wake.notify_one();
+                }
+                Some(Read::Hello(_)) => return Err(format!("{} says hello twice", hello.name)),
+                None if unread > LONGEST_SAY => return Err(format!("{}: a word too long", hello.name)),
+                None => break,
+            }
+        }
+        if !inner.publisher.borrow().holds(number) {
+            return Ok(());
+        }
+        let waits = {
+            let mut out = held.2.out.borrow_mut();
+            let given = !out.is_empty();
+            if given {
+                match stream.try_write(&out) {
+                    Ok(count) => drop(out.drain(..count)),
+                    Err(why) if why.kind() == ErrorKind::WouldBlock => {}
+                    Err(_) => return Ok(()),
+                }
+                if out.is_empty() {
+                    inner.publisher.borrow_mut().sent(number);
+                    inner.wake.notify_one();
+                }
+            }
+            !out.is_empty()
+        };
+        tokio::select! {
+            ready = stream.readable() => if ready.is_err() { return Ok(()) },
+            _ = stream.writable(), if waits => continue,
+            () = held.2.ready.notified() => continue,
+        }
+        match stream.try_read(&mut space) {
+            Ok(0) => return Ok(()),
+            Ok(count) => {
+                unread += count;
+                reader.feed(&space[..count]);
+            }
+            Err(why) if why.kind() == ErrorKind::WouldBlock => {}
+            Err(_) => return Ok(()),
+        }
+    }
+}
--- a/crates/operator/tests/stories.rs
+++ b/crates/operator/tests/stories.rs
@@ -178,3 +178,66 @@
     assert_eq!(with("cores(count = 2)"), "f: `peers` goes with one core yet");
     assert_eq!(with("planner(count = 2)"), "f: `peers` goes with neither `forwarder` nor `planner` yet");
 }
+
+#[rstest]
+fn a_subscription_names_control_machines_with_their_zones() {
+    let said = read("f", "subscription(control = {\"c1\": \"10.0.0.1:7201\", \"c2\": \"[::1]:7201\"})");
+    let said = said.expect("a good file").subscription.expect("said");
+    assert_eq!((said.control.len(), said.zone.as_str(), &said.keep), (2, "", &None));
+    assert_eq!((said.silent, said.old), (3.0, 10.0));
+    let text = "subscription(control = {\"c1\": (\"10.0.0.1:7201\", \"z1\"), \"c2\": (\"10.0.0.2:7201\", \"z2\")}, \
+                zone = \"z2\", keep = \"/var/lib/version\", silent_ms = 4000, old_ms = 60000)";
+    let said = read("f", text).expect("a good file").subscription.expect("said");
+    assert_eq!(said.control["c2"], ("10.0.0.2:7201".parse().expect("an address"), "z2".into()));
+    assert_eq!((said.zone.as_str(), said.keep.as_deref()), ("z2", Some("/var/lib/version")));
+    assert_eq!((said.silent, said.old), (4.0, 60.0));
+    // It goes with several cores.
+    assert!(read("f", "cores(count = 2)\nsubscription(control = {\"c\": \"1.1.1.1:1\"})").is_ok());
+}
+
+#[rstest]
+#[case::none("subscription(control = {})", "f:1: `subscription`: `control` names 1 to 15 machines, found 0")]
+#[case::a_list(
+    "subscription(control = [\"1.1.1.1:1\"])",
+    "f:1: `subscription`: `control` gives names, each with its address:port or (address:port, zone), found [\"1.1.1.1:1\"]"
+)]
+#[case::a_name(
+    "subscription(control = {\"c\": \"host:1\"})",
+    "f:1: `subscription`: `control` gives names, each with its address:port or (address:port, zone)"
+)]
+#[case::three(
+    "subscription(control = {\"c\": (\"1.1.1.1:1\", \"z\", 3)})",
+    "f:1: `subscription`: `control` gives names, each with its address:port or (address:port, zone)"
+)]
+#[case::twice(
+    "subscription(control = {\"c\": \"1.1.1.1:1\", \"d\": \"1.1.1.1:1\"})",
+    "f:1: `subscription`: `control` gives one address twice"
+)]
+#[case::no_such_zone(
+    "subscription(control = {\"c\": (\"1.1.1.1:1\", \"z\")}, zone = \"y\")",
+    "f:1: `subscription`: no machine of `control` is in `zone` \"y\""
+)]
+#[case::no_path(
+    "subscription(control = {\"c\": \"1.1.1.1:1\"}, keep = 5)",
+    "f:1: `subscription`: `keep` is a text that is not empty, found 5"
+)]
+#[case::impatient(
+    "subscription(control = {\"c\": \"1.1.1.1:1\"}, silent_ms = 100)",
+    "f:1: `subscription`: `silent_ms` is a whole number from 2000 to 60000, found 100"
+)]
+#[case::old_too_soon(
+    "subscription(control = {\"c\": \"1.1.1.1:1\"}, silent_ms = 5000, old_ms = 4000)",
+    "f:1: `subscription`: `old_ms` is under `silent_ms`"
+)]
+#[case::again(
+    "subscription(control = {\"c\": \"1.1.1.1:1\"})\nsubscription(control = {\"c\": \"1.1.1.1:1\"})",
+    "f:2: `subscription`: said twice"
+)]
+#[case::levels(
+    "planner(count = 1)\nsubscription(control = {\"c\": \"1.1.1.1:1\"})",
+    "f: `subscription` goes with neither `forwarder` nor `planner` yet"
+)]
+fn a_faulty_subscription_is_told_in_one_line(#[case] text: &str, #[case] told: &str) {
+    let why = read("f", text).expect_err("a faulty file");
+    assert!(why.starts_with(told) && !why.contains('\n'), "{why}");
+}
--- /dev/null
+++ b/crates/router/tests/subscription.rs
@@ -0,0 +1,403 @@
+//! Stories of a router's subscription over sockets, to control machines that are fed versions by hand. Each waits on what
+//! the router counts.
+use alderway_control::outlet::Outlet;
+use alderway_control::publisher;
+use alderway_control::subscriber::{Machine, Settled, Terms};
+use alderway_control::version::{Number, Version};
+use alderway_control::words::Outcome;
+use alderway_controller::hollow::hollow;
+use alderway_controller::subscriptions::Subscriptions;
+use alderway_router::control::kept::{self, Kept};
+use alderway_router::control::{Offer, Subscription, start, with_a_start};
+use alderway_router::memory::clock::Clock;
+use alderway_router::memory::house::{Figures, House, Sharing};
+use rstest::rstest;
+use serde_json::{Value, json};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::runtime::Builder;
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use tokio::time::{interval, sleep, timeout};
+
+mod common;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn story(story: impl Future<Output = ()>) {
+    let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        timeout(3 * PATIENCE, story).await.expect("in time");
+    });
+}
+
+fn version(number: Number, settings: Value) -> Version {
+    Version {
+        number,
+        proposal: format!("p{number}"),
+        author: "a".into(),
+        why: "w".into(),
+        at_unix_ms: 0,
+        settings,
+    }
+}
+
+fn settings(number: Number) -> Value {
+    let mut settings: Value = serde_json::from_str(&common::settings(1000, 180)).expect("settings");
+    settings["Limits"]["MaxOpen"] = json!(100 + number);
+    settings
+}
+
+/// A control machine that says that its majority stands, until it is stopped.
+struct Desk {
+    subscriptions: Subscriptions,
+    ticks: JoinHandle<()>,
+}
+
+impl Drop for Desk {
+    fn drop(&mut self) {
+        self.ticks.abort();
+        self.subscriptions.stop();
+    }
+}
+
+impl Desk {
+    async fn at(name: &str, at: SocketAddr, upto: Number) -> Desk {
+        let listening = Subscriptions::listen(name, 1, at, publisher::Terms::default());
+        let mut subscriptions = listening.await.expect("a listener");
+        subscriptions.as_of(0.0, true);
+        (1..=upto).for_each(|n| subscriptions.committed(&version(n, settings(n))));
+        let mut told = subscriptions.clone();
+        let ticks = spawn_local(async move {
+            let mut ticks = interval(Duration::from_millis(100));
+            loop {
+                ticks.tick().await;
+                told.as_of(0.0, true);
+            }
+        });
+        Desk { subscriptions, ticks }
+    }
+
+    async fn new(name: &str, upto: Number) -> Desk {
+        Desk::at(name, ([127, 0, 0, 1], 0).into(), upto).await
+    }
+
+    fn commit(&mut self, number: Number) {
+        self.subscriptions.committed(&version(number, settings(number)));
+    }
+}
+
+struct Router {
+    house: Arc<House>,
+    offered: Rc<RefCell<Vec<(Number, Value)>>>,
+}
+
+fn machine(name: &str, zone: &str) -> Machine {
+    Machine { name: name.into(), zone: zone.into() }
+}
+
+fn quick() -> Terms {
+    Terms { behind: 0.3, least: 0.05, pulse: 0.2, silent: 1.0, old: 1.0, ..Terms::default() }
+}
+
+impl Router {
+    /// Takes over whatever is offered, but what is in `refuses`.
+    fn new(machines: Vec<(Machine, SocketAddr)>, keep: Option<PathBuf>, refuses: &[Number]) -> Router {
+        let (offered, refuses) = (Rc::new(RefCell::new(vec![])), refuses.to_vec());
+        let taken = offered.clone();
+        let offer: Offer = Box::new(move |settings, number| {
+            taken.borrow_mut().push((number, settings));
+            let refused = refuses.contains(&number);
+            Box::pin(async move {
+                if refused { Outcome::Refused("key `x`: expected y".into()) } else { Outcome::InForce }
+            })
+        });
+        let kept = keep.as_deref().and_then(|path| kept::read(path).ok().flatten());
+        let subscription =
+            Subscription { machines, zone: "z1".into(), terms: quick(), keep, kept, said: None };
+        Router { house: Router::started(subscription, offer), offered }
+    }
+
+    fn started(subscription: Subscription, offer: Offer) -> Arc<House> {
+        let sharing = Sharing { cores: 1, node_connections: None, evidence: false };
+        let house = House::new(100, sharing, f64::INFINITY).0;
+        start(subscription, "r", 5, offer, house.clone(), Clock::default());
+        house
+    }
+
+    async fn until(&self, what: impl Fn(&Figures) -> bool) {
+        let mut figures = self.house.control.subscribe();
+        let came = timeout(PATIENCE, figures.wait_for(|figures| what(figures))).await;
+        let now = self.house.control.borrow().text();
+        assert!(matches!(came, Ok(Ok(_))), "not in time:\n{now}");
+    }
+}
+
+fn figure(figures: &Figures, name: &str) -> Option<u64> {
+    let text = figures.text();
+    let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+    line.and_then(|figure| figure.parse().ok())
+}
+
+fn is(name: &'static str, expected: u64) -> impl Fn(&Figures) -> bool {
+    move |figures| figure(figures, name) == Some(expected)
+}
+
+fn some(name: &'static str) -> impl Fn(&Figures) -> bool {
+    move |figures| figure(figures, name).is_some_and(|figure| figure > 0)
+}
+
+/// A file of a story, gone with it.
+struct Place(PathBuf);
+
+impl Place {
+    fn new(name: &str) -> Place {
+        // Stories of one process run side by side.
+        static NUMBER: AtomicUsize = AtomicUsize::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let own = format!("alderway-{}-{number}-{name}", std::process::id());
+        let directory = std::env::temp_dir().join(own);
+        std::fs::create_dir_all(&directory).expect("a directory");
+        Place(directory)
+    }
+
+    fn file(&self, name: &str) -> PathBuf {
+        self.0.join(name)
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// Until the other side of a socket, or of a disk, has done what it was told to; the story's end bounds it.
+async fn until(what: impl Fn() -> bool) {
+    while !what() {
+        sleep(Duration::from_millis(2)).await;
+    }
+}
+
+fn closed() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("its address")
+}
+
+#[rstest]
+fn versions_come_in_force_one_whole_then_patches_and_the_machine_hears_of_it() {
+    story(async {
+        let mut desk = Desk::new("c1", 1).await;
+        let at = desk.subscriptions.address();
+        let router = Router::new(vec![(machine("c1", "z1"), at)], None, &[3]);
+        router.until(is("control_version", 1)).await;
+        desk.commit(2);
+        router.until(is("control_version", 2)).await;
+        desk.commit(3);
+        router.until(is("control_versions_refused", 1)).await;
+        // What it said back is on its way: the machine's word for it.
+        until(|| desk.subscriptions.summary().lagging.iter().any(|l| l.why.contains("key `x`"))).await;
+        let summary = desk.subscriptions.summary();
+        assert_eq!((summary.by_version.get(&2), summary.lagging.len()), (Some(&1), 1));
+        assert_eq!(summary.lagging[0].why, "refused 3: key `x`: expected y");
+        desk.commit(4);
+        router.until(is("control_version", 4)).await;
+        let offered = router.offered.borrow().clone();
+        let expected: Vec<(Number, Value)> = (1..5).map(|n| (n, settings(n))).collect();
+        assert_eq!(offered, expected);
+        router.until(|f| is("control_wholes", 1)(f) && is("control_deltas", 3)(f)).await;
+        router.until(some("control_version_age_ms")).await;
+        assert!(figure(&router.house.control.borrow(), "control_version_age_ms") < Some(1500));
+    });
+}
+
+#[rstest]
+fn a_machine_that_is_lost_is_left_for_another() {
+    story(async {
+        let (first, mut second) = (Desk::new("c1", 1).await, Desk::new("c2", 1).await);
+        let at = (first.subscriptions.address(), second.subscriptions.address());
+        let router = Router::new(vec![(machine("c1", "z1"), at.0), (machine("c2", "z2"), at.1)], None, &[]);
+        router.until(is("control_version", 1)).await;
+        assert_eq!((first.subscriptions.links(), second.subscriptions.links()), (1, 0));
+        drop(first);
+        router.until(|f| is("control_connections_lost", 1)(f) && is("control_connected", 1)(f)).await;
+        assert_eq!(second.subscriptions.links(), 1);
+        second.commit(2);
+        router.until(is("control_version", 2)).await;
+    });
+}
+
+#[rstest]
+#[case::says_nothing(false)]
+#[case::speaks_nonsense(true)]
+fn one_that_is_no_machine_is_left_for_another(#[case] speaks: bool) {
+    story(async move {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let at = listener.local_addr().expect("its address");
+        let strange = spawn_local(async move {
+            let mut all = vec![];
+            while let Ok((mut stream, _)) = listener.accept().await {
+                if speaks {
+                    let _ = stream.write_all(&[7; 100]).await;
+                }
+                all.push(stream);
+            }
+        });
+        let second = Desk::new("c2", 1).await;
+        let list = vec![(machine("c1", "z1"), at), (machine("c2", "z2"), second.subscriptions.address())];
+        let router = Router::new(list, None, &[]);
+        router.until(is("control_version", 1)).await;
+        strange.abort();
+    });
+}
+
+#[rstest]
+fn a_stale_machine_takes_nobody_back_and_is_left() {
+    story(async {
+        let (stale, current) = (Desk::new("c1", 1).await, Desk::new("c2", 3).await);
+        let list = vec![
+            (machine("c1", "z2"), stale.subscriptions.address()),
+            (machine("c2", "z1"), current.subscriptions.address()),
+        ];
+        let router = Router::new(list, None, &[]);
+        router.until(is("control_version", 3)).await;
+        let at = current.subscriptions.address();
+        drop(current);
+        router.until(some("control_machines_behind")).await;
+        assert_eq!(figure(&router.house.control.borrow(), "control_version"), Some(3));
+        let mut back = Desk::at("c2", at, 3).await;
+        back.commit(4);
+        router.until(is("control_version", 4)).await;
+        assert_eq!(router.offered.borrow().iter().map(|o| o.0).collect::<Vec<_>>(), [3, 4]);
+        drop(stale);
+    });
+}
+
+#[rstest]
+fn with_all_gone_a_router_starts_with_what_it_kept_and_is_current_once_one_is_back() {
+    let place = Place::new("gone");
+    let keep = place.file("version");
+    let config = place.file("config");
+    let own = r#"{"name": "r", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": "#;
+    std::fs::write(&config, format!("{own}{}}}", settings(0))).expect("written");
+    story(async {
+        let mut desk = Desk::new("c1", 1).await;
+        let router =
+            Router::new(vec![(machine("c1", "z1"), desk.subscriptions.address())], Some(keep.clone()), &[]);
+        router.until(is("control_version", 1)).await;
+        desk.commit(2);
+        router.until(is("control_version", 2)).await;
+        until(|| kept::read(&keep).ok().flatten().is_some_and(|kept| kept.settled.number == 2)).await;
+    });
+    let at = closed();
+    let subscription = || Subscription {
+        machines: vec![(machine("c1", "z1"), at)],
+        zone: "z1".into(),
+        terms: quick(),
+        keep: Some(keep.clone()),
+        kept: None,
+        said: None,
+    };
+    let station = kept::station(subscription(), &config, Clock::default(), None).expect("a station");
+    assert_eq!(station.settings, settings(2));
+    let control = station.control.expect("a subscription");
+    assert_eq!(control.kept.as_ref().map(|kept| kept.settled.number), Some(2));
+    story(async {
+        let router =
+            Router { house: Router::started(control, with_a_start(settings(2))), offered: Rc::default() };
+        router.until(some("control_dials")).await;
+        assert_eq!(figure(&router.house.control.borrow(), "control_version"), Some(2));
+        // What changes waits for a start here, and is kept for it.
+        let desk = Desk::at("c1", at, 3).await;
+        router.until(is("control_versions_waiting", 1)).await;
+        until(|| kept::read(&keep).ok().flatten().is_some_and(|kept| kept.settled.number == 3)).await;
+        until(|| {
+            desk.subscriptions.summary().lagging.iter().any(|l| l.why == "3 waits for a start: settings")
+        })
+        .await;
+    });
+    let station = kept::station(subscription(), &config, Clock::default(), None).expect("a station");
+    assert_eq!(station.settings, settings(3));
+}
+
+#[rstest]
+#[case::cut_short(|text: &str| text[..text.len() - 9].to_string(), "torn or not of this program")]
+#[case::a_byte_changed(|text: &str| text.replace("site-search", "site-saerch"), "torn or not of this program")]
+#[case::empty(|_: &str| String::new(), "torn or not of this program")]
+#[case::anothers(|_: &str| "x".repeat(100_000), "longer than any version")]
+fn a_torn_kept_file_is_said_and_ignored(#[case] tear: fn(&str) -> String, #[case] why: &str) {
+    let place = Place::new("torn");
+    let (keep, config) = (place.file("version"), place.file("config"));
+    let own = r#"{"name": "r", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": "#;
+    std::fs::write(&config, format!("{own}{}}}", settings(0))).expect("written");
+    let sound =
+        Kept { settled: Settled::new(7, &settings(7).to_string()), as_of_unix_ms: Some(1_700_000_000_000) };
+    kept::write(&keep, &sound).expect("written");
+    assert_eq!(kept::read(&keep), Ok(Some(sound)));
+    let text = std::fs::read_to_string(&keep).expect("there");
+    std::fs::write(&keep, tear(&text)).expect("written");
+    let subscription = Subscription {
+        machines: vec![(machine("c1", "z1"), closed())],
+        zone: String::new(),
+        terms: quick(),
+        keep: Some(keep),
+        kept: None,
+        said: None,
+    };
+    let station = kept::station(subscription, &config, Clock::default(), None).expect("a station");
+    assert_eq!(station.settings, settings(0));
+    let control = station.control.expect("a subscription");
+    assert!(control.kept.is_none());
+    let said = control.said.expect("a line of the log");
+    assert!(said.ends_with(&format!("{why}; ignored")), "{said}");
+}
+
+#[rstest]
+fn a_kept_version_that_is_faulty_here_is_said_and_ignored() {
+    let place = Place::new("faulty");
+    let (keep, config) = (place.file("version"), place.file("config"));
+    let own = r#"{"name": "r", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": "#;
+    std::fs::write(&config, format!("{own}{}}}", settings(0))).expect("written");
+    let faulty = Kept { settled: Settled::new(7, r#"{"Limits":{}}"#), as_of_unix_ms: None };
+    kept::write(&keep, &faulty).expect("written");
+    let subscription = Subscription {
+        machines: vec![],
+        zone: String::new(),
+        terms: quick(),
+        keep: Some(keep),
+        kept: None,
+        said: None,
+    };
+    let station = kept::station(subscription, &config, Clock::default(), None).expect("a station");
+    assert_eq!(station.settings, settings(0));
+    let said = station.control.and_then(|control| control.said).expect("a line of the log");
+    assert!(said.starts_with("version 7 of the kept file: key `settings`: expected "), "{said}");
+}
+
+#[rstest]
+fn hollow_routers_share_a_thread_and_have_each_version() {
+    story(async {
+        let (mut first, mut second) = (Desk::new("c1", 1).await, Desk::new("c2", 1).await);
+        let list = [
+            (machine("c1", "z1"), first.subscriptions.address()),
+            (machine("c2", "z2"), second.subscriptions.address()),
+        ];
+        let hollow = hollow(60, &list, &["z1".into(), "z2".into()], 3);
+        until(|| hollow.have(1) == 60).await;
+        assert_eq!((first.subscriptions.links(), second.subscriptions.links()), (30, 30));
+        first.commit(2);
+        second.commit(2);
+        until(|| hollow.have(2) == 60).await;
+        let mut summary = first.subscriptions.summary();
+        summary.add(&second.subscriptions.summary());
+        assert_eq!(summary.by_version.values().sum::<u64>(), 60);
+        let seen = hollow.seen();
+        assert!(seen.iter().all(|seen| seen.in_force.iter().map(|f| f.1).eq([1, 2])));
+    });
+}
--- a/deploy/operator.star
+++ b/deploy/operator.star
@@ -14,5 +14,10 @@
 # Routers that know each other: the same list at each, by the configuration's names. docs/peers.md.
 # peers(members = {"n0": "10.0.0.1:7000", "n1": "10.0.0.2:7000", "n2": "10.0.0.3:7000"}, stale_ms = 2000, witnesses = 2)
 
+# Control machines that tell this router its settings, version by version; `keep` where a disk lasts.
+# docs/control-subscription.md.
+# subscription(control = {"c1": ("10.1.0.1:7201", "z1"), "c2": ("10.2.0.1:7201", "z2")}, zone = "z1",
+#              keep = "/var/lib/alderway/version", silent_ms = 3000, old_ms = 10000)
+
 # How the log is written: "text" or "json".
 # log(form = "json")
