--- /dev/null
+++ b/crates/alderway/tests/subscription.rs
@@ -0,0 +1,93 @@
+//! Stories of `alderway serve` with a control machine in the operator's file: a version in force, kept, and started with
+//! when that machine is gone.
+mod common;
+use alderway_control::outlet::Outlet;
+use alderway_control::publisher::Terms;
+use alderway_control::version::Version;
+use alderway_controller::subscriptions::Subscriptions;
+use alderway_lab::agent::Agent;
+use alderway_lab::program::{Build, Program, Setting};
+use common::{logged, until};
+use rstest::rstest;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::sync::mpsc::channel;
+use std::thread::{JoinHandle, spawn};
+use tokio::sync::oneshot;
+
+/// A control machine that is fed one version by hand.
+struct Control {
+    address: SocketAddr,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Control {
+    fn with(settings: Value) -> Control {
+        let (stop, stopped) = oneshot::channel();
+        let (tell, told) = channel();
+        let thread = spawn(move || {
+            let runtime =
+                tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+            tokio::task::LocalSet::new().block_on(&runtime, async move {
+                let at = "127.0.0.1:0".parse().expect("an address");
+                let listening = Subscriptions::listen("c1", 1, at, Terms::default());
+                let mut subscriptions = listening.await.expect("a listener");
+                let (proposal, author, why) = ("p".into(), "a".into(), "w".into());
+                let version = Version { number: 41, proposal, author, why, at_unix_ms: 0, settings };
+                subscriptions.committed(&version);
+                subscriptions.as_of(0.0, true);
+                tell.send(subscriptions.address()).expect("heard");
+                let _ = stopped.await;
+                subscriptions.stop();
+            });
+        });
+        let address = told.recv().expect("it listens");
+        Control { address, stop: Some(stop), thread: Some(thread) }
+    }
+}
+
+impl Drop for Control {
+    fn drop(&mut self) {
+        self.stop.take();
+        drop(self.thread.take().map(JoinHandle::join));
+    }
+}
+
+#[rstest]
+#[case::on_one_core("")]
+#[case::on_two_cores("cores(count = 2)\n")]
+fn a_version_comes_in_force_and_is_started_with_when_all_control_machines_are_gone(#[case] cores: &str) {
+    let agent = Agent::start(vec![]).expect("discovery");
+    let text = Setting::default().configuration(agent.address, &[]);
+    let own: Value = serde_json::from_str(&text).expect("a configuration");
+    let control = Control::with(own["settings"].clone());
+    let name = format!("alderway-kept-{}-{}", std::process::id(), cores.len());
+    let keep = std::env::temp_dir().join(name);
+    let operator = format!(
+        "{cores}subscription(control = {{\"c1\": (\"{}\", \"z1\")}}, zone = \"z1\", keep = \"{}\")\n",
+        control.address,
+        keep.display()
+    );
+    let build = Build { path: env!("CARGO_BIN_EXE_alderway").into(), operator: Some(operator) };
+    let first = Program::begin(&build, &text).unwrap_or_else(|why| panic!("{why}"));
+    logged(&first, "version 41 in force");
+    until(&first, "its counters", |counters| counters.get("control_version") == Some(&41));
+    until(&first, "its age", |counters| counters.contains_key("control_version_age_ms"));
+    let kept = || std::fs::read_to_string(&keep).unwrap_or_default();
+    until(&first, "the kept file", |_| kept().starts_with("alderway-version 1 41 "));
+    drop(first);
+    drop(control);
+    let second = Program::begin(&build, &text).unwrap_or_else(|why| panic!("{why}"));
+    until(&second, "the kept version", |counters| counters.get("control_version") == Some(&41));
+    until(&second, "dials in vain", |counters| counters.get("control_dials").is_some_and(|n| *n > 1));
+    drop(second);
+    // A torn one is said, and the configuration's own settings hold.
+    let torn = kept().replace("site-search", "site-saerch");
+    std::fs::write(&keep, torn).expect("written");
+    let third = Program::begin(&build, &text).unwrap_or_else(|why| panic!("{why}"));
+    logged(&third, "torn or not of this program; ignored");
+    until(&third, "no version", |counters| counters.get("control_version") == Some(&0));
+    drop(third);
+    let _ = std::fs::remove_file(&keep);
+}
