--- a/crates/control/tests/subscription.rs
+++ b/crates/control/tests/subscription.rs
@@ -1031,3 +1031,18 @@
         world.within_budget();
     }
 }
+
+#[rstest]
+fn at_rest_a_router_hears_and_says_little() {
+    let mut world = World::new(5, 5, 13);
+    world.commit(settings(1, 6_000));
+    world.run_until(HEALED, World::all_newest);
+    let sum = |world: &World| world.routers.iter().fold((0, 0), |sum, r| (sum.0 + r.sum.0, sum.1 + r.sum.1));
+    let before = sum(&world);
+    world.run(60.0);
+    let after = sum(&world);
+    let each = |bytes: usize| bytes as f64 / 5.0 / 60.0;
+    let (down, up) = (each(after.0 - before.0), each(after.1 - before.1));
+    println!("at rest, bytes a second and router: {down:.0} down, {up:.0} up");
+    assert!(down < 50.0 && up < 20.0, "{down} {up}");
+}
