Merge the subscription of routers: a running router takes over what control machines tell it

The router's driver offers each version to the settings that change while it serves; a control machine listens for routers where its file says so; the door's check is the router's own, against the version before, so that a key that can't change is refused there.

--- a/crates/alderway/src/control.rs
+++ b/crates/alderway/src/control.rs
@@ -1,10 +1,15 @@
 //! `alderway control`: a control machine by the operator's file.
 use crate::settings;
 use alderway_control::outlet::{Nowhere, Outlet};
+use alderway_control::publisher::Terms;
 use alderway_controller::driver::{self, Plan};
+use alderway_controller::subscriptions::Subscriptions;
 use alderway_operator::{LogForm, Operator};
 use alderway_router::life::logger::{self, Form};
+use alderway_router::tier::post;
 use clap::Args;
+use std::io;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -19,16 +24,24 @@
     let Some(control) = operator.control.clone() else {
         return Err(format!("{}: it says nothing of `control`", path.display()));
     };
+    let name = control.name.clone();
     Ok(Plan {
         name: control.name,
         members: control.members,
         doors: control.doors,
         data: control.data.into(),
         check: Box::new(settings::check),
-        outlet: Box::new(|| Box::pin(async { Ok(Box::new(Nowhere) as Box<dyn Outlet>) })),
+        outlet: Box::new(move || Box::pin(outlet(name, control.routers))),
     })
 }
 
+/// Where routers subscribe, if the file says where they are heard.
+async fn outlet(name: String, routers: Option<SocketAddr>) -> io::Result<Box<dyn Outlet>> {
+    let Some(at) = routers else { return Ok(Box::new(Nowhere)) };
+    let subscriptions = Subscriptions::listen(&name, post::incarnation(), at, Terms::default()).await?;
+    Ok(Box::new(subscriptions))
+}
+
 pub fn run(control: &Control) -> ExitCode {
     let read = crate::operator_at(Some(&control.operator));
     let planned = read.and_then(|(operator, _)| Ok((plan(&operator, &control.operator)?, operator.log)));
--- a/crates/alderway/src/settings.rs
+++ b/crates/alderway/src/settings.rs
@@ -1,16 +1,9 @@
 //! The checks of settings that a control machine makes at its door, and `alderway config check` here: a router's own.
-use alderway_router::life::start;
-use alderway_router::memory::clock::Clock;
-use serde_json::{Value, json};
+use serde_json::Value;
 
-/// Whether a router would start by these settings; `_before` are those in force.
-pub fn check(settings: &Value, _before: Option<&Value>) -> Result<(), String> {
-    let around = json!({
-        "name": "checked", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
-        "known": {"index": 1, "snapshot": true, "endpoints": []},
-        "settings": settings,
-    });
-    start::station(&around.to_string(), |_| None, Clock::default()).map(drop)
+/// Whether a router would start by these settings, and could take them over while it serves by those in force before.
+pub fn check(settings: &Value, before: Option<&Value>) -> Result<(), String> {
+    alderway_router::life::settings::check(settings, before).map(drop)
 }
 
 /// Settings as a file gives them: by themselves, or as the key `settings` of a router's configuration.
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -3,5 +3,7 @@
 pub mod client;
 pub mod door;
 pub mod driver;
+pub mod hollow;
 pub mod links;
 pub mod store;
+pub mod subscriptions;
--- a/crates/router/src/drive/lead.rs
+++ b/crates/router/src/drive/lead.rs
@@ -3,6 +3,7 @@
 use super::clients::{self, Door};
 use super::core::{self, BEAT, Berth, Phase, Report, Told};
 use super::{arrival, discovery};
+use crate::control;
 use crate::life::reload::Was;
 use crate::life::settings::Live;
 use crate::life::start::Station;
@@ -13,6 +14,7 @@
 use crate::memory::ground::{Following, Ground};
 use crate::memory::house::{Figures, House, Order, Passenger, Sharing};
 use crate::memory::roster::Roster;
+use crate::tier::post;
 use alderway_cores::balance::{Balance, Load};
 use alderway_cores::crew::{Change, Crew, State};
 use alderway_layouts::history::News;
@@ -156,11 +158,12 @@
 
 /// Runs a router on several cores until SIGTERM has been seen through.
 pub async fn run(station: Station, sharing: Sharing, clock: Clock) -> io::Result<()> {
-    let Station { path, beside, name, listen, discovery, roster, seed, fixed, role, .. } = station;
+    let Station { path, beside, name, listen, discovery, roster, seed, fixed, role, control, .. } = station;
     let (trunk, room, verticals) = (station.trunk, station.room, station.verticals);
     let was = Was { path, beside, fixed };
     let (terms, hangups) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
-    let (for_clients, for_nodes) = descriptors::shares(station.sockets, station.memory, sharing.cores);
+    let kept = control.as_ref().map_or(0, |_| control::DESCRIPTORS);
+    let (for_clients, for_nodes) = descriptors::shares(station.sockets - kept, station.memory, sharing.cores);
     let (house, inboxes) = House::new(room.room, sharing, PATIENCE);
     let longest = station.layouts.map(|_| room.deadline);
     let live = Live::new(house.clone(), role, station.settings, station.began, longest);
@@ -213,6 +216,10 @@
     let counts = Box::new(move |what: &'static str| counts.borrow_mut().counters.one(what));
     live.attach(counts, Some(Box::new(move |core| !away(core))));
     station.driver.into_iter().for_each(|driver| driver(live.clone()));
+    if let Some(subscription) = control {
+        let offer = control::to_running(live.clone());
+        control::start(subscription, &name, post::incarnation(), offer, house.clone(), clock);
+    }
     spawn_local(discovery::run(list.clone(), agent_of(discovery, hangups, was, clock, live.clone())));
     let dealer = Rc::new(Dealer { house: house.clone(), crew: crew.clone(), next: RefCell::new(0) });
     let close = Rc::new(Notify::new());
--- a/crates/router/src/life/serve.rs
+++ b/crates/router/src/life/serve.rs
@@ -3,6 +3,7 @@
 use super::settings::Live;
 use super::start::{Role, Station};
 use super::{logger, reload, stop};
+use crate::control;
 use crate::drive::{arrival, clients, discovery, lead, rounds};
 use crate::memory::Shared;
 use crate::memory::clock::Clock;
@@ -39,14 +40,16 @@
 }
 
 async fn alone(station: Station, sharing: Sharing, clock: Clock) -> io::Result<()> {
-    let Station { path, beside, name, listen, discovery, roster, seed, fixed, peers, role, .. } = station;
+    let Station { path, beside, name, listen, discovery, roster, seed, fixed, peers, role, control, .. } =
+        station;
     // Before anybody can know that this program is up: unhandled, either of them would end it.
     let (terms, hangups) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
-    let kept = peers.as_ref().map_or(0, Circle::descriptors);
+    let kept =
+        peers.as_ref().map_or(0, Circle::descriptors) + control.as_ref().map_or(0, |_| control::DESCRIPTORS);
     let (for_clients, for_nodes) = descriptors::shares(station.sockets - kept, station.memory, 1);
     let house = House::new(station.room.room, sharing, f64::INFINITY).0;
     let live = Live::new(house.clone(), role.clone(), station.settings, station.began, None);
-    let mut desk = Desk::on(house, 0, clock, station.trunk, station.room, station.verticals);
+    let mut desk = Desk::on(house.clone(), 0, clock, station.trunk, station.room, station.verticals);
     desk.follow_settings(live.news());
     desk.roster = roster;
     desk.ground = station.layouts.map(Ground::new);
@@ -73,6 +76,10 @@
     let (agent, at) = watch::channel(discovery);
     spawn_local(discovery::run(desk.clone(), at));
     station.driver.into_iter().for_each(|driver| driver(live.clone()));
+    if let Some(subscription) = control {
+        let offer = control::to_running(live.clone());
+        control::start(subscription, &name, post::incarnation(), offer, house, clock);
+    }
     spawn_local(reload::follow(hangups, Was { path, beside, fixed }, agent, clock, Some(live)));
     let listening = spawn_local(clients::listen(desk.clone(), listener, for_clients, Rc::clone(&close)));
     // A router whose module has failed must not go on as if it served.
--- a/crates/router/src/memory/house.rs
+++ b/crates/router/src/memory/house.rs
@@ -108,6 +108,8 @@
     pub lead: watch::Sender<Arc<Figures>>,
     /// The number of the settings in force, if they came with one.
     pub version: AtomicU64,
+    /// What the subscription to control machines counts, where there is one.
+    pub control: watch::Sender<Arc<Figures>>,
 }
 
 /// How several cores share.
@@ -158,6 +160,7 @@
             lost: AtomicUsize::new(0),
             lead: watch::channel(Arc::default()).0,
             version: AtomicU64::new(0),
+            control: watch::channel(Arc::default()).0,
         };
         (Arc::new(house), inboxes)
     }
@@ -195,6 +198,7 @@
         if version > 0 {
             figures.open.push(("settings_version", version));
         }
+        figures.join(&self.control.borrow());
         if !self.is_shared() {
             return;
         }
--- a/deploy/operator.star
+++ b/deploy/operator.star
@@ -20,5 +20,10 @@
 #     members = {"c1": "10.0.0.1:7100", "c2": "10.1.0.1:7100", "c3": "10.2.0.1:7100"},
 #     doors = {"c1": "10.0.0.1:7200", "c2": "10.1.0.1:7200", "c3": "10.2.0.1:7200"})
 
+# Control machines that tell this router its settings, version by version; `keep` where a disk lasts.
+# docs/control-subscription.md.
+# subscription(control = {"c1": ("10.1.0.1:7201", "z1"), "c2": ("10.2.0.1:7201", "z2")}, zone = "z1",
+#              keep = "/var/lib/alderway/version", silent_ms = 3000, old_ms = 10000)
+
 # How the log is written: "text" or "json".
 # log(form = "json")
