--- a/src/choice/settings.rs
+++ b/src/choice/settings.rs
@@ -47,11 +47,7 @@
             let copy = Recent::handed_on(&[&self.usual[from]], usize::MAX);
             self.usual[at] = std::mem::replace(&mut self.usual[from], copy);
             self.bare[at] = self.bare[from];
-            // A client's time goes by the deadline that it knows: a longer one of before would make all look like
-            // later tries.
-            let changed = self.verticals[from].deadline != vertical.deadline;
-            let most = if changed { vertical.deadline } else { f64::INFINITY };
-            self.longest_try[at] = self.longest_try[from].min(most);
+            self.longest_try[at] = self.longest_try[from];
         }
         self.verticals[at] = vertical.clone();
     }
