--- a/crates/lab/src/capacity/fit.rs
+++ b/crates/lab/src/capacity/fit.rs
@@ -93,8 +93,12 @@
     }
 }
 
-/// The most by which repeats of one point lie apart, as a share of its median.
+/// The most by which repeats of one point lie apart, as a share of its median; where that is 0, of the greatest.
 pub fn apart(points: &[Point]) -> f64 {
-    let one = |p: &Point| if p.most == p.least { 0.0 } else { (p.most - p.least) / p.median.abs() };
+    let greatest = points.iter().map(|p| p.median.abs()).fold(0.0, f64::max);
+    let one = |p: &Point| match if p.median == 0.0 { greatest } else { p.median.abs() } {
+        0.0 => 0.0,
+        whole => (p.most - p.least) / whole,
+    };
     points.iter().map(one).fold(0.0, f64::max)
 }
--- a/crates/lab/src/capacity/page.rs
+++ b/crates/lab/src/capacity/page.rs
@@ -2,7 +2,9 @@
 use super::Sources;
 use super::fit::{self, Value};
 use super::plan::{Budget, Known, Line};
+use super::results::{Row, spread};
 use super::size::Figure;
+use std::collections::BTreeSet;
 use std::fmt::Write;
 
 const BEGIN: &str = "<!-- made: ";
@@ -409,31 +411,51 @@
     out
 }
 
-/// Measured, but no line of the plan takes it.
+/// Measured, but no line of the plan takes it: one row for all points of one name in one file.
 fn further(sources: &Sources) -> String {
     let mut out = String::new();
     head(&mut out, &["results", "role", "what", "at", "median [least .. most]", "state"]);
+    let mut groups: Vec<Vec<&Row>> = vec![];
     for measured in &sources.results.rows {
         if sources.plan.lines.iter().any(|line| line.takes(measured)) {
             continue;
         }
-        let (least, middle, most) = super::results::spread(&measured.values);
-        let at = measured.at.iter().map(|(key, value)| {
-            let value = value.as_f64().map_or(value.to_string().replace('"', ""), number);
-            format!("{} {value}", key.replace('_', " "))
+        let name =
+            |row: &Row| (row.run, row.role.clone(), row.what.clone(), row.unit.clone(), row.is_sound());
+        match groups.iter_mut().find(|group| name(group[0]) == name(measured)) {
+            Some(group) => group.push(measured),
+            None => groups.push(vec![measured]),
+        }
+    }
+    for group in groups {
+        let first = group[0];
+        let keys: BTreeSet<&String> = group.iter().flat_map(|row| row.at.keys()).collect();
+        let at = keys.into_iter().map(|key| {
+            let mut values: Vec<String> = vec![];
+            for value in group.iter().filter_map(|row| row.at.get(key)) {
+                let text = value.as_f64().map_or(value.to_string().replace('"', ""), number);
+                if !values.contains(&text) {
+                    values.push(text);
+                }
+            }
+            format!("{} {}", key.replace('_', " "), values.join("/"))
         });
-        let figures = if measured.values.len() == 1 {
-            with(middle, &measured.unit)
-        } else {
-            format!("{} [{} .. {}]", with(middle, &measured.unit), number(least), number(most))
+        let medians = group.iter().map(|row| spread(&row.values).1).collect::<Vec<f64>>();
+        let (least, middle, most) = spread(if group.len() == 1 { &first.values } else { &medians });
+        let figures = match (group.len(), first.values.len()) {
+            (1, 1) => with(middle, &first.unit),
+            (1, _) => format!("{} [{} .. {}]", with(middle, &first.unit), number(least), number(most)),
+            (points, _) => {
+                format!("medians of {points} points: {} .. {}", number(least), with(most, &first.unit))
+            }
         };
         let cells = [
-            format!("`{}`", sources.results.runs[measured.run].file),
-            measured.role.clone(),
-            measured.what.clone(),
+            format!("`{}`", sources.results.runs[first.run].file),
+            first.role.clone(),
+            first.what.clone(),
             at.collect::<Vec<_>>().join(", "),
             figures,
-            if measured.is_sound() { String::new() } else { measured.note.clone().unwrap_or_default() },
+            if first.is_sound() { String::new() } else { first.note.clone().unwrap_or_default() },
         ];
         row(&mut out, &cells);
     }
--- a/crates/lab/tests/capacity.rs
+++ b/crates/lab/tests/capacity.rs
@@ -113,6 +113,8 @@
     assert_eq!((points.len(), points[0].median), (1, 12.0));
     assert!((fit::apart(&points) - 4.0 / 12.0).abs() < 1e-12);
     assert!(fit::line(points).is_none());
+    let idle = fit::points(vec![(1.0, vec![0.0, 0.0, 3.0]), (2.0, vec![6.0])]);
+    assert_eq!(fit::apart(&idle), 0.5, "a median of 0 has no share of its own");
 }
 
 #[rstest]
@@ -212,6 +214,13 @@
         made.contains("| `run.json` | query router | stray | nodes 7 | 12 B/s |"),
         "nothing measured is lost"
     );
+    let two = run(vec![row("stray", 7.0, &[12.0, 14.0, 16.0]), row("stray", 9.0, &[18.0])]);
+    folder.write("run.json", &two);
+    let made_of_two = page::make(PAGE, &folder.sources().expect("read")).expect("made");
+    assert!(
+        made_of_two.contains("| stray | nodes 7/9 | medians of 2 points: 14 .. 18 B/s |"),
+        "{made_of_two}"
+    );
     assert!(made.contains("| `run.json` | `by hand` | none | 1 | none | 2026-12-02 |"));
 }
 
