--- a/crates/lab/src/capacity/page.rs
+++ b/crates/lab/src/capacity/page.rs
@@ -106,8 +106,12 @@
     }
 }
 
+fn along_name(line: &Line) -> String {
+    line.along.as_ref().map_or(String::new(), |along| along.0.replace('_', " "))
+}
+
 fn slope(line: &Line, known: &Known) -> String {
-    let along = line.along.as_ref().map_or(String::new(), |along| along.0.replace('_', " "));
+    let along = along_name(line);
     match &known.fit {
         Some(fit) => {
             let sign = if fit.b < 0.0 { "-" } else { "+" };
@@ -167,6 +171,12 @@
                 let off = known.fit.as_ref().filter(|fit| fit.points.len() > 2);
                 let off = off.map_or(String::new(), |fit| format!("; {}", per_cent(fit.off())));
                 let value = known.value.as_ref();
+                let place = match value {
+                    Some(Value::Measured(point)) if line.worst => {
+                        format!(", the worst, at {} {}", number(point.n), along_name(line))
+                    }
+                    _ => String::new(),
+                };
                 let at_size =
                     value.map_or("no slope to reckon it by".into(), |value| origin(value, &line.unit));
                 let runs = run_names(sources, Some(&known));
@@ -178,7 +188,7 @@
                     slope(line, &known),
                     format!("{}{off}", per_cent(fit::apart(&known.points))),
                     range(line, &known),
-                    at_size,
+                    at_size + &place,
                     budget,
                     ratio,
                     runs,
--- a/crates/lab/src/capacity/plan.rs
+++ b/crates/lab/src/capacity/plan.rs
@@ -26,6 +26,10 @@
     pub unit: String,
     /// The key of a row's `at` along which it grows, and how much of that there is at the size.
     pub along: Option<(String, f64)>,
+    /// Of what it grows along, the least and the most that the line is drawn through.
+    pub between: (f64, f64),
+    /// What counts is the point with the greatest median, wherever it is.
+    pub worst: bool,
     /// What else a row's `at` has to say.
     pub only: Vec<(String, serde_json::Value)>,
     pub budget: Option<Budget>,
@@ -127,6 +131,11 @@
         what: maybe(at, "label")?.unwrap_or(word(at, "what")?),
         unit: word(at, "unit")?,
         along,
+        between: (
+            at.maybe("from").map_or(Ok(f64::NEG_INFINITY), |from| from.number())?,
+            at.maybe("until").map_or(Ok(f64::INFINITY), |until| until.number())?,
+        ),
+        worst: at.maybe("worst").map_or(Ok(false), |worst| worst.flag())?,
         only,
         budget: budget(at.maybe("budget"), size)?,
         carried_by: at.texts("carried_by")?,
@@ -207,7 +216,9 @@
         };
         same && row.is_sound()
             && self.only.iter().all(only)
-            && self.along.as_ref().is_none_or(|(key, _)| row.number(key).is_some())
+            && self.along.as_ref().is_none_or(|(key, _)| {
+                row.number(key).is_some_and(|n| n >= self.between.0 && n <= self.between.1)
+            })
     }
 
     /// What results say of it; none where there is no result.
@@ -225,6 +236,11 @@
         runs.sort_unstable();
         runs.dedup();
         let known = Known { fit: fit::line(points.clone()), points, value: None, runs };
+        if self.worst {
+            let worst = known.points.iter().max_by(|one, other| one.median.total_cmp(&other.median));
+            let value = worst.cloned().map(Value::Measured);
+            return Some(Known { value, ..known });
+        }
         let value = known.at(self.along.as_ref().map_or(0.0, |along| along.1));
         Some(Known { value, ..known })
     }
--- a/crates/lab/tests/capacity.rs
+++ b/crates/lab/tests/capacity.rs
@@ -274,6 +274,27 @@
     assert_eq!((found.place.as_str(), found.comes_to.as_str(), found.ratio), ("query router", "5 B/s", 5.0));
 }
 
+/// What behaves otherwise past some size has a line on either side; where it is no line, its worst point counts.
+#[rstest]
+fn a_line_may_be_drawn_through_a_part_of_the_points_and_its_worst_may_count() {
+    let folder = Folder::new();
+    let mut plan = plan();
+    plan["lines"][0]["until"] = json!(800);
+    plan["lines"][0]["worst"] = json!(true);
+    plan["lines"][3]["from"] = json!(1600);
+    folder.write("plan.json", &plan.to_string());
+    let small =
+        [(100.0, 80.0), (400.0, 130.0), (800.0, 120.0), (1600.0, 1e6)].map(|(n, v)| row("small", n, &[v]));
+    let great = [(400.0, 1e6), (1600.0, 10.0), (2400.0, 14.0)].map(|(n, v)| row("great", n, &[v]));
+    folder.write("run.json", &run(small.into_iter().chain(great).collect()));
+    let sources = folder.sources().expect("read");
+    let over = over_budget(&sources);
+    let ratio = |what| over.iter().find(|over| over.what == what).map(|over| over.ratio);
+    assert_eq!((ratio("small"), ratio("great")), (Some(1.3), Some(18.0)));
+    let made = page::make(PAGE, &sources).expect("made");
+    assert!(made.contains("130 B/s, the worst, at 400 nodes | 100: stated | **1.30** |"), "{made}");
+}
+
 #[rstest]
 fn prose_stays_and_blocks_are_made_anew_alike() {
     let folder = Folder::new();
