--- a/crates/lab/tests/capacity.rs
+++ b/crates/lab/tests/capacity.rs
@@ -113,6 +113,8 @@
     assert_eq!((points.len(), points[0].median), (1, 12.0));
     assert!((fit::apart(&points) - 4.0 / 12.0).abs() < 1e-12);
     assert!(fit::line(points).is_none());
+    let idle = fit::points(vec![(1.0, vec![0.0, 0.0, 3.0]), (2.0, vec![6.0])]);
+    assert_eq!(fit::apart(&idle), 0.5, "a median of 0 has no share of its own");
 }
 
 #[rstest]
@@ -212,6 +214,13 @@
         made.contains("| `run.json` | query router | stray | nodes 7 | 12 B/s |"),
         "nothing measured is lost"
     );
+    let two = run(vec![row("stray", 7.0, &[12.0, 14.0, 16.0]), row("stray", 9.0, &[18.0])]);
+    folder.write("run.json", &two);
+    let made_of_two = page::make(PAGE, &folder.sources().expect("read")).expect("made");
+    assert!(
+        made_of_two.contains("| stray | nodes 7/9 | medians of 2 points: 14 .. 18 B/s |"),
+        "{made_of_two}"
+    );
     assert!(made.contains("| `run.json` | `by hand` | none | 1 | none | 2026-12-02 |"));
 }
 
@@ -265,6 +274,27 @@
     assert_eq!((found.place.as_str(), found.comes_to.as_str(), found.ratio), ("query router", "5 B/s", 5.0));
 }
 
+/// What behaves otherwise past some size has a line on either side; where it is no line, its worst point counts.
+#[rstest]
+fn a_line_may_be_drawn_through_a_part_of_the_points_and_its_worst_may_count() {
+    let folder = Folder::new();
+    let mut plan = plan();
+    plan["lines"][0]["until"] = json!(800);
+    plan["lines"][0]["worst"] = json!(true);
+    plan["lines"][3]["from"] = json!(1600);
+    folder.write("plan.json", &plan.to_string());
+    let small =
+        [(100.0, 80.0), (400.0, 130.0), (800.0, 120.0), (1600.0, 1e6)].map(|(n, v)| row("small", n, &[v]));
+    let great = [(400.0, 1e6), (1600.0, 10.0), (2400.0, 14.0)].map(|(n, v)| row("great", n, &[v]));
+    folder.write("run.json", &run(small.into_iter().chain(great).collect()));
+    let sources = folder.sources().expect("read");
+    let over = over_budget(&sources);
+    let ratio = |what| over.iter().find(|over| over.what == what).map(|over| over.ratio);
+    assert_eq!((ratio("small"), ratio("great")), (Some(1.3), Some(18.0)));
+    let made = page::make(PAGE, &sources).expect("made");
+    assert!(made.contains("130 B/s, the worst, at 400 nodes | 100: stated | **1.30** |"), "{made}");
+}
+
 #[rstest]
 fn prose_stays_and_blocks_are_made_anew_alike() {
     let folder = Folder::new();
