Subscription: a connection left without a word ends once its router comes again

Found by reading: a link that another connection of its router replaces was dropped from the table, but the task of a half-open connection had nothing to wake it and stayed counted.

--- a/crates/controller/src/subscriptions.rs
+++ b/crates/controller/src/subscriptions.rs
@@ -131,6 +131,17 @@
             link.ready.notify_one();
         }
     }
+
+    /// Guards against connections whose other end is gone without a word, and whose routers have come again since: nothing
+    /// would ever wake their tasks.
+    fn end_formers(&self) {
+        let publisher = self.publisher.borrow();
+        let gone: Vec<Rc<Link>> = {
+            let mut links = self.links.borrow_mut();
+            links.extract_if(.., |number, _| !publisher.holds(*number)).map(|(_, link)| link).collect()
+        };
+        gone.iter().for_each(|link| link.ready.notify_one());
+    }
 }
 
 async fn hand_out(inner: Rc<Inner>) {
@@ -202,6 +213,7 @@
     let link = Rc::new(Link { out: RefCell::default(), ready: Notify::new() });
     inner.links.borrow_mut().insert(number, link.clone());
     let held = Held(inner, number, link);
+    inner.end_formers();
     // Bytes since the last whole word.
     let mut unread = 0;
     loop {
--- a/crates/router/tests/subscription.rs
+++ b/crates/router/tests/subscription.rs
@@ -4,13 +4,14 @@
 use alderway_control::publisher;
 use alderway_control::subscriber::{Machine, Settled, Terms};
 use alderway_control::version::{Number, Version};
-use alderway_control::words::Outcome;
+use alderway_control::words::{Outcome, Say};
 use alderway_controller::hollow::hollow;
 use alderway_controller::subscriptions::Subscriptions;
 use alderway_router::control::kept::{self, Kept};
 use alderway_router::control::{Offer, Subscription, start, with_a_start};
 use alderway_router::memory::clock::Clock;
 use alderway_router::memory::house::{Figures, House, Sharing};
+use alderway_tier::frames::{self, Hello, Speech};
 use rstest::rstest;
 use serde_json::{Value, json};
 use std::cell::RefCell;
@@ -20,8 +21,8 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Builder;
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use tokio::time::{interval, sleep, timeout};
@@ -257,6 +258,31 @@
     });
 }
 
+#[rstest]
+fn a_connection_that_its_router_has_left_without_a_word_ends_when_it_comes_again() {
+    story(async {
+        let desk = Desk::new("c1", 1).await;
+        let dial = async |incarnation| {
+            let at = desk.subscriptions.address();
+            let mut stream = TcpStream::connect(at).await.expect("a connection");
+            let mut hello = vec![];
+            let said = Hello { version: Say::VERSION, planner: false, incarnation, name: "r".into() };
+            frames::hello_of::<Say>(&mut hello, &said);
+            stream.write_all(&hello).await.expect("written");
+            stream
+        };
+        let mut former = dial(1).await;
+        until(|| desk.subscriptions.links() == 1).await;
+        let later = dial(2).await;
+        // The machine's hello, and then its end.
+        let mut read = vec![];
+        former.read_to_end(&mut read).await.expect("its end");
+        assert_eq!(desk.subscriptions.links(), 1);
+        drop(later);
+        until(|| desk.subscriptions.links() == 0).await;
+    });
+}
+
 #[rstest]
 fn a_stale_machine_takes_nobody_back_and_is_left() {
     story(async {
