The door refuses what no running router could take over; a file at SIGHUP undoes no version

The control machines' check is the router's own against the version before: keys that can't change while serving are refused there by name, and settings longer than routers are told. A router that subscribes leaves the settings of its file alone at SIGHUP. The hook for a driver that nothing used is gone.

--- a/crates/alderway/src/settings.rs
+++ b/crates/alderway/src/settings.rs
@@ -1,8 +1,15 @@
 //! The checks of settings that a control machine makes at its door, and `alderway config check` here: a router's own.
+use alderway_control::words::{LARGEST, canonical};
 use serde_json::Value;
 
 /// Whether a router would start by these settings, and could take them over while it serves by those in force before.
 pub fn check(settings: &Value, before: Option<&Value>) -> Result<(), String> {
+    let length = canonical(settings).len();
+    if length > LARGEST {
+        return Err(format!(
+            "settings are larger than routers are told: {length} bytes of {LARGEST} at most"
+        ));
+    }
     alderway_router::life::settings::check(settings, before).map(drop)
 }
 
--- a/crates/router/src/drive/lead.rs
+++ b/crates/router/src/drive/lead.rs
@@ -215,12 +215,13 @@
         move |core| matches!(states.borrow().state(core), State::Hung(_) | State::Failed(_) | State::Lost);
     let counts = Box::new(move |what: &'static str| counts.borrow_mut().counters.one(what));
     live.attach(counts, Some(Box::new(move |core| !away(core))));
-    station.driver.into_iter().for_each(|driver| driver(live.clone()));
+    // Where control machines tell the settings, a file at SIGHUP would undo a version unseen.
+    let by_file = control.is_none().then(|| live.clone());
     if let Some(subscription) = control {
         let offer = control::to_running(live.clone());
         control::start(subscription, &name, post::incarnation(), offer, house.clone(), clock);
     }
-    spawn_local(discovery::run(list.clone(), agent_of(discovery, hangups, was, clock, live.clone())));
+    spawn_local(discovery::run(list.clone(), agent_of(discovery, hangups, was, clock, by_file)));
     let dealer = Rc::new(Dealer { house: house.clone(), crew: crew.clone(), next: RefCell::new(0) });
     let close = Rc::new(Notify::new());
     let listening = spawn_local(clients::listen(dealer, listener, for_clients, close.clone()));
@@ -256,10 +257,10 @@
     hangups: Signal,
     was: Was,
     clock: Clock,
-    live: Live,
+    live: Option<Live>,
 ) -> watch::Receiver<SocketAddr> {
     let (agent, moves) = watch::channel(at);
-    spawn_local(async move { reload::follow(hangups, was, agent, clock, Some(live)).await });
+    spawn_local(async move { reload::follow(hangups, was, agent, clock, live).await });
     moves
 }
 
--- a/crates/router/src/life/serve.rs
+++ b/crates/router/src/life/serve.rs
@@ -75,12 +75,13 @@
     live.attach(Box::new(move |what| counts.borrow_mut().counters.one(what)), None);
     let (agent, at) = watch::channel(discovery);
     spawn_local(discovery::run(desk.clone(), at));
-    station.driver.into_iter().for_each(|driver| driver(live.clone()));
+    // Where control machines tell the settings, a file at SIGHUP would undo a version unseen.
+    let by_file = control.is_none().then(|| live.clone());
     if let Some(subscription) = control {
         let offer = control::to_running(live.clone());
         control::start(subscription, &name, post::incarnation(), offer, house, clock);
     }
-    spawn_local(reload::follow(hangups, Was { path, beside, fixed }, agent, clock, Some(live)));
+    spawn_local(reload::follow(hangups, Was { path, beside, fixed }, agent, clock, by_file));
     let listening = spawn_local(clients::listen(desk.clone(), listener, for_clients, Rc::clone(&close)));
     // A router whose module has failed must not go on as if it served.
     tokio::select! {
--- a/crates/router/src/life/start.rs
+++ b/crates/router/src/life/start.rs
@@ -1,5 +1,4 @@
 //! The one place where the configuration is read, checked and given defaults. Every message names its key.
-use super::settings::Live;
 use crate::control::Subscription;
 use crate::memory::clock::Clock;
 use crate::memory::desk::Class;
@@ -38,8 +37,6 @@
     pub seed: u64,
     pub settings: Value,
     pub began: deployment::live::Settings,
-    /// What is to be told of the running router once it serves, so that it can bring it settings.
-    pub driver: Option<Driver>,
     pub verticals: Vec<Class>,
     pub trunk: deployment::Trunk,
     pub room: deployment::Intake,
@@ -69,9 +66,6 @@
 /// A second reading of other files: an error, or whether anything that it was started by has changed.
 pub type Beside = Arc<dyn Fn() -> Read<bool> + Send + Sync>;
 
-/// Started in the router's own thread once it listens.
-pub type Driver = Box<dyn FnOnce(Live) + Send>;
-
 /// Makes a decision module.
 pub type Recipe = Arc<dyn Fn() -> Read<Router> + Send + Sync>;
 
@@ -175,7 +169,6 @@
         seed,
         settings: settings.clone(),
         began,
-        driver: None,
         verticals,
         trunk,
         room,
