--- a/deploy/operator.star
+++ b/deploy/operator.star
@@ -21,7 +21,7 @@
 #     doors = {"c1": "10.0.0.1:7200", "c2": "10.1.0.1:7200", "c3": "10.2.0.1:7200"})
 
 # Control machines that tell this router its settings, version by version; `keep` where a disk lasts.
-# docs/control-subscription.md.
+# docs/operators.md, 'Settings from control machines'.
 # subscription(control = {"c1": ("10.1.0.1:7201", "z1"), "c2": ("10.2.0.1:7201", "z2")}, zone = "z1",
 #              keep = "/var/lib/alderway/version", silent_ms = 3000, old_ms = 10000)
 
