--- a/deploy/operator.star
+++ b/deploy/operator.star
@@ -22,7 +22,7 @@
 
 # Control machines that tell this router its settings, version by version; `keep` where a disk lasts.
 # docs/operators.md, 'Settings from control machines'.
-# subscription(control = {"c1": ("10.1.0.1:7201", "z1"), "c2": ("10.2.0.1:7201", "z2")}, zone = "z1",
+# subscription(control = {"c1": ("10.0.0.1:7300", "z1"), "c2": ("10.1.0.1:7300", "z2")}, zone = "z1",
 #              keep = "/var/lib/alderway/version", silent_ms = 3000, old_ms = 10000)
 
 # How the log is written: "text" or "json".
