--- a/src/choice.rs
+++ b/src/choice.rs
@@ -45,7 +45,7 @@
     longest_try: Vec<f64>,
     unserved: f64, // Queries given up or left, of which clients may come again.
     dearest: f64,
-    /// Copies out, and most of them: one more for each that won, half for each that did not; under one, trials.
+    /// Copies out, and most of them: one more for each that won, a quarter for each that did not; under one, trials.
     copies: (usize, f64),
     trial_at: f64,
     /// Smoothed odds of rejection, and whether they are high enough to say so.
@@ -354,7 +354,7 @@
         if record.is_some_and(|r| r.2) {
             let won = ending == Ending::Success && found.as_ref().is_some_and(|f| !f.1.parts[f.2].merged);
             let (out, most) = self.copies;
-            self.copies = (out - 1, if won { most + 1.0 } else { (0.5 * most).max(0.5) });
+            self.copies = (out - 1, if won { most + 1.0 } else { (0.25 * most).max(0.5) });
         }
         if let Some((n, query, i)) = found {
             query.look_at = 0.0;
@@ -414,7 +414,7 @@
         Router {
             chance: Pcg(seed),
             common,
-            copies: (0, purse.capacity),
+            copies: (0, 1.0),
             purse,
             peers: peers.max(1) as f64,
             usual: verticals.iter().map(|_| Recent::default()).collect(),
