--- a/crates/controller/src/hollow.rs
+++ b/crates/controller/src/hollow.rs
@@ -48,6 +48,57 @@
         self.seen.iter().filter(|seen| newest(seen) >= number).count()
     }
 
+    /// When the last of them had this version or a later one, by the common clock; none while one lacks it.
+    pub fn all_had(&self, number: Number) -> Option<f64> {
+        let first = |seen: &Rc<RefCell<Seen>>| {
+            let seen = seen.borrow();
+            let later = seen.in_force.iter().rev().take_while(|had| had.1 >= number);
+            later.last().map(|had| had.0)
+        };
+        self.seen.iter().map(first).try_fold(0.0, |last: f64, had| Some(last.max(had?)))
+    }
+
+    /// Starts so many more, numbered on.
+    pub fn grow(
+        &mut self,
+        count: usize,
+        machines: &[(Machine, SocketAddr)],
+        zones: &[String],
+        seed: u64,
+        terms: Terms,
+    ) {
+        let (clock, first) = (self.clock, self.seen.len());
+        for n in first..first + count {
+            let name = format!("hollow-{n:04}");
+            let zone = zones.get(n % zones.len().max(1)).map_or("", String::as_str);
+            let list = machines.iter().map(|(machine, _)| machine.clone()).collect();
+            let own = seed ^ (n as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            let subscriber = Subscriber::new(terms, list, zone, None, own, clock.now());
+            let seen = Rc::new(RefCell::new(Seen { name: name.clone(), ..Seen::default() }));
+            let (taken, shown) = (seen.clone(), seen.clone());
+            let ends = Ends {
+                name,
+                incarnation: 1,
+                machines: machines.iter().map(|(machine, at)| (machine.name.clone(), *at)).collect(),
+                clock,
+                offer: Box::new(move |_, number| {
+                    taken.borrow_mut().in_force.push((clock.now(), number));
+                    Box::pin(async { Outcome::InForce })
+                }),
+                keep: Box::new(|_, _| {}),
+                show: Box::new(move |subscriber, bytes, now| {
+                    let mut seen = shown.borrow_mut();
+                    seen.bytes = bytes;
+                    seen.machine = subscriber.connected().map(|machine| machine.name.clone());
+                    seen.age = subscriber.age(now);
+                }),
+                logs: false,
+            };
+            self.seen.push(seen);
+            self.tasks.push(spawn_local(run(subscriber, ends)));
+        }
+    }
+
     /// Bytes in and out of all of them so far.
     pub fn bytes(&self) -> (u64, u64) {
         let each = self.seen.iter().map(|seen| seen.borrow().bytes);
@@ -67,35 +118,7 @@
     seed: u64,
     terms: Terms,
 ) -> Hollow {
-    let (clock, mut hollow) = (Clock::default(), (vec![], vec![]));
-    for n in 0..count {
-        let name = format!("hollow-{n:04}");
-        let zone = zones.get(n % zones.len().max(1)).map_or("", String::as_str);
-        let list = machines.iter().map(|(machine, _)| machine.clone()).collect();
-        let own = seed ^ (n as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        let subscriber = Subscriber::new(terms, list, zone, None, own, clock.now());
-        let seen = Rc::new(RefCell::new(Seen { name: name.clone(), ..Seen::default() }));
-        let (taken, shown) = (seen.clone(), seen.clone());
-        let ends = Ends {
-            name,
-            incarnation: 1,
-            machines: machines.iter().map(|(machine, at)| (machine.name.clone(), *at)).collect(),
-            clock,
-            offer: Box::new(move |_, number| {
-                taken.borrow_mut().in_force.push((clock.now(), number));
-                Box::pin(async { Outcome::InForce })
-            }),
-            keep: Box::new(|_, _| {}),
-            show: Box::new(move |subscriber, bytes, now| {
-                let mut seen = shown.borrow_mut();
-                seen.bytes = bytes;
-                seen.machine = subscriber.connected().map(|machine| machine.name.clone());
-                seen.age = subscriber.age(now);
-            }),
-            logs: false,
-        };
-        hollow.0.push(seen);
-        hollow.1.push(spawn_local(run(subscriber, ends)));
-    }
-    Hollow { clock, seen: hollow.0, tasks: hollow.1 }
+    let mut all = Hollow { clock: Clock::default(), seen: vec![], tasks: vec![] };
+    all.grow(count, machines, zones, seed, terms);
+    all
 }
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -1,5 +1,6 @@
 //! What one query router spends by the size of its site: `real` on sockets, `rounds` in the module alone, `discovery` for
-//! the list. `hollow` is many data nodes in a few processes, `report` what a run leaves.
+//! the list, `control` for subscriptions at control machines. `hollow` is many data nodes in a few processes, `report` what a run leaves.
+pub mod control;
 pub mod discovery;
 pub mod hollow;
 pub mod places;
@@ -21,6 +22,8 @@
     Rounds(sweep::Rounds),
     /// What the list costs a router, pushed and asked for, and which forms of it are refused
     Discovery(discovery::Discovery),
+    /// Control machines and hollow routers: what a subscription costs, and when a change is in force everywhere
+    Control(control::Control),
     /// Data nodes of another run: serves until its standard input ends
     #[command(hide = true)]
     Nodes(hollow::Nodes),
@@ -47,6 +50,7 @@
             Scale::Real(real) => (&real.common, real.run()),
             Scale::Rounds(rounds) => (&rounds.common, rounds.run()),
             Scale::Discovery(discovery) => (&discovery.common, discovery.run()),
+            Scale::Control(control) => (&control.common, control.run()),
             Scale::Nodes(nodes) => {
                 let served = nodes.serve();
                 return served
--- a/crates/lab/tests/scale.rs
+++ b/crates/lab/tests/scale.rs
@@ -196,6 +196,63 @@
     );
 }
 
+#[rstest]
+fn hollow_routers_have_every_change_and_cost_what_their_rows_say() {
+    router_is_built();
+    let line = "control --routers 8/20 --machines 3 --rest 0.6 --changes 3 --every-ms 5 --repeats 1 \
+                --budget processor=100 --budget proposal=1e9";
+    let ran = scale("control", line);
+    // One budget holds, and one names no row.
+    assert!(!ran.out.status.success(), "{}", ran.told());
+    assert!(ran.told().contains("no row `proposal`") && !ran.told().contains("over its budget"));
+    let rows = ran.rows(1);
+    assert_eq!(texts(&rows, "role"), ["control machine", "operator", "query router"]);
+    let place = [("routers", json!(20)), ("machines", json!(3))];
+    let of = |role: &str| -> Vec<Value> { rows.iter().filter(|row| row["role"] == role).cloned().collect() };
+    let (router, machine, operator) = (of("query router"), of("control machine"), of("operator"));
+    assert_eq!(value(&machine, "subscriptions", &place), 7.0, "20 in three zones");
+    for what in ["control bytes a second", "control processor"] {
+        assert!(value(&router, what, &place) > 0.0, "{what}");
+    }
+    for what in ["control bytes a second", "processor", "memory"] {
+        assert!(value(&machine, what, &place) > 0.0, "{what}");
+    }
+    let force = |which: &str| {
+        value(&operator, &format!("change of configuration in force everywhere, {which}"), &place)
+    };
+    assert!(force("p50") > 0.0 && force("p50") <= force("p99") && force("p99") <= force("most"));
+    assert!(value(&operator, "bytes of a proposal", &[("changes", json!(7))]) > 100.0, "1 + 2 x 3 changes");
+    assert!(value(&machine, "bytes of settings kept", &[("changes", json!(7))]) > 0.0);
+}
+
+#[rstest]
+#[case::under_the_figure(
+    "0.000001",
+    false,
+    "subscriptions of control machine at machines 3, routers 4: over"
+)]
+#[case::above_it("1e9", true, "")]
+fn a_budget_of_control_ends_a_run_as_its_figure_says(
+    #[case] most: &str,
+    #[case] kept: bool,
+    #[case] said: &str,
+) {
+    router_is_built();
+    let line = "control --routers 4 --machines 3 --rest 0.6 --changes 1 --every-ms 5 --repeats 1";
+    let ran = scale(&format!("control-{kept}"), &format!("{line} --budget subscriptions={most}"));
+    assert_eq!(ran.out.status.success(), kept, "{}", ran.told());
+    assert!(ran.told().contains(said), "{}", ran.told());
+    assert!(!ran.rows(1).is_empty(), "what was measured is kept");
+}
+
+#[rstest]
+#[case("--routers 20/8", "expected counts that rise")]
+#[case("--routers 4294967295", "descriptors")]
+fn counts_that_cannot_be_are_refused_before_anything_is_started(#[case] line: &str, #[case] said: &str) {
+    let ran = scale("no-control", &format!("control {line}"));
+    assert!(!ran.out.status.success() && ran.result.is_none() && ran.told().contains(said), "{}", ran.told());
+}
+
 fn at(nodes: usize) -> At {
     At::from([("nodes", json!(nodes))])
 }
