--- a/crates/lab/src/scale/control.rs
+++ b/crates/lab/src/scale/control.rs
@@ -1,6 +1,6 @@
-//! Control at the users' size: `alderway control` processes, one a zone, and hollow routers in this process that
-//! subscribe to them. What a subscription costs at rest, when a change is in force everywhere, and what comes of
-//! machines that are killed.
+//! Control at the users' size: `alderway control` processes, one a zone, and hollow routers in this process
+//! that subscribe to them. What a subscription costs at rest, when a change is in force everywhere, and what
+//! killed machines cost.
 use super::Common;
 use super::report::{At, Figure, Report};
 use crate::draw;
@@ -12,6 +12,7 @@
 use alderway_controller::door::{Ask, Reply};
 use alderway_controller::hollow::{Hollow, hollow};
 use clap::Args;
+use nix::time::{ClockId, clock_gettime};
 use rand_pcg::Pcg32;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
@@ -154,6 +155,12 @@
     each.filter_map(|text| text.split(' ').next()?.parse::<f64>().ok()).sum::<f64>() / 1e9
 }
 
+/// The same of this process, with that of its threads that have ended.
+fn own_cpu() -> f64 {
+    let used = clock_gettime(ClockId::CLOCK_PROCESS_CPUTIME_ID);
+    used.map_or(f64::NAN, |used| used.tv_sec() as f64 + used.tv_nsec() as f64 / 1e9)
+}
+
 /// Resident memory in MB.
 fn memory(id: u32) -> f64 {
     let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
@@ -271,11 +278,10 @@
 
     async fn at_rest(&mut self) -> (Vec<Figure>, Vec<Figure>) {
         sleep(Duration::from_secs_f64(self.plan.rest)).await;
-        let own = std::process::id();
-        let (from, bytes, used, spent) = (Instant::now(), self.hollow.bytes(), cpu(own), self.group.used());
+        let (from, bytes, used, spent) = (Instant::now(), self.hollow.bytes(), own_cpu(), self.group.used());
         sleep(Duration::from_secs_f64(self.plan.rest)).await;
         let seconds = from.elapsed().as_secs_f64();
-        let (used, after) = (cpu(own) - used, self.group.used());
+        let (used, after) = (own_cpu() - used, self.group.used());
         let spent = spent.iter().zip(&after).map(|(from, to)| to - from).fold(0.0, f64::max) / seconds;
         let seen = self.hollow.seen();
         let (count, now) = (seen.len() as f64, self.hollow.bytes());
@@ -423,19 +429,19 @@
         let Control { rest, changes, every_ms, .. } = self;
         (
             format!(
-                "hollow routers in one process, its processor and growth a router; {rest} s at rest after as many; \
-                 bytes of frames, seen each 0.5 s"
+                "hollow routers in one process, its processor and growth a router; {rest} s at rest after as \
+                 many; bytes of frames, seen each 0.5 s"
             ),
             format!(
-                "processes on one machine and one disk; {rest} s at rest; bytes of its subscriptions, the mean; \
-                 processor, memory and subscriptions of the machine that has the most"
+                "processes on one machine and one disk; {rest} s at rest; bytes of its subscriptions, the \
+                 mean; processor, memory and subscriptions of the machine that has the most"
             ),
             format!(
-                "{changes} changes one after the other, {every_ms} ms between them in the mean, each at a door drawn; \
-                 from the sending to the last router; a take-over only counts"
+                "{changes} changes one after the other, {every_ms} ms between them in the mean, each at a \
+                 door drawn; from the sending to the last router; a take-over only counts"
             ),
-            "one fault each; a change asked for at once; from its sending, or from the killing where all are killed; \
-             routers seen each 0.5 s"
+            "one fault each; a change asked for at once; from its sending, or from the killing where all are \
+             killed; routers seen each 0.5 s"
                 .into(),
         )
     }
