--- a/crates/router/tests/settings.rs
+++ b/crates/router/tests/settings.rs
@@ -412,8 +412,9 @@
 fn a_hundred_changes_under_load_are_no_interruption() {
     let (program, nodes, _agent) = limited(2, 2000, 180, r#"{"sockets":256}"#);
     let (done, asked) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
-    // Data nodes that answer each frame at once.
-    let (frames, stop) = (nodes.frames, done.clone());
+    // Data nodes that answer each frame at once, until the last query has its answer.
+    let over = Arc::new(AtomicBool::new(false));
+    let (frames, stop) = (nodes.frames, over.clone());
     let answers = thread::spawn(move || {
         while !stop.load(Ordering::Relaxed) {
             let Ok(mut came) = frames.recv_timeout(Duration::from_millis(20)) else { continue };
@@ -441,7 +442,6 @@
             })
         })
         .collect();
-    let mut up = program.connect();
     for n in 1..=100u64 {
         let before = asked.load(Ordering::Relaxed);
         reload(&program, |settings| {
@@ -451,6 +451,8 @@
             settings["Obligations"] = json!({"ResendRatio": 0.01 * (n % 9) as f64, "ExtraFree": n % 11});
         });
         loop {
+            // One that never sends a query is closed after two seconds.
+            let mut up = program.connect();
             up.send("GET /up HTTP/1.1\r\n\r\n");
             assert_eq!(up.status(), "200");
             up.send("GET /counters HTTP/1.1\r\n\r\n");
@@ -463,6 +465,7 @@
     }
     done.store(true, Ordering::Relaxed);
     clients.into_iter().for_each(|client| client.join().expect("every answer right"));
+    over.store(true, Ordering::Relaxed);
     answers.join().expect("the nodes");
     let counted = program.counters();
     let asked = asked.load(Ordering::Relaxed);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -45,7 +45,7 @@
     longest_try: Vec<f64>,
     unserved: f64, // Queries given up or left, of which clients may come again.
     dearest: f64,
-    /// Copies out, and most of them: one more for each that won, a quarter for each that did not; under one, trials.
+    /// Copies out, and most: one more for each that won, a quarter for each that did not; under one, trials.
     copies: (usize, f64),
     trial_at: f64,
     /// Smoothed odds of rejection, and whether they are high enough to say so.
@@ -852,8 +852,8 @@
                 self.awake - call.since > SILENT * delay && node.standing == 3
             });
             let more = v.effect == Effect::Repeatable && self.allowance.parallel && part.copies < MAX_COPIES;
-            // Guards against copies that feed a jam: for parts that an answer may leave out, and while they do not win
-            // (slowness that all holders share; it hurts where a sound holder is found late). A trial is told by then.
+            // Guards against copies that feed a jam: of parts that an answer may leave out, and while none wins,
+            // as all holders are slow alike (it hurts where a sound one is found late).
             let owed = v.floor >= v.need || part.weight > 1.0 - v.floor;
             let (now, (out_now, most)) = (self.now, self.copies);
             let wins = most >= 1.0 && most > out_now as f64 || out_now == 0 && now >= self.trial_at;
