--- a/src/choice.rs
+++ b/src/choice.rs
@@ -45,9 +45,6 @@
     longest_try: Vec<f64>,
     unserved: f64, // Queries given up or left, of which clients may come again.
     dearest: f64,
-    /// Copies out, and most: one more for each that won, a quarter for each that did not; under one, trials.
-    copies: (usize, f64),
-    trial_at: f64,
     /// Smoothed odds of rejection, and whether they are high enough to say so.
     jam: f64,
     shedding: bool,
@@ -62,8 +59,8 @@
     cell: u32,
     state: NodeState,
     started: Option<f64>,
-    /// Leaf calls not yet ended, by part and number: when sent, the delay then, and whether a copy.
-    calls: BTreeMap<(String, usize), (f64, f64, bool)>,
+    /// Leaf calls not yet ended, by part and number: when sent, and the delay then.
+    calls: BTreeMap<(String, usize), (f64, f64)>,
     cap: f64, // Most parts in flight from this query router.
     heard: f64,
     late_until: f64,
@@ -142,7 +139,7 @@
     /// last resort only: it refuses connections, fails again and again, or has answered nothing since it was
     /// sent a part now long past its delay (guards against hung, silent and very slow nodes; a pause hurts).
     fn judged(&self, now: f64, silent: f64) -> u8 {
-        let age = |(at, delay, _): &(f64, f64, bool)| (now - at) / delay;
+        let age = |(at, delay): &(f64, f64)| (now - at) / delay;
         let oldest = self.calls.values().map(age).fold(0.0, f64::max);
         let unheard = self.calls.values().any(|c| age(c) > silent && self.heard < c.0);
         match () {
@@ -304,7 +301,10 @@
         let new = Node { cell, state, started, cap, phase, ..Node::default() };
         match self.nodes.get_mut(id) {
             Some(node) if node.started == started => (node.cell, node.state) = (cell, state),
-            Some(node) => *node = Node { calls: std::mem::take(&mut node.calls), ..new },
+            Some(node) => {
+                let calls = std::mem::take(&mut node.calls);
+                *node = Node { calls, ..new };
+            }
             None => drop(self.nodes.insert(id.into(), new)),
         }
     }
@@ -348,22 +348,19 @@
 
     fn call_ended(&mut self, part: &str, hop: usize, node: &str, ending: Ending, latency: f64) {
         let record = self.nodes.get_mut(node).and_then(|n| n.calls.remove(&(part.to_string(), hop)));
-        let latency = record.map_or(latency, |(at, ..)| latency.min(self.awake - at));
+        let latency = record.map_or(latency, |(at, _)| latency.min(self.awake - at));
         let found = self.parts.get(part).and_then(|&(n, i)| Some((n, self.queries.get_mut(&n)?, i)));
         let slo = self.verticals.iter().map(|v| v.slo).fold(f64::MAX, f64::min);
-        if record.is_some_and(|r| r.2) {
-            let won = ending == Ending::Success && found.as_ref().is_some_and(|f| !f.1.parts[f.2].merged);
-            let (out, most) = self.copies;
-            self.copies = (out - 1, if won { most + 1.0 } else { (0.25 * most).max(0.5) });
-        }
         if let Some((n, query, i)) = found {
             query.look_at = 0.0;
             let part = &mut query.parts[i];
             self.out.remove((part.shard, query.vertical), (n, i, hop));
             part.merged |= ending == Ending::Success;
             if let Some(call) = part.calls.get_mut(hop) {
-                (call.out, call.broke) = (false, ending == Ending::Reset);
-                (call.may_have_run, call.turned_away) = (!ending.never_ran(), ending.turned_away());
+                call.out = false;
+                call.may_have_run = !ending.never_ran();
+                call.turned_away = ending.turned_away();
+                call.broke = ending == Ending::Reset;
             }
             if ending == Ending::Success {
                 let usual = &mut self.usual[query.vertical];
@@ -376,7 +373,7 @@
                 self.shards.entry(part.shard).or_default().recent.note(latency, 40);
             }
         }
-        if let (Some(node), Some((_, delay, _))) = (self.nodes.get_mut(node), record) {
+        if let (Some(node), Some((_, delay))) = (self.nodes.get_mut(node), record) {
             let warm = self.now + self.cold.map_or(0.0, |c| c.warm_up);
             self.wary_until = if ending == Ending::Reset { warm } else { self.wary_until };
             node.ended(self.awake, ending, latency, delay, slo, (0.25 * self.peers).min(15.0));
@@ -414,7 +411,6 @@
         Router {
             chance: Pcg(seed),
             common,
-            copies: (0, 1.0),
             purse,
             peers: peers.max(1) as f64,
             usual: verticals.iter().map(|_| Recent::default()).collect(),
@@ -464,9 +460,13 @@
         let late = self.late();
         let looked_at = self.queries.iter().filter(|(n, q)| q.look_at <= now || late.contains(n));
         let open: Vec<u64> = looked_at.map(|(n, _)| *n).collect();
-        open.iter().for_each(|&number| self.settle(number, out));
+        for &number in &open {
+            self.settle(number, out);
+        }
         self.admit(out);
-        open.iter().for_each(|&number| self.send_waiting(number, out));
+        for &number in &open {
+            self.send_waiting(number, out);
+        }
         for &number in &open {
             self.rescue(number, out);
             self.settle(number, out);
@@ -556,7 +556,8 @@
             out.over(self.now > q.slo_at);
             if v.fetch > 0 && !q.second_step {
                 let (fetch, Some(q)) = (v.fetch, self.queries.get_mut(&number)) else { return };
-                (q.second_step, q.first_whole) = (true, whole);
+                q.second_step = true;
+                q.first_whole = whole;
                 q.expected = q.parts.iter().filter(|p| p.merged).count().min(fetch);
                 let first = std::mem::take(&mut q.parts);
                 self.stop(&first, out);
@@ -645,7 +646,9 @@
     }
 
     fn close(&mut self, number: u64, out: &mut dyn Writer) {
-        self.queries.remove(&number).into_iter().for_each(|q| self.stop(&q.parts, out));
+        if let Some(q) = self.queries.remove(&number) {
+            self.stop(&q.parts, out);
+        }
     }
 
     fn stop(&mut self, parts: &[Part], out: &mut dyn Writer) {
@@ -812,15 +815,13 @@
         let Some(part) = self.queries.get_mut(&number).map(|q| &mut q.parts[i]) else { return };
         let Some(node) = self.nodes.get_mut(id) else { return };
         self.out.add((part.shard, vertical), self.awake, (number, i, part.calls.len()));
-        let copy = part.out();
-        node.calls.insert((part.id.clone(), part.calls.len()), (self.awake, delay, copy));
-        self.copies.0 += usize::from(copy);
+        node.calls.insert((part.id.clone(), part.calls.len()), (self.awake, delay));
         self.calls += 1;
         node.turn = self.calls;
         node.cold_work.retain(|w| w.0 >= now - self.cold.map_or(0.0, |c| c.warm_up + c.span));
         node.cold_work.push_back((now, work));
         out.call(&part.id, id, limit);
-        part.copies += usize::from(copy);
+        part.copies += usize::from(part.out());
         let (node, since) = (id.into(), self.awake);
         part.calls.push(Call { node, at: now, since, out: true, may_have_run: true, ..Call::default() });
     }
@@ -852,21 +853,20 @@
                 self.awake - call.since > SILENT * delay && node.standing == 3
             });
             let more = v.effect == Effect::Repeatable && self.allowance.parallel && part.copies < MAX_COPIES;
-            // Guards against copies that feed a jam: of parts that an answer may leave out, and while none wins,
-            // as all holders are slow alike (it hurts where a sound one is found late).
+            // Guards against copies that feed a jam for parts that an answer may leave out.
             let owed = v.floor >= v.need || part.weight > 1.0 - v.floor;
-            let (now, (out_now, most)) = (self.now, self.copies);
-            let wins = most >= 1.0 && most > out_now as f64 || out_now == 0 && now >= self.trial_at;
-            let copy = more && owed && wins && self.common.tokens() >= 1.0;
+            let copy = more && owed && self.common.tokens() >= 1.0;
             let useful = self.now + 0.5 * self.work(vertical) < self.queries[&number].slo_at;
             if !(copy || useful && stuck) {
                 continue;
             }
             let Some((node, _)) = self.next_node(number, i, &[shard], 1) else { continue };
-            if copy && self.common.pay() {
-                self.trial_at = now + 0.5 * v.slo;
+            if copy {
+                if !self.common.pay() {
+                    continue;
+                }
                 self.send(number, i, &node, out);
-            } else if !copy {
+            } else {
                 outs.iter().for_each(|&hop| self.cancel(number, i, hop, out));
             }
         }
--- a/src/choice/moves.rs
+++ b/src/choice/moves.rs
@@ -103,9 +103,7 @@
             // It has earned for its part where it was decided until now.
             self.common.earn(-self.purse.ratio, self.purse.capacity);
         }
-        let copy = out && record.out();
-        record.copies += usize::from(copy);
-        self.copies.0 += usize::from(copy && self.nodes.contains_key(node));
+        record.copies += usize::from(out && record.calls.iter().any(|call| call.out));
         record.merged |= ending == Some(Ending::Success);
         let may_have_run = ending.is_none_or(|ending| !ending.never_ran());
         let turned_away = ending.is_some_and(Ending::turned_away);
@@ -117,7 +115,7 @@
         if out {
             self.out.insert((shard, vertical), since, (number, at, hop));
             if let Some(node) = self.nodes.get_mut(node) {
-                node.calls.insert((part.into(), hop), (since, delay, copy));
+                node.calls.insert((part.into(), hop), (since, delay));
             }
         }
     }
