One accept loop, one greeting, one reading of verticals where each stood several times

Read again; behaviour as it was. Control machines' three accept loops (door, links, subscriptions) are one, each with its own bound and pause. The time-out that all six callers of greet wrapped around it is greet's own, and the door writes by the loop that greet had inside. SIGHUP has one function again, to which whoever cannot take settings over gives none. A station no longer carries a recipe of the module beside the settings that it is made from, and verticals become classes in one place.

--- a/crates/controller/src/door.rs
+++ b/crates/controller/src/door.rs
@@ -1,23 +1,22 @@
 //! The door for operators: one question a frame, as JSON, one answer for each, in order. A faulty change is refused here,
 //! before anything is proposed, by the same checks as a router's at its start.
 use crate::driver::{Controller, Held};
+use crate::links::PAUSE;
+use crate::listen::serve_each;
 use alderway_control::history::differing;
 use alderway_control::machine::{Answer, Name, Status, Word};
 use alderway_control::outlet::Summary;
 use alderway_control::version::{Number, Proposal, Version};
-use alderway_router::tier::links::{PATIENCE, greet};
+use alderway_router::tier::links::{greet, write_out};
 use alderway_tier::frames::{self, Hello, Read, Reader, Speech};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// Operators at once, and how long one may say nothing.
@@ -121,24 +120,15 @@
 }
 
 pub async fn accept(held: Held, listener: TcpListener) {
-    let open = Rc::new(Cell::new(0));
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(Duration::from_millis(10)).await;
-            continue;
-        };
-        if open.get() >= OPERATORS_MOST {
-            continue;
-        }
-        open.set(open.get() + 1);
-        let (held, open) = (held.clone(), open.clone());
-        spawn_local(async move {
+    let serve = |stream| {
+        let held = held.clone();
+        async move {
             if let Err(why) = serve(&held, &stream).await {
                 tracing::warn!(target: "door", "an operator: {why}");
             }
-            open.set(open.get() - 1);
-        });
-    }
+        }
+    };
+    serve_each(listener, OPERATORS_MOST, PAUSE, serve).await;
 }
 
 async fn serve(held: &Held, stream: &TcpStream) -> Result<(), String> {
@@ -146,8 +136,7 @@
     let (mut out, mut reader, mut space) = (vec![], Reader::<Text>::default(), vec![0; 64 * 1024]);
     let (incarnation, name) = (held.borrow().machine.id(), held.borrow().machine.name().to_string());
     frames::hello_of::<Text>(&mut out, &Hello { version: Text::VERSION, planner: false, incarnation, name });
-    let hello = timeout(PATIENCE, greet(stream, &mut out, &mut reader, &mut space));
-    hello.await.map_err(|_| "no hello in time".to_string())??;
+    greet(stream, &mut out, &mut reader, &mut space).await?;
     loop {
         let ask = match next(stream, &mut reader, &mut space).await? {
             Some(Text(text)) => serde_json::from_str(&text),
@@ -163,20 +152,8 @@
             let why = Reply::Wrong { why: "the answer is longer than a frame".into() };
             frames::message(&mut out, &Text(serde_json::to_string(&why).unwrap_or_default()));
         }
-        timeout(IDLE, write(stream, &mut out)).await.map_err(|_| "it does not read".to_string())??;
-    }
-}
-
-async fn write(stream: &TcpStream, out: &mut Vec<u8>) -> Result<(), String> {
-    while !out.is_empty() {
-        stream.writable().await.map_err(|why| why.to_string())?;
-        match stream.try_write(out) {
-            Ok(count) => drop(out.drain(..count)),
-            Err(why) if why.kind() == ErrorKind::WouldBlock => {}
-            Err(why) => return Err(why.to_string()),
-        }
+        timeout(IDLE, write_out(stream, &mut out)).await.map_err(|_| "it does not read".to_string())??;
     }
-    Ok(())
 }
 
 /// The next question; none at the connection's end.
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod driver;
 pub mod hollow;
 pub mod links;
+mod listen;
 pub mod store;
 pub mod subscriptions;
--- a/crates/controller/src/links.rs
+++ b/crates/controller/src/links.rs
@@ -1,11 +1,11 @@
 //! Links among control machines: each dials every other one and speaks on what it dialled; what others dialled it only
 //! reads. A link that is of no use is dialled anew after waits that are drawn and grow.
 use crate::driver::{Held, Told};
+use crate::listen::serve_each;
 use alderway_control::machine::{Name, Word};
 use alderway_router::tier::links::{PATIENCE, Waits, greet};
 use alderway_tier::frames::{self, Hello, Read, Reader, Speech};
 use serde::{Deserialize, Serialize};
-use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -20,6 +20,8 @@
 const WAITING: usize = 48 * 1024 * 1024;
 /// A machine that takes nothing of what waits for so long is dialled anew.
 const STUCK: Duration = Duration::from_secs(3);
+/// Before another try, where the system has no descriptor for a connection.
+pub const PAUSE: Duration = Duration::from_millis(10);
 /// Connections that others may hold here at once.
 const HEARD_MOST: usize = 64;
 /// A link that lasted so long was of use.
@@ -107,8 +109,7 @@
     let _ = stream.set_nodelay(true);
     let (mut out, mut reader, mut space) = (vec![], Reader::<Said>::default(), vec![0; 1024]);
     frames::hello_of::<Said>(&mut out, &hello(held));
-    let met = timeout(PATIENCE, greet(stream, &mut out, &mut reader, &mut space));
-    let met = met.await.map_err(|_| "no hello in time".to_string())??;
+    let met = greet(stream, &mut out, &mut reader, &mut space).await?;
     if met.name != name {
         return Err(format!("it is {}", met.name));
     }
@@ -159,24 +160,16 @@
 }
 
 async fn accept(held: Held, listener: TcpListener) {
-    let (open, newest) = (Rc::new(Cell::new(0)), Rc::default());
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(Duration::from_millis(10)).await;
-            continue;
-        };
-        if open.get() >= HEARD_MOST {
-            continue;
-        }
-        open.set(open.get() + 1);
-        let (held, open, newest) = (held.clone(), open.clone(), Rc::clone(&newest));
-        spawn_local(async move {
+    let newest = Rc::<Newest>::default();
+    let hear = |stream| {
+        let (held, newest) = (held.clone(), newest.clone());
+        async move {
             if let Err(why) = hear(&held, &stream, &newest).await {
                 tracing::warn!(target: "links", "one that dialled: {why}");
             }
-            open.set(open.get() - 1);
-        });
-    }
+        }
+    };
+    serve_each(listener, HEARD_MOST, PAUSE, hear).await;
 }
 
 /// The newest connection of each machine counts; an earlier one is read no further.
@@ -186,8 +179,7 @@
     let _ = stream.set_nodelay(true);
     let (mut out, mut reader, mut space) = (vec![], Reader::<Said>::default(), vec![0; 64 * 1024]);
     frames::hello_of::<Said>(&mut out, &hello(held));
-    let met = timeout(PATIENCE, greet(stream, &mut out, &mut reader, &mut space));
-    let met = met.await.map_err(|_| "no hello in time".to_string())??;
+    let met = greet(stream, &mut out, &mut reader, &mut space).await?;
     let own = {
         let mut held = held.borrow_mut();
         if !held.doors.contains_key(&met.name) || met.name == held.machine.name() {
--- a/crates/controller/src/subscriptions.rs
+++ b/crates/controller/src/subscriptions.rs
@@ -1,13 +1,14 @@
 //! The listener of a control machine for routers: a task for each connection, and one that hands out what is due. Who is
 //! told what, and when, stands in `alderway_control::publisher`.
+use crate::listen::serve_each;
 use alderway_control::outlet::{Outlet, Summary};
 use alderway_control::publisher::{Met, Publisher, Terms};
 use alderway_control::version::{Number, Version};
 use alderway_control::words::{Say, Tell};
 use alderway_router::memory::clock::Clock;
-use alderway_router::tier::links::{PATIENCE, greet};
+use alderway_router::tier::links::greet;
 use alderway_tier::frames::{self, Hello, Read, Reader, Speech};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
@@ -16,7 +17,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::{JoinHandle, spawn_local};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 /// Connections beside those of subscribed routers: on their way in, or about to be refused.
 const PASSING: usize = 64;
@@ -39,7 +40,6 @@
     terms: Terms,
     publisher: RefCell<Publisher>,
     links: RefCell<BTreeMap<u64, Rc<Link>>>,
-    open: Cell<usize>,
     /// Something may be due that was not before.
     wake: Notify,
 }
@@ -72,7 +72,6 @@
             terms,
             publisher: RefCell::new(Publisher::new(terms, clock.now())),
             links: RefCell::default(),
-            open: Cell::new(0),
             wake: Notify::new(),
         });
         let tasks = vec![spawn_local(accept(inner.clone(), listener)), spawn_local(hand_out(inner.clone()))];
@@ -172,23 +171,16 @@
 }
 
 async fn accept(inner: Rc<Inner>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(PAUSE).await;
-            continue;
-        };
-        if inner.open.get() >= inner.terms.most + PASSING {
-            continue;
-        }
-        inner.open.set(inner.open.get() + 1);
+    let most = inner.terms.most + PASSING;
+    let speak = |stream| {
         let inner = inner.clone();
-        spawn_local(async move {
+        async move {
             if let Err(why) = speak(&inner, &stream).await {
                 tracing::warn!(target: "subscriptions", "one that dialled: {why}");
             }
-            inner.open.set(inner.open.get() - 1);
-        });
-    }
+        }
+    };
+    serve_each(listener, most, PAUSE, speak).await;
 }
 
 /// The link of one connection: it ends with it, whoever ended that.
@@ -206,8 +198,7 @@
     let (mut out, mut reader, mut space) = (vec![], Reader::<Say>::default(), vec![0; LONGEST_SAY]);
     let (name, incarnation) = (inner.name.clone(), inner.incarnation);
     frames::hello_of::<Tell>(&mut out, &Hello { version: Tell::VERSION, planner: false, incarnation, name });
-    let hello = timeout(PATIENCE, greet(stream, &mut out, &mut reader, &mut space));
-    let hello = hello.await.map_err(|_| "no hello in time".to_string())??;
+    let hello = greet(stream, &mut out, &mut reader, &mut space).await?;
     let opened = inner.publisher.borrow_mut().opened(&hello.name, hello.incarnation, inner.clock.now());
     let number = opened.map_err(|why| why.to_string())?;
     let link = Rc::new(Link { out: RefCell::default(), ready: Notify::new() });
--- a/crates/router/src/drive/lead.rs
+++ b/crates/router/src/drive/lead.rs
@@ -260,7 +260,7 @@
     live: Option<Live>,
 ) -> watch::Receiver<SocketAddr> {
     let (agent, moves) = watch::channel(at);
-    spawn_local(async move { reload::follow(hangups, was, agent, clock, live).await });
+    spawn_local(async move { reload::at_sighup(hangups, was, agent, clock, live).await });
     moves
 }
 
--- a/crates/router/src/life/reload.rs
+++ b/crates/router/src/life/reload.rs
@@ -8,14 +8,10 @@
 use tokio::sync::watch::Sender;
 
 /// Reads the configuration anew with every SIGHUP, by the code that read it at the start; discovery's address
-/// goes to `agent`. Guards against a file that is missing, half written or faulty: the old one holds.
-pub async fn at_sighup(hangups: Signal, was: Was, agent: Sender<SocketAddr>, clock: Clock) {
-    follow(hangups, was, agent, clock, None).await;
-}
-
-/// The same for a router that can take over its settings. The file's are offered when they are others than it had when
-/// they were last taken from it: a reload for another reason does not undo what was brought another way since.
-pub async fn follow(
+/// goes to `agent`. Guards against a file that is missing, half written or faulty: the old one holds. To a router that
+/// can take over its settings the file's are offered when they are others than it had when they were last taken from it:
+/// a reload for another reason does not undo what was brought another way since.
+pub async fn at_sighup(
     mut hangups: Signal,
     mut was: Was,
     agent: Sender<SocketAddr>,
--- a/crates/router/src/life/serve.rs
+++ b/crates/router/src/life/serve.rs
@@ -81,7 +81,7 @@
         let offer = control::to_running(live.clone());
         control::start(subscription, &name, post::incarnation(), offer, house, clock);
     }
-    spawn_local(reload::follow(hangups, Was { path, beside, fixed }, agent, clock, by_file));
+    spawn_local(reload::at_sighup(hangups, Was { path, beside, fixed }, agent, clock, by_file));
     let listening = spawn_local(clients::listen(desk.clone(), listener, for_clients, Rc::clone(&close)));
     // A router whose module has failed must not go on as if it served.
     tokio::select! {
--- a/crates/router/src/life/start.rs
+++ b/crates/router/src/life/start.rs
@@ -6,7 +6,6 @@
 use crate::memory::roster::Roster;
 use crate::peers::Circle;
 use crate::wire::discovery;
-use alderway::choice::Router;
 use alderway_deployment as deployment;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -31,9 +30,7 @@
     pub sockets: usize,
     pub memory: usize,
     pub roster: Roster,
-    /// Makes the decision module, which its settings have proved to allow.
-    pub module: Recipe,
-    /// The same as values: the start of its chance, and the settings, as the file has them and as read.
+    /// Of the decision module: the start of its chance, and the settings, as the file has them and as read.
     pub seed: u64,
     pub settings: Value,
     pub began: deployment::live::Settings,
@@ -66,9 +63,6 @@
 /// A second reading of other files: an error, or whether anything that it was started by has changed.
 pub type Beside = Arc<dyn Fn() -> Read<bool> + Send + Sync>;
 
-/// Makes a decision module.
-pub type Recipe = Arc<dyn Fn() -> Read<Router> + Send + Sync>;
-
 /// The keys that hold from the start to the end, with their values.
 pub type Fixed = [(&'static str, Value); 4];
 
@@ -150,8 +144,7 @@
     if let Some(peers) = peers {
         began.terms.peers = peers as usize;
     }
-    let class = |(name, window): (&String, &Option<f64>)| Class { name: name.clone(), window: *window };
-    let verticals = began.names.iter().zip(&began.windows).map(class).collect();
+    let verticals = Class::all(&began);
     let (trunk, room) = (began.trunk, began.intake);
     Ok(Station {
         path: PathBuf::new(),
@@ -162,10 +155,6 @@
         sockets: limit("sockets", SOCKETS, LEAST_SOCKETS)? as usize,
         memory: limit("memory_mb", MEMORY_MB, 1)? as usize * 1024 * 1024,
         roster: known(all.get("known"), clock).map_err(|why| format!("key `known`: {why}"))?,
-        module: Arc::new({
-            let terms = began.terms.clone();
-            move || Ok(Router::new(seed, terms.clone()))
-        }),
         seed,
         settings: settings.clone(),
         began,
--- a/crates/router/src/memory/desk.rs
+++ b/crates/router/src/memory/desk.rs
@@ -17,6 +17,7 @@
 use alderway_cores::board::Board;
 use alderway_cores::fence;
 use alderway_cores::ids::Refused;
+use alderway_deployment::live::Settings;
 use alderway_deployment::{Intake as Room, Trunk};
 use alderway_layouts::ShardId;
 use alderway_layouts::coverage::Count;
@@ -55,6 +56,14 @@
     pub window: Option<f64>,
 }
 
+impl Class {
+    /// All verticals of some settings, in their order.
+    pub fn all(settings: &Settings) -> Vec<Class> {
+        let both = settings.names.iter().zip(&settings.windows);
+        both.map(|(name, window)| Class { name: name.clone(), window: *window }).collect()
+    }
+}
+
 impl From<&str> for Class {
     fn from(name: &str) -> Self {
         Class { name: name.into(), window: None }
--- a/crates/router/src/memory/terms.rs
+++ b/crates/router/src/memory/terms.rs
@@ -15,13 +15,6 @@
     pub settings: Settings,
 }
 
-impl Issue {
-    fn classes(&self) -> Vec<Class> {
-        let both = self.settings.names.iter().zip(&self.settings.windows);
-        both.map(|(name, window)| Class { name: name.clone(), window: *window }).collect()
-    }
-}
-
 /// Where verticals stand. A place is a vertical's newest, or left behind with queries that are open by what they were
 /// promised, or free; a place that is left behind is free with the last of them, so that there are never more places than
 /// verticals that anybody goes by.
@@ -66,7 +59,8 @@
     fn place(&mut self, issue: &Issue, verticals: &mut Vec<Class>) -> Vec<Placed> {
         let mut before = self.newest.take().unwrap_or_else(|| (0..verticals.len()).collect());
         let (mut placed, mut moved) = (vec![], vec![]);
-        for (class, vertical) in issue.classes().into_iter().zip(&issue.settings.terms.verticals) {
+        for (class, vertical) in Class::all(&issue.settings).into_iter().zip(&issue.settings.terms.verticals)
+        {
             let follows = before.iter().position(|&at| verticals[at].name == class.name);
             let follows = follows.map(|i| before.remove(i));
             let stays = follows.filter(|at| self.known.get(at) == Some(vertical));
@@ -90,7 +84,7 @@
     pub fn follow_settings(&mut self, mut news: watch::Receiver<Arc<Issue>>) {
         let issue = news.borrow_and_update().clone();
         (self.trunk, self.room) = (issue.settings.trunk, self.room_by(&issue));
-        self.verticals = issue.classes();
+        self.verticals = Class::all(&issue.settings);
         self.terms.news = Some(news);
         self.terms.begin(issue);
     }
@@ -154,7 +148,7 @@
     /// The module starts anew with the newest settings and nothing open.
     pub(super) fn begin_terms(&mut self) {
         if let Some(issue) = self.terms.held.clone() {
-            self.verticals = issue.classes();
+            self.verticals = Class::all(&issue.settings);
             self.terms.begin(issue);
             self.say_taken();
         }
--- a/crates/router/src/peers/mod.rs
+++ b/crates/router/src/peers/mod.rs
@@ -271,8 +271,7 @@
     let _ = stream.set_nodelay(true);
     let (mut out, mut reader, mut space) = (vec![], Reader::<Frame>::default(), vec![0; 64 * 1024]);
     frames::hello_of::<Frame>(&mut out, &ends.peers.borrow().hello());
-    let hello = timeout(PATIENCE, greet(stream, &mut out, &mut reader, &mut space));
-    let hello = hello.await.map_err(|_| "no hello in time".to_string())??;
+    let hello = greet(stream, &mut out, &mut reader, &mut space).await?;
     let link = Link(ends, ends.greeted(&hello).map_err(|why| why.to_string())?);
     let (mut heard, patience) = (ends.clock(), SILENT * ends.terms.pulse);
     let mut beats = interval(Duration::from_secs_f64(ends.terms.beat));
--- a/crates/router/src/tier/links.rs
+++ b/crates/router/src/tier/links.rs
@@ -90,8 +90,7 @@
 async fn speak(desk: &Shared, tier: &Tier, stream: &TcpStream, share: &Arc<Share>) -> Result<(), String> {
     let mut first = Outbox::new(&tier.borrow().hello()).bytes;
     let (mut reader, mut space) = (Reader::default(), vec![0; 64 * 1024]);
-    let hello = timeout(PATIENCE, greet(stream, &mut first, &mut reader, &mut space));
-    let hello = hello.await.map_err(|_| "no hello in time".to_string())??;
+    let hello = greet(stream, &mut first, &mut reader, &mut space).await?;
     if !hello.planner {
         return Err("it is no planner".into());
     }
@@ -111,23 +110,39 @@
     }
 }
 
-/// Writes what waits, the own hello, and reads the other side's.
+/// Writes all that waits.
+pub async fn write_out(stream: &TcpStream, out: &mut Vec<u8>) -> Result<(), String> {
+    while !out.is_empty() {
+        stream.writable().await.map_err(|why| why.to_string())?;
+        match stream.try_write(out) {
+            Ok(count) => drop(out.drain(..count)),
+            Err(why) if why.kind() == ErrorKind::WouldBlock => {}
+            Err(why) => return Err(why.to_string()),
+        }
+    }
+    Ok(())
+}
+
+/// Writes what waits, the own hello, and reads the other side's, which has to come in time.
 pub async fn greet<M: Speech>(
     stream: &TcpStream,
     out: &mut Vec<u8>,
     reader: &mut Reader<M>,
     space: &mut [u8],
+) -> Result<Hello, String> {
+    let met = timeout(PATIENCE, async {
+        write_out(stream, out).await?;
+        read_hello(stream, reader, space).await
+    });
+    met.await.map_err(|_| "no hello in time".to_string())?
+}
+
+async fn read_hello<M: Speech>(
+    stream: &TcpStream,
+    reader: &mut Reader<M>,
+    space: &mut [u8],
 ) -> Result<Hello, String> {
     loop {
-        if !out.is_empty() {
-            stream.writable().await.map_err(|why| why.to_string())?;
-            match stream.try_write(out) {
-                Ok(count) => drop(out.drain(..count)),
-                Err(why) if why.kind() == ErrorKind::WouldBlock => {}
-                Err(why) => return Err(why.to_string()),
-            }
-            continue;
-        }
         match reader.read().map_err(|why| why.to_string())? {
             Some(Read::Hello(hello)) => return Ok(hello),
             Some(Read::Message(_)) => return Err("no hello came first".into()),
--- a/crates/router/src/tier/post.rs
+++ b/crates/router/src/tier/post.rs
@@ -5,6 +5,7 @@
 use crate::life::start::Station;
 use crate::life::{logger, stop};
 use crate::memory::clock::Clock;
+use alderway::choice::Router;
 use alderway::host::Common;
 use alderway_tier::frames::{Hello, Read, Reader, VERSION};
 use std::cell::RefCell;
@@ -31,9 +32,9 @@
 
 /// Runs a planner until SIGTERM has been seen through: it takes nothing new, and what it holds ends first.
 pub async fn run(station: Station, clock: Clock) -> io::Result<()> {
-    let Station { path, beside, name, listen, discovery, roster, module, fixed, .. } = station;
+    let Station { path, beside, name, listen, discovery, roster, seed, fixed, .. } = station;
     let (mut terms, hangups) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
-    let mut router = module().map_err(io::Error::other)?;
+    let mut router = Router::new(seed, station.began.terms);
     // It tells forwarders what it sees of data nodes, as one core tells others.
     router.join(Common::new(2).of(0));
     let verticals = station.verticals.len();
@@ -44,7 +45,7 @@
     tracing::info!(target: "start", "{name} listens at {at}: a planner");
     let (agent, address) = watch::channel(discovery);
     spawn_local(discovery::run(shared.clone(), address));
-    spawn_local(reload::at_sighup(hangups, Was { path, beside, fixed }, agent, clock));
+    spawn_local(reload::at_sighup(hangups, Was { path, beside, fixed }, agent, clock, None));
     let hello = Hello { version: VERSION, planner: true, incarnation: incarnation(), name };
     spawn_local(accept(shared.clone(), listener, hello));
     spawn_local(beats(shared.clone()));
@@ -66,7 +67,7 @@
     Ok(())
 }
 
-async fn rounds(planner: Shared, mut router: alderway::choice::Router) {
+async fn rounds(planner: Shared, mut router: Router) {
     let (clock, wake) = (planner.borrow().clock, planner.borrow().wake.clone());
     loop {
         let due = planner.borrow().next_due();
--- a/crates/router/tests/desk.rs
+++ b/crates/router/tests/desk.rs
@@ -438,16 +438,21 @@
     });
 }
 
+/// A client's connection to a desk that listens, in the story's own runtime.
+async fn listened_to(desk: &Rc<std::cell::RefCell<Desk>>) -> tokio::net::TcpStream {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let share = descriptors::shares(64, usize::MAX, 1).0;
+    tokio::task::spawn_local(clients::listen(desk.clone(), listener, share, Rc::default()));
+    tokio::net::TcpStream::connect(address).await.expect("connected")
+}
+
 #[rstest]
 fn a_connection_dismissed_with_a_request_unread_serves_it_first() {
     let desk = Rc::new(std::cell::RefCell::new(desk()));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     tokio::task::LocalSet::new().block_on(&runtime, async {
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let address = listener.local_addr().expect("an address");
-        let share = descriptors::shares(64, usize::MAX, 1).0;
-        tokio::task::spawn_local(clients::listen(desk.clone(), listener, share, Rc::default()));
-        let mut stream = tokio::net::TcpStream::connect(address).await.expect("connected");
+        let mut stream = listened_to(&desk).await;
         let mut answer = [0; 200];
         for dismissed in [false, true] {
             stream.writable().await.expect("writable");
@@ -496,11 +501,7 @@
 fn a_connection_dismissed_as_a_request_begins_to_come_serves_it_and_closes() {
     played(async {
         let desk = Rc::new(std::cell::RefCell::new(desk()));
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let address = listener.local_addr().expect("an address");
-        let share = descriptors::shares(64, usize::MAX, 1).0;
-        tokio::task::spawn_local(clients::listen(desk.clone(), listener, share, Rc::default()));
-        let mut stream = tokio::net::TcpStream::connect(address).await.expect("connected");
+        let mut stream = listened_to(&desk).await;
         let mut answer = [0; 200];
         stream.write_all(b"GET /up HTTP/1.1\r\n\r\n").await.expect("written");
         assert!(stream.read(&mut answer).await.expect("an answer") > 0);
@@ -521,11 +522,7 @@
 fn a_client_that_speaks_as_its_connection_closes_is_not_reset() {
     played(async {
         let desk = Rc::new(std::cell::RefCell::new(desk()));
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let address = listener.local_addr().expect("an address");
-        let share = descriptors::shares(64, usize::MAX, 1).0;
-        tokio::task::spawn_local(clients::listen(desk.clone(), listener, share, Rc::default()));
-        let mut stream = tokio::net::TcpStream::connect(address).await.expect("connected");
+        let mut stream = listened_to(&desk).await;
         let mut answer = [0; 200];
         stream.write_all(b"GET /up HTTP/1.1\r\n\r\n").await.expect("written");
         assert!(stream.read(&mut answer).await.expect("an answer") > 0);
--- a/crates/router/tests/subscription.rs
+++ b/crates/router/tests/subscription.rs
@@ -9,6 +9,7 @@
 use alderway_controller::subscriptions::Subscriptions;
 use alderway_router::control::kept::{self, Kept};
 use alderway_router::control::{Offer, Subscription, start};
+use alderway_router::life::start::Station;
 use alderway_router::memory::clock::Clock;
 use alderway_router::memory::house::{Figures, House, Sharing};
 use alderway_tier::frames::{self, Hello, Speech};
@@ -321,9 +322,7 @@
 fn with_all_gone_a_router_starts_with_what_it_kept_and_is_current_once_one_is_back() {
     let place = Place::new("gone");
     let keep = place.file("version");
-    let config = place.file("config");
-    let own = r#"{"name": "r", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": "#;
-    std::fs::write(&config, format!("{own}{}}}", settings(0))).expect("written");
+    let config = configured(&place);
     story(async {
         let mut desk = Desk::new("c1", 1).await;
         let router =
@@ -364,6 +363,21 @@
     assert_eq!(station.settings, settings(3));
 }
 
+/// A configuration with settings 0.
+fn configured(place: &Place) -> PathBuf {
+    let config = place.file("config");
+    let own = r#"{"name": "r", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": "#;
+    std::fs::write(&config, format!("{own}{}}}", settings(0))).expect("written");
+    config
+}
+
+/// What a router with that configuration starts with, given a kept file.
+fn started_from(place: &Place, keep: PathBuf, machines: Vec<(Machine, SocketAddr)>) -> Station {
+    let (zone, keep) = (String::new(), Some(keep));
+    let subscription = Subscription { machines, zone, terms: quick(), keep, kept: None, said: None };
+    kept::station(subscription, &configured(place), Clock::default(), None).expect("a station")
+}
+
 #[rstest]
 #[case::cut_short(|text: &str| text[..text.len() - 9].to_string(), "torn or not of this program")]
 #[case::a_byte_changed(|text: &str| text.replace("site-search", "site-saerch"), "torn or not of this program")]
@@ -371,24 +385,14 @@
 #[case::anothers(|_: &str| "x".repeat(100_000), "longer than any version")]
 fn a_torn_kept_file_is_said_and_ignored(#[case] tear: fn(&str) -> String, #[case] why: &str) {
     let place = Place::new("torn");
-    let (keep, config) = (place.file("version"), place.file("config"));
-    let own = r#"{"name": "r", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": "#;
-    std::fs::write(&config, format!("{own}{}}}", settings(0))).expect("written");
+    let keep = place.file("version");
     let sound =
         Kept { settled: Settled::new(7, &settings(7).to_string()), as_of_unix_ms: Some(1_700_000_000_000) };
     kept::write(&keep, &sound).expect("written");
     assert_eq!(kept::read(&keep), Ok(Some(sound)));
     let text = std::fs::read_to_string(&keep).expect("there");
     std::fs::write(&keep, tear(&text)).expect("written");
-    let subscription = Subscription {
-        machines: vec![(machine("c1", "z1"), closed())],
-        zone: String::new(),
-        terms: quick(),
-        keep: Some(keep),
-        kept: None,
-        said: None,
-    };
-    let station = kept::station(subscription, &config, Clock::default(), None).expect("a station");
+    let station = started_from(&place, keep, vec![(machine("c1", "z1"), closed())]);
     assert_eq!(station.settings, settings(0));
     let control = station.control.expect("a subscription");
     assert!(control.kept.is_none());
@@ -399,20 +403,10 @@
 #[rstest]
 fn a_kept_version_that_is_faulty_here_is_said_and_ignored() {
     let place = Place::new("faulty");
-    let (keep, config) = (place.file("version"), place.file("config"));
-    let own = r#"{"name": "r", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": "#;
-    std::fs::write(&config, format!("{own}{}}}", settings(0))).expect("written");
+    let keep = place.file("version");
     let faulty = Kept { settled: Settled::new(7, r#"{"Limits":{}}"#), as_of_unix_ms: None };
     kept::write(&keep, &faulty).expect("written");
-    let subscription = Subscription {
-        machines: vec![],
-        zone: String::new(),
-        terms: quick(),
-        keep: Some(keep),
-        kept: None,
-        said: None,
-    };
-    let station = kept::station(subscription, &config, Clock::default(), None).expect("a station");
+    let station = started_from(&place, keep, vec![]);
     assert_eq!(station.settings, settings(0));
     let said = station.control.and_then(|control| control.said).expect("a line of the log");
     assert!(said.starts_with("version 7 of the kept file: key `settings`: expected "), "{said}");
