--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod relay;
 pub mod scale;
 pub mod shuffle;
+pub mod soak;
 pub mod tiers;
 pub mod trial;
 pub mod wires;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,6 +5,7 @@
 use alderway_lab::program::{Build, Setting, beside};
 use alderway_lab::scale::Scale;
 use alderway_lab::shuffle::{self, Run};
+use alderway_lab::soak;
 use alderway_lab::tiers::{self, Day};
 use alderway_lab::trial::{self, Subject, Trial};
 use clap::{Args, Parser, Subcommand};
@@ -57,6 +58,8 @@
     /// One router at the size of its site: processor, memory, descriptors and latency by nodes, parts, rate and cores
     #[command(subcommand)]
     Scale(Scale),
+    /// Real routers under overlapping troubles drawn from seeds, judged by the rules; ends non-zero where one breaks
+    Soak(soak::command::Command),
     /// Data nodes drain one after the other: when the last new call reached each
     Drain {
         #[command(flatten)]
@@ -400,6 +403,7 @@
         What::Tiers(tiers) => return ended(tiers.run()),
         What::Capacity(capacity) => return ended(capacity.run()),
         What::Scale(scale) => return scale.run(),
+        What::Soak(soak) => return ended(soak.run()),
         _ => {}
     }
     let (What::Cores { common, .. }
@@ -415,7 +419,7 @@
         What::Slow { times, rate, .. } => trial::slow_node(trial, subject, seed, *times, *rate),
         What::Cost { rate, .. } => trial::cost(trial, subject, seed, *rate),
         What::Drain { rate, .. } => trial::drain(trial, subject, seed, *rate),
-        What::Layouts(_) | What::Tiers(_) | What::Capacity(_) | What::Scale(_) => {
+        What::Layouts(_) | What::Tiers(_) | What::Capacity(_) | What::Scale(_) | What::Soak(_) => {
             Err("not a trial of subjects".into())
         }
     });
--- /dev/null
+++ b/crates/lab/src/soak/scenario.rs
@@ -0,0 +1,312 @@
+//! What a seed draws: the deployment, how each router is run, and when which trouble happens.
+use super::Soak;
+use crate::draw;
+use rand_pcg::Pcg32;
+use std::fmt;
+
+/// What a class of requests allows.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Effect {
+    Idempotent,
+    /// Repeats are dropped for so many seconds.
+    Deduplicated(f64),
+    AtMostOnce,
+}
+
+#[derive(Clone, Debug)]
+pub struct Class {
+    pub name: &'static str,
+    pub effect: Effect,
+    pub slo: f64,
+    pub deadline: f64,
+    /// Least share of an answer.
+    pub floor: f64,
+}
+
+/// How a router is run.
+#[derive(Clone, Debug)]
+pub struct RouterPlan {
+    /// Cores, by the operator's file; one is the platform's own program.
+    pub cores: usize,
+    /// Faults of system calls and clocks, as text for the preloaded library; none at all where it is empty.
+    pub faults: String,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum NodeTrouble {
+    /// Takes parts and answers none.
+    Hang,
+    Slow,
+    /// Answers `failed`.
+    Fail,
+    /// Answers `full`.
+    Full,
+    /// Answers that cannot be read.
+    Garble,
+    /// Half an answer, then the connection ends.
+    Truncate,
+    /// Answers twice.
+    Twice,
+    /// Closes connections on which nothing is out.
+    CloseIdle,
+    /// Accepts connections and resets them at once.
+    Refuse,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum LinkTrouble {
+    /// Nothing passes from the router to the data node, back, or both ways, until it is over.
+    HoldThere,
+    HoldBack,
+    HoldBoth,
+    Delay,
+    /// Answers come in small pieces.
+    Drip,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum DiscoveryTrouble {
+    /// Open watches and new ones say nothing.
+    Silent,
+    /// New connections are reset, watches end.
+    Down,
+    /// New watches get a head and nothing more.
+    HeadOnly,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Act {
+    Node(usize, NodeTrouble),
+    /// Resets all connections of a data node.
+    ResetNode(usize),
+    Link(usize, usize, LinkTrouble),
+    Discovery(usize, DiscoveryTrouble),
+    /// Ends a router's watches; with a reset or in order.
+    CutWatch(usize, bool),
+    Drain(usize),
+    /// Leaves the list and ends a moment later.
+    Remove(usize),
+    /// Ends and starts again, cold, at once.
+    RestartNode(usize),
+    Terminate(usize),
+    Kill(usize),
+    /// Stands still for the trouble's span.
+    Hold(usize),
+    /// A new configuration that moves discovery, and SIGHUP.
+    Reload(usize),
+    /// A configuration that cannot be read, and SIGHUP.
+    SpoiltReload(usize),
+}
+
+/// One trouble: what begins when, and for how long where it lasts.
+#[derive(Clone, Copy, Debug)]
+pub struct Trouble {
+    pub at: f64,
+    pub lasts: f64,
+    pub act: Act,
+}
+
+impl fmt::Display for Trouble {
+    fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
+        write!(out, "{:.2} for {:.2}: {:?}", self.at, self.lasts, self.act)
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    pub seed: u64,
+    pub seconds: f64,
+    pub routers: Vec<RouterPlan>,
+    pub nodes: usize,
+    pub cells: usize,
+    pub reach: usize,
+    pub shards: u32,
+    pub classes: Vec<Class>,
+    /// Seconds after which nothing new may go to a data node that a router was told drains or is gone.
+    pub grace: f64,
+    /// Free attempts, ratio, and window in seconds of the budget for further attempts.
+    pub budget: Option<(f64, f64, f64)>,
+    pub troubles: Vec<Trouble>,
+}
+
+/// Draws with helpers for what is drawn most.
+pub struct Chance(Pcg32);
+
+impl Chance {
+    pub fn new(seed: u64, stream: u64) -> Chance {
+        Chance(Pcg32::new(seed, stream))
+    }
+
+    pub fn draw(&mut self) -> f64 {
+        draw(&mut self.0)
+    }
+
+    pub fn between(&mut self, low: f64, high: f64) -> f64 {
+        low + (high - low) * self.draw()
+    }
+
+    pub fn below(&mut self, count: usize) -> usize {
+        ((self.draw() * count as f64) as usize).min(count.saturating_sub(1))
+    }
+
+    pub fn happens(&mut self, share: f64) -> bool {
+        self.draw() < share
+    }
+
+    pub fn pick<T: Copy>(&mut self, from: &[T]) -> T {
+        from[self.below(from.len())]
+    }
+}
+
+const NODE_TROUBLES: [NodeTrouble; 9] = [
+    NodeTrouble::Hang,
+    NodeTrouble::Slow,
+    NodeTrouble::Fail,
+    NodeTrouble::Full,
+    NodeTrouble::Garble,
+    NodeTrouble::Truncate,
+    NodeTrouble::Twice,
+    NodeTrouble::CloseIdle,
+    NodeTrouble::Refuse,
+];
+const LINK_TROUBLES: [LinkTrouble; 5] = [
+    LinkTrouble::HoldThere,
+    LinkTrouble::HoldBack,
+    LinkTrouble::HoldBoth,
+    LinkTrouble::Delay,
+    LinkTrouble::Drip,
+];
+const DISCOVERY_TROUBLES: [DiscoveryTrouble; 3] =
+    [DiscoveryTrouble::Silent, DiscoveryTrouble::Down, DiscoveryTrouble::HeadOnly];
+/// Faults inside a router's process; each process draws some of them. Those that would end a start begin after it.
+const PROCESS_FAULTS: [&str; 10] = [
+    "eintr=0.01",
+    "short=0.05",
+    "nobufs=0.003",
+    "accept=0.1",
+    "noport=0.03@1-",
+    "noroute=0.02@1-",
+    "nosocket=0.03@1-",
+    "hold=0.002",
+    "wall=3600@4-",
+    "wobble=3600",
+];
+
+impl Scenario {
+    pub fn drawn(soak: &Soak, seed: u64) -> Scenario {
+        let mut chance = Chance::new(seed, 11);
+        let without = |name: &str| soak.without.iter().any(|word| name.to_lowercase().contains(word));
+        let plan = |chance: &mut Chance| {
+            let mut faults = String::new();
+            for fault in PROCESS_FAULTS {
+                if chance.happens(0.25) && !without(fault) {
+                    faults = format!("{faults} {fault}");
+                }
+            }
+            let cores = if chance.happens(0.25) && !without("cores") { 2 } else { 1 };
+            RouterPlan { cores, faults }
+        };
+        let routers = (0..soak.routers).map(|_| plan(&mut chance)).collect();
+        let class = |chance: &mut Chance, name, effect, floor| {
+            let slo = chance.between(0.3, 0.6);
+            Class { name, effect, slo, deadline: slo * chance.between(1.5, 4.0), floor }
+        };
+        let window = chance.between(0.3, 1.0);
+        let floor = chance.pick(&[1.0, 0.5]);
+        let classes = vec![
+            class(&mut chance, "read", Effect::Idempotent, floor),
+            class(&mut chance, "keyed", Effect::Deduplicated(window), 1.0),
+            class(&mut chance, "write", Effect::AtMostOnce, 1.0),
+        ];
+        let (cells, reach) = if chance.happens(0.5) { (1, 1) } else { (3, 2) };
+        let mut scenario = Scenario {
+            seed,
+            seconds: soak.seconds,
+            routers,
+            nodes: soak.nodes,
+            cells,
+            reach,
+            shards: 12,
+            classes,
+            grace: chance.pick(&[0.25, 0.5, 1.0]),
+            budget: chance.happens(0.5).then_some((10.0, 0.05, 10.0)),
+            troubles: vec![],
+        };
+        scenario.draw_troubles(&mut chance, &without);
+        scenario
+    }
+
+    /// Troubles begin every quarter of a second in the mean and last longer than that, so that several overlap.
+    fn draw_troubles(&mut self, chance: &mut Chance, without: &impl Fn(&str) -> bool) {
+        let mut at = 1.0;
+        while at < self.seconds - 1.0 {
+            let (router, node) = (chance.below(self.routers.len()), chance.below(self.nodes));
+            let act = match chance.below(20) {
+                0..=4 => Act::Node(node, chance.pick(&NODE_TROUBLES)),
+                5 => Act::ResetNode(node),
+                6..=8 => Act::Link(router, node, chance.pick(&LINK_TROUBLES)),
+                9 => Act::Discovery(router, chance.pick(&DISCOVERY_TROUBLES)),
+                10 => Act::CutWatch(router, chance.happens(0.5)),
+                11 | 12 => Act::Drain(node),
+                13 => Act::Remove(node),
+                14 => Act::RestartNode(node),
+                15 | 16 => Act::Terminate(router),
+                17 => Act::Kill(router),
+                18 => Act::Hold(router),
+                _ if chance.happens(0.7) => Act::Reload(router),
+                _ => Act::SpoiltReload(router),
+            };
+            let longest = match act {
+                Act::Hold(_) => 0.8,
+                Act::Discovery(..) => 6.0,
+                _ => 2.5,
+            };
+            let lasts = chance.between(0.1, longest);
+            if !without(&format!("{act:?}")) {
+                self.troubles.push(Trouble { at, lasts, act });
+            }
+            at += chance.between(0.05, 0.45);
+        }
+    }
+
+    /// The cell of a data node by its number.
+    pub fn cell(&self, node: usize) -> usize {
+        node % self.cells
+    }
+
+    /// The settings as routers read them.
+    pub fn settings(&self) -> String {
+        let micros = |seconds: f64| (seconds * 1e6) as u64;
+        let service = |class: &Class| {
+            let (effect, window) = match class.effect {
+                Effect::Idempotent => ("idempotent", 0.0),
+                Effect::Deduplicated(window) => ("deduplicated", window),
+                Effect::AtMostOnce => ("at_most_once", 0.0),
+            };
+            let (slo, deadline, window) = (micros(class.slo), micros(class.deadline), micros(window));
+            format!(
+                r#"{{"Name":"{}","PromiseUs":{slo},"DeadlineUs":{deadline},"Effect":"{effect}","WindowUs":{window},"Worth":1,"LateShare":0.3}}"#,
+                class.name
+            )
+        };
+        let services: Vec<String> = self.classes.iter().map(service).collect();
+        let floors: Vec<String> = self.classes.iter().map(|class| class.floor.to_string()).collect();
+        let budget = self.budget.map_or(String::new(), |(free, ratio, window)| {
+            format!(r#""ExtraFree":{free},"ResendRatio":{ratio},"CountedOverUs":{}"#, micros(window))
+        });
+        format!(
+            r#"{{"Extra":{{"Cells":{},"Reach":{},"Slices":{},"BundleMax":4,"PerCallWorkUs":2000,
+            "ClassNeed":[1,1,1],"FloorByClass":[{}]}},
+            "Discovery":"automatic","TickUs":2000,"ReplicasOfMe":{},"Obligations":{{{budget}}},
+            "Limits":{{"MayCancel":true,"ParallelTries":true,"MaxAttempts":4,"MaxOpen":400,
+            "StreamsPerConn":4,"DialTimeoutUs":250000,"KeepaliveUs":3000000}},
+            "Services":[{}]}}"#,
+            self.cells,
+            self.reach,
+            self.shards,
+            floors.join(","),
+            self.routers.len(),
+            services.join(",")
+        )
+    }
+}
