Failing test: several cores held up as they are told to end lose connections

Cause: drive/lead.rs stops looking at the cores once SIGTERM has come, so a core that was found silent is dealt nothing any more, and the lead counts its own pause as theirs.

--- a/crates/alderway/tests/cores.rs
+++ b/crates/alderway/tests/cores.rs
@@ -374,3 +374,20 @@
     // One more may be discovery's connection in passing.
     assert!(open < descriptors::apart(cores), "{open} open on {cores} cores");
 }
+
+#[rstest]
+fn what_connects_to_a_program_that_stood_still_as_it_was_told_to_end_is_served() {
+    let house = house(2, 2, &Setting::default());
+    house.program.signal(Signal::SIGSTOP);
+    let mut clients: Vec<Client> = (0..6).map(|_| Client::to(&house.program)).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.query(&format!("q{number}"), 2000);
+    }
+    // For longer than a core may be silent.
+    thread::sleep(Duration::from_millis(700));
+    house.program.signal(Signal::SIGTERM);
+    house.program.signal(Signal::SIGCONT);
+    for client in &mut clients {
+        assert_eq!(client.answer().0, 200);
+    }
+}
--- a/crates/lab/src/soak/world.rs
+++ b/crates/lab/src/soak/world.rs
@@ -290,7 +290,7 @@
 }
 
 fn change(world: &Rc<World>, entry: Entry) {
-    world.list.set(entry.clone());
+    let entry = world.list.set(entry);
     for router in 0..world.scenario.routers.len() {
         spawn_local(discovery::count_as_told(world.clone(), router, entry.clone()));
     }
