Failing tests: calls that begin for a client that left, or at a drain, behind a pause

Cause: after a pause the runtime runs tasks in the order in which their sockets became ready, so a dial that came up first has its call written before the client's end, or the word of a drain, is read (drive/nodes.rs, speak).

--- a/crates/router/tests/system_faults.rs
+++ b/crates/router/tests/system_faults.rs
@@ -1,7 +1,10 @@
 //! System calls that fail as Linux documents, and a wall clock that steps, while the program serves and stops.
 mod common;
 use common::*;
+use nix::sys::socket::{Backlog, listen};
 use rstest::rstest;
+use std::io::Read;
+use std::net::{TcpListener, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -88,3 +91,85 @@
     let told = Duration::from_millis(told.parse().expect("a number"));
     assert!(told <= left + Duration::from_millis(150), "told {told:?}, left {left:?}");
 }
+
+/// A data node whose dial stays pending until it accepts: its queue of connections is full.
+struct Reluctant {
+    listener: TcpListener,
+    queued: Vec<TcpStream>,
+}
+
+impl Reluctant {
+    fn new() -> Reluctant {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        listen(&listener, Backlog::new(0).expect("in range")).expect("a short queue");
+        let address = listener.local_addr().expect("an address");
+        let dial = || TcpStream::connect_timeout(&address, Duration::from_millis(100));
+        let queued = std::iter::from_fn(|| dial().ok()).collect();
+        Reluctant { listener, queued }
+    }
+
+    /// Accepts all that waited and then the program's connection, which its system tries again meanwhile.
+    fn accept(self) -> TcpStream {
+        self.queued.iter().for_each(|_| drop(self.listener.accept().expect("a queued connection")));
+        self.listener.accept().expect("the program's connection").0
+    }
+}
+
+/// Settings under which a dial may take seconds.
+fn patient_settings() -> String {
+    settings(8000, 180)
+        .replace("\"DeadlineUs\":5000000", "\"DeadlineUs\":9000000")
+        .replace("\"DialTimeoutUs\":250000", "\"DialTimeoutUs\":6000000")
+}
+
+/// Waits until something has been counted once.
+fn counted(program: &Program, name: &str) {
+    let end = Instant::now() + PATIENCE;
+    while program.counters().get(name) != Some(&1) {
+        assert!(Instant::now() < end, "{name} is not counted");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// The dial comes up, and then the client leaves, while the program stands still.
+#[rstest]
+fn nothing_begins_for_a_client_that_left_while_the_program_stood_still() {
+    let (node, agent) = (Reluctant::new(), Agent::new());
+    let address = node.listener.local_addr().expect("an address");
+    let settings = patient_settings();
+    let program = Program::start(&[address], agent.address, &settings, r#"{"sockets":256}"#);
+    let mut client = program.connect();
+    client.ask("q", &[1], 9000);
+    counted(&program, "leaf_calls_sent{first}");
+    program.signal("STOP");
+    let mut call = node.accept();
+    drop(client);
+    program.signal("CONT");
+    counted(&program, "queries_left{site-search}");
+    call.set_read_timeout(Some(Duration::from_millis(300))).expect("set");
+    let came = call.read(&mut [0; 64]);
+    assert!(!matches!(came, Ok(1..)), "a call began for a client that had left");
+}
+
+/// The same where the data node begins to drain instead.
+#[rstest]
+fn nothing_begins_at_a_data_node_that_drains_since_the_program_stood_still() {
+    let (node, agent) = (Reluctant::new(), Agent::new());
+    let address = node.listener.local_addr().expect("an address");
+    let settings = patient_settings();
+    let program = Program::start(&[address], agent.address, &settings, r#"{"sockets":256}"#);
+    let (_, mut watch) = agent.watch();
+    tell(&mut watch, &object(42, true, &[entry("s-0", address, "SERVING")]));
+    program.says("whole list 42");
+    let mut client = program.connect();
+    client.ask("q", &[1], 9000);
+    counted(&program, "leaf_calls_sent{first}");
+    program.signal("STOP");
+    let mut call = node.accept();
+    tell(&mut watch, &object(43, false, &[entry("s-0", address, "DRAINING")]));
+    program.signal("CONT");
+    program.says("change 43");
+    call.set_read_timeout(Some(Duration::from_millis(300))).expect("set");
+    let came = call.read(&mut [0; 64]);
+    assert!(!matches!(came, Ok(1..)), "a call began at a data node that drains");
+}
