One way of reading, writing, accepting and dialling; pauses and stamps without wall clock

Cause: each driver matched on error kinds by itself, and all but EAGAIN ended a connection; stamps of arrival were compared with a wall clock that may step; after a pause, calls began before what had come meanwhile was read; a dial for which this machine had no descriptor or port was told as a node that cannot be reached. Change: crates/sockets says which errors pass, which are waited out and which end a connection, for all drivers of router, tiers, peers, control and controller; memory/stamps.rs compares stamps only with each other; memory/stalls.rs has calls and rounds wait until what came in a pause is read; a dial short of resources ends its calls as never sent.

--- a/crates/controller/src/door.rs
+++ b/crates/controller/src/door.rs
@@ -12,7 +12,6 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -172,11 +171,10 @@
         if ready.is_err() {
             return Ok(None);
         }
-        match stream.try_read(space) {
-            Ok(0) => return Ok(None),
-            Ok(count) => reader.feed(&space[..count]),
-            Err(why) if why.kind() == ErrorKind::WouldBlock => {}
-            Err(_) => return Ok(None),
+        match alderway_sockets::read(stream, space) {
+            Ok(Some(0)) | Err(_) => return Ok(None),
+            Ok(Some(count)) => reader.feed(&space[..count]),
+            Ok(None) => {}
         }
     }
 }
--- a/crates/controller/src/links.rs
+++ b/crates/controller/src/links.rs
@@ -4,10 +4,10 @@
 use crate::listen::serve_each;
 use alderway_control::machine::{Name, Word};
 use alderway_router::tier::links::{PATIENCE, Waits, greet};
+use alderway_sockets::Sender;
 use alderway_tier::frames::{self, Hello, Read, Reader, Speech};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -91,7 +91,7 @@
 async fn keep(held: Held, name: Name, at: SocketAddr, seed: u64) {
     let mut waits = Waits::new(seed);
     loop {
-        if let Ok(Ok(stream)) = timeout(PATIENCE, TcpStream::connect(at)).await {
+        if let Ok(Ok(stream)) = timeout(PATIENCE, alderway_sockets::dial(at)).await {
             let from = Instant::now();
             if let Err(why) = speak(&held, &name, &stream).await {
                 tracing::warn!(target: "links", "{name} at {at}: {why}");
@@ -107,6 +107,7 @@
 
 async fn speak(held: &Held, name: &str, stream: &TcpStream) -> Result<(), String> {
     let _ = stream.set_nodelay(true);
+    let mut sender = Sender::default();
     let (mut out, mut reader, mut space) = (vec![], Reader::<Said>::default(), vec![0; 1024]);
     frames::hello_of::<Said>(&mut out, &hello(held));
     let met = greet(stream, &mut out, &mut reader, &mut space).await?;
@@ -127,13 +128,13 @@
             moved = Instant::now();
         }
         if !out.is_empty() {
-            match stream.try_write(&out) {
-                Ok(count) => {
+            match sender.write(stream, &out) {
+                Ok(count @ 1..) => {
                     drop(out.drain(..count));
                     moved = Instant::now();
                     continue;
                 }
-                Err(why) if why.kind() == ErrorKind::WouldBlock => {}
+                Ok(_) => {}
                 Err(_) => return Ok(()),
             }
         }
@@ -143,13 +144,13 @@
                     return Ok(());
                 }
                 // Nobody answers on a link that was dialled: what can be read is its end.
-                match stream.try_read(&mut space) {
-                    Err(why) if why.kind() == ErrorKind::WouldBlock => {}
-                    Ok(0) | Err(_) => return Ok(()),
-                    Ok(_) => return Err("it speaks on a link that it did not dial".into()),
+                match alderway_sockets::read(stream, &mut space) {
+                    Ok(None) => {}
+                    Ok(Some(0)) | Err(_) => return Ok(()),
+                    Ok(Some(_)) => return Err("it speaks on a link that it did not dial".into()),
                 }
             }
-            _ = stream.writable(), if !out.is_empty() => {}
+            () = sender.ready(stream), if !out.is_empty() => {}
             () = wake.notified(), if out.is_empty() => {}
             () = sleep(STUCK), if !out.is_empty() => {}
         }
@@ -211,11 +212,10 @@
         if stream.readable().await.is_err() {
             return Ok(());
         }
-        match stream.try_read(&mut space) {
-            Ok(0) => return Ok(()),
-            Ok(count) => reader.feed(&space[..count]),
-            Err(why) if why.kind() == ErrorKind::WouldBlock => {}
-            Err(_) => return Ok(()),
+        match alderway_sockets::read(stream, &mut space) {
+            Ok(Some(0)) | Err(_) => return Ok(()),
+            Ok(Some(count)) => reader.feed(&space[..count]),
+            Ok(None) => {}
         }
     }
 }
--- a/crates/controller/src/listen.rs
+++ b/crates/controller/src/listen.rs
@@ -16,7 +16,7 @@
 ) {
     let open = Rc::new(Cell::new(0));
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, _)) = alderway_sockets::accept(&listener).await else {
             sleep(pause).await;
             continue;
         };
--- a/crates/controller/src/subscriptions.rs
+++ b/crates/controller/src/subscriptions.rs
@@ -7,10 +7,11 @@
 use alderway_control::words::{Say, Tell};
 use alderway_router::memory::clock::Clock;
 use alderway_router::tier::links::greet;
+use alderway_sockets::Sender;
 use alderway_tier::frames::{self, Hello, Read, Reader, Speech};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::io::{self, ErrorKind};
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -207,6 +208,7 @@
     inner.end_formers();
     // Bytes since the last whole word.
     let mut unread = 0;
+    let mut sender = Sender::default();
     loop {
         loop {
             match reader.read().map_err(|why| format!("{}: {why}", hello.name))? {
@@ -227,9 +229,8 @@
             let mut out = held.2.out.borrow_mut();
             let given = !out.is_empty();
             if given {
-                match stream.try_write(&out) {
+                match sender.write(stream, &out) {
                     Ok(count) => drop(out.drain(..count)),
-                    Err(why) if why.kind() == ErrorKind::WouldBlock => {}
                     Err(_) => return Ok(()),
                 }
                 if out.is_empty() {
@@ -241,17 +242,16 @@
         };
         tokio::select! {
             ready = stream.readable() => if ready.is_err() { return Ok(()) },
-            _ = stream.writable(), if waits => continue,
+            () = sender.ready(stream), if waits => continue,
             () = held.2.ready.notified() => continue,
         }
-        match stream.try_read(&mut space) {
-            Ok(0) => return Ok(()),
-            Ok(count) => {
+        match alderway_sockets::read(stream, &mut space) {
+            Ok(Some(0)) | Err(_) => return Ok(()),
+            Ok(Some(count)) => {
                 unread += count;
                 reader.feed(&space[..count]);
             }
-            Err(why) if why.kind() == ErrorKind::WouldBlock => {}
-            Err(_) => return Ok(()),
+            Ok(None) => {}
         }
     }
 }
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -10,12 +10,13 @@
 use alderway_control::subscriber::{Machine, Order, Settled, Subscriber, Terms};
 use alderway_control::version::Number;
 use alderway_control::words::{Outcome, Say, Tell};
+use alderway_sockets::Sender;
 use alderway_tier::frames::{self, Hello, Read, Reader, Speech};
 use alderway_tier::{Incarnation, Name};
 use kept::Kept;
 use serde_json::Value;
 use std::future::pending;
-use std::io::{self, ErrorKind};
+use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::pin::Pin;
@@ -160,6 +161,7 @@
 /// A connection to a control machine.
 struct Wire {
     stream: TcpStream,
+    sender: Sender,
     machine: usize,
     greeted: bool,
     reader: Reader<Tell>,
@@ -182,7 +184,7 @@
                 Order::Dial(machine) => {
                     wire = None;
                     let Some((_, at)) = ends.machines.get(machine).cloned() else { continue };
-                    dial = Some((machine, Box::pin(TcpStream::connect(at))));
+                    dial = Some((machine, Box::pin(alderway_sockets::dial(at))));
                 }
                 Order::Leave => (wire, dial) = (None, None),
                 Order::Offer { number, settings } => offer = Some((number, (ends.offer)(settings, number))),
@@ -224,7 +226,8 @@
                         let hello = Hello { version: Say::VERSION, planner: false, incarnation, name };
                         let mut out = vec![];
                         frames::hello_of::<Say>(&mut out, &hello);
-                        wire = Some(Wire { stream, machine, greeted: false, reader: Reader::default(), out });
+                        let (sender, reader) = (Sender::default(), Reader::default());
+                        wire = Some(Wire { stream, sender, machine, greeted: false, reader, out });
                     }
                     Err(_) => subscriber.closed(clock.now()),
                 }
@@ -237,15 +240,15 @@
             ready = readable(&wire), if reads => {
                 let read = ready && wire.as_mut().is_some_and(|held| {
                     let Some(space) = space.get_mut(..room) else { return false };
-                    match held.stream.try_read(space) {
-                        Ok(0) => false,
-                        Ok(count) => {
+                    match alderway_sockets::read(&held.stream, space) {
+                        Ok(Some(0)) | Err(_) => false,
+                        Ok(Some(count)) => {
                             budget.take(count, clock.now());
                             bytes.0 += count as u64;
                             held.reader.feed(&space[..count]);
                             true
                         }
-                        Err(why) => why.kind() == ErrorKind::WouldBlock,
+                        Ok(None) => true,
                     }
                 });
                 let sound = read && wire.as_mut().is_some_and(|held| hear(held, &mut subscriber, &ends));
@@ -253,8 +256,8 @@
                     subscriber.closed(clock.now());
                 }
             }
-            ready = writable(&wire), if waits => {
-                let sound = ready && wire.as_mut().is_some_and(|held| flush(held, &mut bytes.1));
+            () = writable(&wire), if waits => {
+                let sound = wire.as_mut().is_some_and(|held| flush(held, &mut bytes.1));
                 if !sound && wire.take().is_some() {
                     subscriber.closed(clock.now());
                 }
@@ -290,13 +293,13 @@
 
 /// Writes what waits, as far as it is taken; false ends the connection.
 fn flush(wire: &mut Wire, sum: &mut u64) -> bool {
-    match wire.stream.try_write(&wire.out) {
+    match wire.sender.write(&wire.stream, &wire.out) {
         Ok(count) => {
             drop(wire.out.drain(..count));
             *sum += count as u64;
             true
         }
-        Err(why) => why.kind() == ErrorKind::WouldBlock,
+        Err(_) => false,
     }
 }
 
@@ -321,9 +324,9 @@
     }
 }
 
-async fn writable(wire: &Option<Wire>) -> bool {
+async fn writable(wire: &Option<Wire>) {
     match wire {
-        Some(wire) => wire.stream.writable().await.is_ok(),
+        Some(wire) => wire.sender.ready(&wire.stream).await,
         None => pending().await,
     }
 }
--- a/crates/router/src/drive/clients.rs
+++ b/crates/router/src/drive/clients.rs
@@ -9,7 +9,7 @@
 use crate::wire::answer;
 use crate::wire::buffer::Buffer;
 use crate::wire::http::{MESSAGE, Messages, Refusal};
-use std::io::ErrorKind;
+use alderway_sockets::Sender;
 use std::ops::ControlFlow;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -67,7 +67,7 @@
         let held = descriptor(&door, &share).await;
         let came = tokio::select! {
             biased;
-            came = listener.accept() => came,
+            came = alderway_sockets::accept(&listener) => came,
             () = close.notified() => break,
         };
         match came {
@@ -81,9 +81,10 @@
     let Ok(listener) = listener.into_std() else { return };
     loop {
         let held = descriptor(&door, &share).await;
-        let Ok((stream, _)) = listener.accept() else { return };
-        if let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
-            door.take(stream, held).await;
+        match alderway_sockets::accept_waiting(&listener).await {
+            Ok(Some(stream)) => door.take(stream, held).await,
+            Ok(None) => return,
+            Err(why) => return tracing::warn!(target: "accept", "the listener failed as it closed: {why}"),
         }
     }
 }
@@ -147,11 +148,10 @@
         let (mut rest, mut left) = ([0; 4096], MESSAGE);
         let _ = timeout(LINGER, async {
             while left > 0 && stream.readable().await.is_ok() {
-                match stream.try_read(&mut rest) {
-                    Ok(0) => break,
-                    Ok(count) => left = left.saturating_sub(count),
-                    Err(why) if why.kind() != ErrorKind::WouldBlock => break,
-                    Err(_) => {}
+                match alderway_sockets::read(&stream, &mut rest) {
+                    Ok(Some(0)) | Err(_) => break,
+                    Ok(Some(count)) => left = left.saturating_sub(count),
+                    Ok(None) => {}
                 }
             }
         })
@@ -181,6 +181,9 @@
     went_ahead: bool,
     /// When the last byte came.
     read_at: f64,
+    /// When nothing of the connection was unread.
+    quiet_at: f64,
+    sender: Sender,
 }
 
 impl Talk<'_> {
@@ -222,12 +225,11 @@
     /// connection.
     fn write(&mut self) -> ControlFlow<End, bool> {
         let mut out = self.client.out.borrow_mut();
-        match self.stream.try_write(&out[self.written..]) {
+        match self.sender.write(self.stream, &out[self.written..]) {
             Ok(count) => {
                 self.written += count;
                 self.desk.borrow_mut().counters.add("bytes_to_clients", count);
             }
-            Err(why) if why.kind() == ErrorKind::WouldBlock => {}
             Err(_) => return ControlFlow::Break(End::Gone),
         }
         if self.written < out.len() {
@@ -247,16 +249,18 @@
         let mut dropped = [0; 4096];
         self.overrun |= self.buffer.space().is_empty();
         let space = if self.overrun { &mut dropped[..] } else { self.buffer.space() };
-        match arrival::read(self.stream, space, clock) {
-            Ok((0, _)) => return false,
-            Ok((count, at)) => {
+        let mut desk = self.desk.borrow_mut();
+        desk.stalls.look(clock.now());
+        match arrival::read(self.stream, space, clock, &mut desk.stamps, &mut self.quiet_at) {
+            Ok(Some((0, _))) | Err(_) => return false,
+            Ok(Some((count, at))) => {
                 if !self.overrun {
                     self.buffer.filled(count);
                     self.read_at = at;
                 }
-                self.desk.borrow_mut().counters.add("bytes_from_clients", count);
+                desk.counters.add("bytes_from_clients", count);
             }
-            Err(why) => return why.kind() == ErrorKind::WouldBlock,
+            Ok(None) => {}
         }
         true
     }
@@ -278,6 +282,9 @@
         overrun,
         went_ahead,
         read_at: accepted,
+        // It may have waited for this side, but not for longer than a client is owed anything.
+        quiet_at: accepted - OWED,
+        sender: Sender::default(),
     };
     // Since when nothing is open here, a request is coming, and an answer has got no further.
     let (mut quiet, mut begun, mut stuck) = (None, None, None);
@@ -328,7 +335,7 @@
                     return End::Gone;
                 }
             }
-            _ = stream.writable(), if writing => {}
+            () = talk.sender.ready(stream), if writing => {}
             () = client.wake.notified() => {}
             () = std::future::ready(()), if waiting && dismissed => {
                 // Guards against closing on a request that has come and is not read yet: it counts as taken.
--- a/crates/router/src/drive/discovery.rs
+++ b/crates/router/src/drive/discovery.rs
@@ -10,14 +10,13 @@
 use crate::wire::layout;
 use alderway_layouts::history::News;
 use alderway_layouts::layout::Faulty;
+use alderway_sockets::Sender;
 use std::cell::RefCell;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::sync::watch::Receiver;
 use tokio::time::{sleep, timeout};
@@ -165,7 +164,7 @@
         layout = layout.map(|_| 0);
     }
     let limit = Duration::from_secs_f64((state.due() - clock.now()).max(0.0));
-    let stream = match unwatched(list, timeout(limit, TcpStream::connect(address))).await {
+    let stream = match unwatched(list, timeout(limit, alderway_sockets::dial(address))).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(why)) => return format!("no connection ({why})"),
         Err(_) => return "no connection in time".into(),
@@ -174,20 +173,19 @@
     let leads = list.borrow().leads();
     let mut out = Vec::new();
     discovery::follow(&mut out, &address.to_string(), since, layout);
-    let mut written = 0;
+    let (mut sender, mut written) = (Sender::default(), 0);
     let (mut buffer, mut watch) = (Buffer::new(discovery::LONGEST), Watch::default());
     loop {
         if written < out.len() {
-            match stream.try_write(&out[written..]) {
+            match sender.write(&stream, &out[written..]) {
                 Ok(count) => written += count,
-                Err(why) if why.kind() == ErrorKind::WouldBlock => {}
                 Err(why) => return format!("not written ({why})"),
             }
         }
         tokio::select! {
             biased;
             _ = stream.readable() => {}
-            _ = stream.writable(), if written < out.len() => {}
+            () = sender.ready(&stream), if written < out.len() => {}
             () = until(clock, state.due()) => return "silence".into(),
             () = sleep(LOOKS), if leads => {
                 // The time is read first: what comes after it may be missed by this look.
@@ -198,10 +196,10 @@
                 continue;
             }
         }
-        match stream.try_read(buffer.space()) {
-            Ok(0) => return "it ended".into(),
-            Ok(count) => buffer.filled(count),
-            Err(why) if why.kind() == ErrorKind::WouldBlock => continue,
+        match alderway_sockets::read(&stream, buffer.space()) {
+            Ok(Some(0)) => return "it ended".into(),
+            Ok(Some(count)) => buffer.filled(count),
+            Ok(None) => continue,
             Err(why) => return format!("not read ({why})"),
         }
         loop {
--- a/crates/router/src/drive/nodes.rs
+++ b/crates/router/src/drive/nodes.rs
@@ -6,11 +6,13 @@
 use crate::wire::buffer::Buffer;
 use crate::wire::{Fault, frames};
 use alderway::host::Ending;
-use std::io::ErrorKind;
+use alderway_sockets::Sender;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time::timeout;
 
 /// Why an answer cannot be used, and the part that it names.
@@ -20,7 +22,8 @@
 pub async fn run(desk: Shared, dial: Dial, share: Arc<Share>) {
     let Dial { node, line, address } = dial;
     let limit = Duration::from_secs_f64(desk.borrow().trunk.dial);
-    match timeout(limit, connect(&desk, address, &share)).await {
+    let short = Cell::new(false);
+    match timeout(limit, connect(&desk, address, &share, &short)).await {
         // In this order: the stream closes before its share is given back, or another takes that in between.
         Ok(Ok((_held, stream))) => {
             desk.borrow_mut().counters.one("connections{opened}");
@@ -31,6 +34,11 @@
             desk.borrow_mut().counters.one("connections{closed}");
         }
         Ok(Err(_)) => desk.borrow_mut().counters.one("connections{refused}"),
+        Err(_) if short.get() => {
+            // Guards against blaming a data node for what this machine or this program lacks.
+            desk.borrow_mut().counters.one("connections{short_of_resources}");
+            desk.borrow_mut().line_not_opened(&node, line);
+        }
         Err(_) => desk.borrow_mut().counters.one("connections{dial_timed_out}"),
     }
     desk.borrow_mut().line_lost(&node, line);
@@ -42,12 +50,14 @@
     desk: &Shared,
     address: SocketAddr,
     share: &Arc<Share>,
+    short: &Cell<bool>,
 ) -> std::io::Result<(Held, TcpStream)> {
     let mut waits = None;
     let held = loop {
         if let Some(held) = share.take() {
             break held;
         }
+        short.set(true);
         desk.borrow_mut().counters.one("dials_short_of_descriptors");
         desk.borrow_mut().roster.retire_oldest();
         // Guards against idle connections of other cores that hold what this one lacks: they let some go.
@@ -55,7 +65,8 @@
         share.released.notified().await;
     };
     drop(waits);
-    let stream = TcpStream::connect(address).await?;
+    short.set(false);
+    let stream = alderway_sockets::dial_telling(address, short).await?;
     // Without it small frames would wait for the acknowledgement of those before.
     stream.set_nodelay(true)?;
     Ok((held, stream))
@@ -74,6 +85,7 @@
     };
     let mut buffer = Buffer::new(frames::LONGEST + 4);
     let (mut out, mut written, mut stuck) = (Vec::new(), 0, f64::INFINITY);
+    let (mut sender, mut settled) = (Sender::default(), 0);
     // By when a frame that has begun to come must be whole.
     let mut whole_by = f64::INFINITY;
     loop {
@@ -85,7 +97,8 @@
             desk.borrow_mut().put_back(node, line);
             return Ok(());
         }
-        if !write(desk, node, line, stream, &mut out, &mut written) {
+        settle(desk, node, line, &mut settled).await;
+        if !write(desk, node, line, stream, &mut sender, &mut out, &mut written) {
             return Ok(());
         }
         // A silent machine never closes: a frame that gets no further for so long ends the connection.
@@ -116,7 +129,7 @@
                     whole_by = clock.now() + patience;
                 }
             }
-            _ = stream.writable(), if written < out.len() => {}
+            () = sender.ready(stream), if written < out.len() => {}
             () = until(clock, stuck), if stuck.is_finite() => return Ok(()),
             () = until(clock, whole_by), if whole_by.is_finite() => {
                 return Err(("an answer that does not end", None));
@@ -127,12 +140,34 @@
     }
 }
 
+/// Has what came while this thread stood still read before a call begins. Guards against calls for clients that have
+/// left, or to data nodes that drain, where the word of it waits unread behind this connection.
+async fn settle(desk: &Shared, node: &str, line: u64, settled: &mut u64) {
+    loop {
+        let stall = {
+            let mut desk = desk.borrow_mut();
+            let now = desk.clock.now();
+            let stall = desk.stalls.look(now);
+            if !desk.roster.line(node, line).is_some_and(|line| line.next_is_call()) {
+                return;
+            }
+            stall
+        };
+        if std::mem::replace(settled, stall) == stall {
+            return;
+        }
+        // The runtime asks the system what has come, and whoever that is for goes first.
+        yield_now().await;
+    }
+}
+
 /// Writes frame after frame until none waits or the socket takes no more; false when it is broken.
 fn write(
     desk: &Shared,
     node: &str,
     line: u64,
     stream: &TcpStream,
+    sender: &mut Sender,
     out: &mut Vec<u8>,
     written: &mut usize,
 ) -> bool {
@@ -155,12 +190,12 @@
                 return true;
             }
         }
-        match stream.try_write(&out[*written..]) {
+        match sender.write(stream, &out[*written..]) {
+            Ok(0) => return true,
             Ok(count) => {
                 *written += count;
                 desk.borrow_mut().counters.add("bytes_to_nodes", count);
             }
-            Err(why) if why.kind() == ErrorKind::WouldBlock => return true,
             Err(_) => return false,
         }
     }
@@ -175,14 +210,13 @@
     stream: &TcpStream,
     buffer: &mut Buffer,
 ) -> Result<Option<usize>, Spoilt> {
-    match stream.try_read(buffer.space()) {
-        Ok(0) => return Ok(None),
-        Ok(count) => {
+    match alderway_sockets::read(stream, buffer.space()) {
+        Ok(Some(0)) | Err(_) => return Ok(None),
+        Ok(Some(count)) => {
             buffer.filled(count);
             desk.borrow_mut().counters.add("bytes_from_nodes", count);
         }
-        Err(why) if why.kind() == ErrorKind::WouldBlock => return Ok(Some(0)),
-        Err(_) => return Ok(None),
+        Ok(None) => return Ok(Some(0)),
     }
     let nameless = |why| (why, None);
     let mut frames_read = 0;
--- a/crates/router/src/drive/rounds.rs
+++ b/crates/router/src/drive/rounds.rs
@@ -9,7 +9,7 @@
 use std::convert::Infallible;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 
 /// The desk as the module writes to it; a forwarder notes what its own module decides.
 pub struct Pen<'a>(&'a Shared, Option<&'a Tier>);
@@ -102,12 +102,18 @@
     };
     let mut router = module()?;
     let tier = desk.borrow().tier.clone();
+    let mut settled = 0;
     loop {
         let due = desk.borrow().next_due();
         tokio::select! {
             () = came.notified() => {}
             () = until(clock, due), if due.is_finite() => {}
         }
+        let stall = desk.borrow_mut().stalls.look(clock.now());
+        if std::mem::replace(&mut settled, stall) != stall {
+            // What came while this thread stood still is read before anything is decided by its absence.
+            yield_now().await;
+        }
         let now = clock.now();
         desk.borrow_mut().expire(now);
         let tell = |intake: &mut dyn Intake| {
--- a/crates/router/src/memory/clock.rs
+++ b/crates/router/src/memory/clock.rs
@@ -15,6 +15,11 @@
 }
 
 impl Clock {
+    /// What the wall clock shows now, in seconds of Unix time.
+    pub fn unix_now(&self) -> f64 {
+        SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64()
+    }
+
     pub fn now(&self) -> f64 {
         self.start.elapsed().as_secs_f64()
     }
--- a/crates/router/src/memory/desk.rs
+++ b/crates/router/src/memory/desk.rs
@@ -9,6 +9,8 @@
 use super::lines::{Frame, Line, Place};
 use super::queries::{self, Queries, Query};
 use super::roster::Roster;
+use super::stalls::Stalls;
+use super::stamps::Stamps;
 use super::terms::Places;
 use crate::tier::links::Tier;
 use crate::wire::http::Refusal;
@@ -110,6 +112,10 @@
     /// The module asks to follow the roster.
     pub follow: Arc<Notify>,
     pub stage: Stage,
+    /// Times at which this thread stood still.
+    pub stalls: Stalls,
+    /// When bytes came, by the system's stamps.
+    pub stamps: Stamps,
     /// Queries could be served once, and the log has said so.
     ready: bool,
     new: Vec<u64>,
@@ -161,6 +167,8 @@
             counters: Counters::default(),
             came: Rc::default(),
             stage: Stage::default(),
+            stalls: Stalls::default(),
+            stamps: Stamps::new(clock.now(), clock.unix_now()),
             ready: false,
             new: vec![],
             left: vec![],
@@ -430,6 +438,15 @@
         out.iter().for_each(|id| self.end(id, Ending::Reset));
     }
 
+    /// A connection could not be opened for want of something on this side: its calls never ran, and say nothing of
+    /// the data node.
+    pub fn line_not_opened(&mut self, node: &str, line: u64) {
+        let record = self.roster.nodes.get_mut(node);
+        let Some(line) = record.and_then(|n| n.lines.remove(&line)) else { return };
+        let (unsent, _) = line.remains();
+        unsent.iter().for_each(|id| self.end(id, Ending::NeverSent));
+    }
+
     /// A data node has closed a connection that stood idle. What waits there goes out on another, which was no
     /// decision of whoever chose the node; each such connection has served before, so none is tried for ever.
     pub fn put_back(&mut self, node: &str, line: u64) {
--- a/crates/router/src/memory/mod.rs
+++ b/crates/router/src/memory/mod.rs
@@ -15,6 +15,8 @@
 pub mod lines;
 pub mod queries;
 pub mod roster;
+pub mod stalls;
+pub mod stamps;
 pub mod terms;
 
 use std::cell::RefCell;
--- a/crates/router/src/peers/mod.rs
+++ b/crates/router/src/peers/mod.rs
@@ -8,10 +8,11 @@
 use alderway::host::Evidence;
 use alderway_peers::view::{Refused, State, View};
 use alderway_peers::{Frame, Name, Terms, ring};
+use alderway_sockets::Sender;
 use alderway_tier::frames::{self, Hello, Read, Reader, Speech};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::{self, ErrorKind};
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -226,8 +227,8 @@
 
 async fn accept(ends: Ends, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(Duration::from_millis(10)).await;
+        let Ok((stream, _)) = alderway_sockets::accept(&listener).await else {
+            sleep(alderway_sockets::PAUSE).await;
             continue;
         };
         let ends = ends.clone();
@@ -244,7 +245,7 @@
 async fn keep(ends: Ends, at: SocketAddr, seed: u64) {
     let mut waits = Waits::new(seed);
     loop {
-        if let Ok(Ok(stream)) = timeout(PATIENCE, TcpStream::connect(at)).await {
+        if let Ok(Ok(stream)) = timeout(PATIENCE, alderway_sockets::dial(at)).await {
             let from = ends.clock();
             match speak(&ends, &stream).await {
                 // One that ends at once, as where the other side's list lacks this router, is dialled ever less.
@@ -269,6 +270,7 @@
 /// Speaks until the connection ends; an error if it was of no use.
 async fn speak(ends: &Ends, stream: &TcpStream) -> Result<(), String> {
     let _ = stream.set_nodelay(true);
+    let mut sender = Sender::default();
     let (mut out, mut reader, mut space) = (vec![], Reader::<Frame>::default(), vec![0; 64 * 1024]);
     frames::hello_of::<Frame>(&mut out, &ends.peers.borrow().hello());
     let hello = greet(stream, &mut out, &mut reader, &mut space).await?;
@@ -286,15 +288,14 @@
             }
         }
         if !out.is_empty() {
-            match stream.try_write(&out) {
+            match sender.write(stream, &out) {
                 Ok(count) => drop(out.drain(..count)),
-                Err(why) if why.kind() == ErrorKind::WouldBlock => {}
                 Err(_) => return Ok(()),
             }
         }
         tokio::select! {
             ready = stream.readable() => if ready.is_err() { return Ok(()) },
-            _ = stream.writable(), if !out.is_empty() => continue,
+            () = sender.ready(stream), if !out.is_empty() => continue,
             // What a slow link has not taken is not written twice: the next frame holds what is new by then.
             _ = beats.tick() => {
                 let now = ends.clock();
@@ -309,14 +310,13 @@
                 continue;
             }
         }
-        match stream.try_read(&mut space) {
-            Ok(0) => return Ok(()),
-            Ok(count) => {
+        match alderway_sockets::read(stream, &mut space) {
+            Ok(Some(0)) | Err(_) => return Ok(()),
+            Ok(Some(count)) => {
                 heard = ends.clock();
                 reader.feed(&space[..count]);
             }
-            Err(why) if why.kind() == ErrorKind::WouldBlock => {}
-            Err(_) => return Ok(()),
+            Ok(None) => {}
         }
     }
 }
--- a/crates/router/src/tier/links.rs
+++ b/crates/router/src/tier/links.rs
@@ -5,11 +5,11 @@
 use crate::drive::rounds::{self, Pen};
 use crate::memory::Shared;
 use crate::memory::descriptors::Share;
+use alderway_sockets::Sender;
 use alderway_tier::frames::{Hello, Read, Reader, Speech};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::Rng;
 use std::cell::RefCell;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -75,7 +75,7 @@
 async fn keep(desk: Shared, tier: Tier, planner: SocketAddr, share: Arc<Share>, seed: u64) {
     let mut waits = Waits::new(seed);
     loop {
-        if let Ok(Ok(stream)) = timeout(PATIENCE, TcpStream::connect(planner)).await {
+        if let Ok(Ok(stream)) = timeout(PATIENCE, alderway_sockets::dial(planner)).await {
             let _ = stream.set_nodelay(true);
             match speak(&desk, &tier, &stream, &share).await {
                 Ok(()) => waits.met(),
@@ -112,11 +112,11 @@
 
 /// Writes all that waits.
 pub async fn write_out(stream: &TcpStream, out: &mut Vec<u8>) -> Result<(), String> {
+    let mut sender = Sender::default();
     while !out.is_empty() {
-        stream.writable().await.map_err(|why| why.to_string())?;
-        match stream.try_write(out) {
+        sender.ready(stream).await;
+        match sender.write(stream, out) {
             Ok(count) => drop(out.drain(..count)),
-            Err(why) if why.kind() == ErrorKind::WouldBlock => {}
             Err(why) => return Err(why.to_string()),
         }
     }
@@ -149,10 +149,10 @@
             None => {}
         }
         stream.readable().await.map_err(|why| why.to_string())?;
-        match stream.try_read(space) {
-            Ok(0) => return Err("it ended before its hello".into()),
-            Ok(count) => reader.feed(&space[..count]),
-            Err(why) if why.kind() == ErrorKind::WouldBlock => {}
+        match alderway_sockets::read(stream, space) {
+            Ok(Some(0)) => return Err("it ended before its hello".into()),
+            Ok(Some(count)) => reader.feed(&space[..count]),
+            Ok(None) => {}
             Err(why) => return Err(why.to_string()),
         }
     }
@@ -170,6 +170,7 @@
     mut reader: Reader,
     mut space: Vec<u8>,
 ) -> Option<String> {
+    let mut sender = Sender::default();
     loop {
         let mut waits = false;
         {
@@ -177,9 +178,8 @@
             // Lost, replaced by a later self, or too slow: this connection decides nothing more.
             let outbox = tier.outbox(hello)?;
             if !outbox.bytes.is_empty() {
-                match stream.try_write(&outbox.bytes) {
+                match sender.write(stream, &outbox.bytes) {
                     Ok(count) => drop(outbox.bytes.drain(..count)),
-                    Err(why) if why.kind() == ErrorKind::WouldBlock => {}
                     Err(_) => return None,
                 }
                 waits = !outbox.bytes.is_empty();
@@ -203,14 +203,13 @@
         }
         tokio::select! {
             ready = stream.readable() => if ready.is_err() { return None },
-            _ = stream.writable(), if waits => continue,
+            () = sender.ready(stream), if waits => continue,
             () = wake.notified() => continue,
         }
-        match stream.try_read(&mut space) {
-            Ok(0) => return None,
-            Ok(count) => reader.feed(&space[..count]),
-            Err(why) if why.kind() == ErrorKind::WouldBlock => {}
-            Err(_) => return None,
+        match alderway_sockets::read(stream, &mut space) {
+            Ok(Some(0)) | Err(_) => return None,
+            Ok(Some(count)) => reader.feed(&space[..count]),
+            Ok(None) => {}
         }
     }
 }
--- a/crates/router/src/tier/post.rs
+++ b/crates/router/src/tier/post.rs
@@ -7,9 +7,10 @@
 use crate::memory::clock::Clock;
 use alderway::choice::Router;
 use alderway::host::Common;
+use alderway_sockets::Sender;
 use alderway_tier::frames::{Hello, Read, Reader, VERSION};
 use std::cell::RefCell;
-use std::io::{self, ErrorKind};
+use std::io;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::{TcpListener, TcpStream};
@@ -92,8 +93,8 @@
 
 async fn accept(planner: Shared, listener: TcpListener, hello: Hello) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(Duration::from_millis(10)).await;
+        let Ok((stream, _)) = alderway_sockets::accept(&listener).await else {
+            sleep(alderway_sockets::PAUSE).await;
             continue;
         };
         let (planner, hello) = (planner.clone(), hello.clone());
@@ -110,15 +111,15 @@
     let (mut reader, mut space) = (Reader::default(), vec![0; 64 * 1024]);
     let (session, wake) = planner.borrow_mut().begin(hello);
     let mut greeted = false;
+    let mut sender = Sender::default();
     let ended = loop {
         let mut waits = false;
         {
             let mut planner = planner.borrow_mut();
             let Some(outbox) = planner.outbox(session) else { break Err("it does not read".to_string()) };
             if !outbox.bytes.is_empty() {
-                match stream.try_write(&outbox.bytes) {
+                match sender.write(stream, &outbox.bytes) {
                     Ok(count) => drop(outbox.bytes.drain(..count)),
-                    Err(why) if why.kind() == ErrorKind::WouldBlock => {}
                     Err(_) => break Ok(()),
                 }
                 waits = !outbox.bytes.is_empty();
@@ -144,7 +145,7 @@
         let ready = async {
             tokio::select! {
                 ready = stream.readable() => ready.is_ok(),
-                _ = stream.writable(), if waits => true,
+                () = sender.ready(stream), if waits => true,
                 () = wake.notified() => true,
             }
         };
@@ -154,11 +155,10 @@
             Ok(false) => break Ok(()),
             Err(_) => break Err("no hello in time".into()),
         }
-        match stream.try_read(&mut space) {
-            Ok(0) => break Ok(()),
-            Ok(count) => reader.feed(&space[..count]),
-            Err(why) if why.kind() == ErrorKind::WouldBlock => {}
-            Err(_) => break Ok(()),
+        match alderway_sockets::read(stream, &mut space) {
+            Ok(Some(0)) | Err(_) => break Ok(()),
+            Ok(Some(count)) => reader.feed(&space[..count]),
+            Ok(None) => {}
         }
     };
     planner.borrow_mut().end(session);
