Several cores: looked at through the whole stop, the lead's own pause is not theirs

Cause: the lead stopped looking at the cores at SIGTERM, so cores found silent stayed out and connections dealt later waited for nobody; it found them silent because it had stood still itself. Beside it: a core whose stop ends drops what was dealt to it in that moment, and connections could still move to another core in a stop (both by reading). Change: drive/lead.rs looks on until the listener is closed; Crew::lead_paused; a core takes in waiting orders before it ends; nothing moves in a stop.

--- a/crates/cores/src/crew.rs
+++ b/crates/cores/src/crew.rs
@@ -87,6 +87,15 @@
         }
     }
 
+    /// The lead itself has not looked since a time. Guards against taking its own pause for theirs: where that was as
+    /// long as a core may be silent, those that served get as long again to beat.
+    pub fn lead_paused(&mut self, since: f64, now: f64) {
+        if now - since > HANGS {
+            let serving = self.cores.iter_mut().filter(|core| core.state == State::Serving);
+            serving.for_each(|core| core.beat = now);
+        }
+    }
+
     /// Finds cores that hang.
     pub fn look(&mut self, now: f64) -> Vec<Change> {
         let overdue = |c: &Core| c.state == State::Serving && now - c.beat > HANGS;
--- a/crates/cores/tests/stories.rs
+++ b/crates/cores/tests/stories.rs
@@ -310,3 +310,16 @@
         prop_assert_eq!(board.tell(10.0), holds.collect::<Vec<_>>());
     }
 }
+
+#[rstest]
+fn a_pause_of_the_lead_is_not_taken_for_one_of_the_cores() {
+    let mut crew = Crew::new(2, 0.0);
+    (0..2).for_each(|core| drop(crew.beat(core, 0.1, 0)));
+    crew.lead_paused(0.1, 0.9);
+    assert_eq!(crew.look(0.9), []);
+    // From then on they have to beat again.
+    crew.beat(0, 1.0, 0);
+    crew.lead_paused(1.3, 1.45);
+    let hung: Vec<usize> = crew.look(1.45).iter().map(|change| change.core).collect();
+    assert_eq!(hung, [1]);
+}
--- a/crates/lab/src/soak/clients.rs
+++ b/crates/lab/src/soak/clients.rs
@@ -161,6 +161,7 @@
         pipelined,
         sent: 0.0,
         patience: left_ms as f64 / 1e3,
+        in_order: 0.0,
         outcome: Outcome::Open,
     };
     Asked { text, request }
@@ -184,9 +185,11 @@
     }
     let sent = world.clock.now();
     asked.iter_mut().for_each(|asked| asked.request.sent = sent);
-    let mut usable = true;
+    let (mut usable, mut in_order) = (true, 0.0f64);
     for asked in asked {
         let mut request = asked.request;
+        in_order = in_order.max(request.patience);
+        request.in_order = in_order;
         if usable {
             request.outcome = outcome(world, &mut connection, &request, manner).await;
             usable = matches!(request.outcome, Outcome::Answered { .. });
@@ -244,7 +247,7 @@
             let slo = world.scenario.classes[request.class].slo;
             world.chance.borrow_mut().between(0.0, 0.5 * slo)
         }
-        _ => request.sent + request.patience + AFTER - world.clock.now(),
+        _ => request.sent + request.in_order + AFTER - world.clock.now(),
     };
     let limit = Duration::from_secs_f64(limit.max(0.0));
     let came = timeout(limit, answer(connection)).await;
--- a/crates/lab/src/soak/discovery.rs
+++ b/crates/lab/src/soak/discovery.rs
@@ -83,22 +83,21 @@
     accepting: RefCell<Option<JoinHandle<()>>>,
     /// The last SIGHUP that moved it.
     moved: Cell<f64>,
-    /// When the last trouble began and ended.
-    troubled: Cell<(f64, f64)>,
 }
 
-impl Agent {
-    pub fn new() -> Agent {
+impl Default for Agent {
+    fn default() -> Agent {
         Agent {
             address: Cell::new(([127, 0, 0, 1], 0).into()),
             trouble: watch::Sender::new(None),
             cuts: watch::Sender::new((0, false)),
             accepting: RefCell::default(),
             moved: Cell::new(f64::NEG_INFINITY),
-            troubled: Cell::new((f64::NEG_INFINITY, f64::NEG_INFINITY)),
         }
     }
+}
 
+impl Agent {
     /// Listens at a new address. An address before it accepts nothing more and ends what is open a moment later.
     pub async fn listen(&self, world: &Rc<World>, router: usize) -> Result<(), String> {
         let listener = TcpListener::bind("127.0.0.1:0").await.map_err(|why| why.to_string())?;
@@ -126,13 +125,11 @@
         self.moved.set(now);
     }
 
-    pub fn begins(&self, trouble: DiscoveryTrouble, now: f64) {
-        self.troubled.set((now, f64::INFINITY));
+    pub fn begins(&self, trouble: DiscoveryTrouble) {
         self.trouble.send_replace(Some(trouble));
     }
 
-    pub fn ends(&self, now: f64) {
-        self.troubled.set((self.troubled.get().0, now));
+    pub fn ends(&self) {
         self.trouble.send_replace(None);
     }
 }
--- a/crates/lab/src/soak/ledger.rs
+++ b/crates/lab/src/soak/ledger.rs
@@ -57,6 +57,8 @@
     pub sent: f64,
     /// Seconds that the client waits from then on.
     pub patience: f64,
+    /// The longest that it waits for this request or for one before it in the same write: answers come in order.
+    pub in_order: f64,
     pub outcome: Outcome,
 }
 
--- a/crates/lab/src/soak/links.rs
+++ b/crates/lab/src/soak/links.rs
@@ -121,8 +121,7 @@
         }
         let now = world.clock.now();
         begun.get_or_insert(now);
-        loop {
-            let Ok(Some((letter, rest, used))) = frames::next(buffer.data()) else { break };
+        while let Ok(Some((letter, rest, used))) = frames::next(buffer.data()) {
             let frame = match letter {
                 b'S' => {
                     nodes::parts(rest).map(|parts| Arrived::Call(note(world, connection, parts, begun, now)))
--- a/crates/lab/src/soak/oracle.rs
+++ b/crates/lab/src/soak/oracle.rs
@@ -96,7 +96,7 @@
                     if let Some(fault) = fault {
                         self.breaks("answer", *at, self.about(request, fault));
                     }
-                    let limit = request.sent + request.patience + LATE;
+                    let limit = request.sent + request.in_order + LATE;
                     if *at > limit + self.delayed(request.run, request.sent, *at) {
                         let late = format!("answered {:.3} s after its time", at - limit + LATE);
                         self.breaks("lost", *at, self.about(request, &late));
@@ -155,7 +155,7 @@
 
     fn unanswered(&mut self, request: &Request) {
         let run = self.run(request.run);
-        let limit = request.sent + request.patience + LATE;
+        let limit = request.sent + request.in_order + LATE;
         if run.killed.is_some_and(|killed| killed <= limit) {
             return self.count("died with their router");
         }
--- a/crates/lab/src/soak/world.rs
+++ b/crates/lab/src/soak/world.rs
@@ -143,7 +143,7 @@
         nodes: (0..nodes).map(|_| Node::default()).collect(),
         links: (0..routers).map(|_| (0..nodes).map(|_| Cell::default()).collect()).collect(),
         faces,
-        agents: (0..routers).map(|_| Agent::new()).collect(),
+        agents: (0..routers).map(|_| Agent::default()).collect(),
         list: List::new(nodes),
         folder,
         programs: programs.ok_or("no folder of programs")?,
@@ -271,9 +271,9 @@
             world.links[router][node].set(None);
         }
         Act::Discovery(router, what) => {
-            world.agents[router].begins(what, world.clock.now());
+            world.agents[router].begins(what);
             sleep(lasts).await;
-            world.agents[router].ends(world.clock.now());
+            world.agents[router].ends();
         }
         Act::CutWatch(router, reset) => {
             world.agents[router].cuts.send_modify(|(count, how)| (*count, *how) = (*count + 1, reset));
--- a/crates/router/src/drive/clients.rs
+++ b/crates/router/src/drive/clients.rs
@@ -4,6 +4,7 @@
 use crate::memory::clients::Client;
 use crate::memory::clock::Clock;
 use crate::memory::descriptors::{Held, Share};
+use crate::memory::desk::Stage;
 use crate::memory::house::{Order, Passenger};
 use crate::requests;
 use crate::wire::answer;
@@ -304,9 +305,11 @@
         let waiting = !open && !writing;
         let half_sent = waiting && !talk.buffer.is_empty();
         if waiting && !talk.lost && talk.buffer.is_empty() && client.used.get() {
-            let giving = &mut desk.borrow_mut().giving;
-            if let Some((to, left)) = giving.filter(|(_, left)| *left > 0) {
-                *giving = Some((to, left - 1));
+            let mut desk = desk.borrow_mut();
+            // Guards against a connection that would reach a core as its stop ends.
+            let stays = desk.stage > Stage::Serving;
+            if let Some((to, left)) = desk.giving.filter(|(_, left)| *left > 0 && !stays) {
+                desk.giving = Some((to, left - 1));
                 return End::Moves(to);
             }
         }
--- a/crates/router/src/drive/core.rs
+++ b/crates/router/src/drive/core.rs
@@ -222,8 +222,19 @@
                 }
             }
             seen = ended_of(&mut stopping) => {
+                seen.map_err(|_| "its stop panicked".to_string())?;
+                // Guards against connections that were dealt to this core in the moment in which it had none left.
+                let mut late = false;
+                while let Ok(order) = berth.orders.try_recv() {
+                    late = true;
+                    carry_out(desk, order);
+                }
+                if late {
+                    stopping = Some(spawn_local(stop::end(desk.clone())));
+                    continue;
+                }
                 say(desk, berth, None);
-                return seen.map_err(|_| "its stop panicked".into());
+                return Ok(());
             }
             Some(order) = berth.orders.recv() => carry_out(desk, order),
             word = heard(gossip) => {
--- a/crates/router/src/drive/lead.rs
+++ b/crates/router/src/drive/lead.rs
@@ -19,7 +19,7 @@
 use alderway_cores::crew::{Change, Crew, State};
 use alderway_layouts::history::News;
 use alderway_layouts::layout::Faulty;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -226,13 +226,17 @@
     let close = Rc::new(Notify::new());
     let listening = spawn_local(clients::listen(dealer, listener, for_clients, close.clone()));
     let balance = Balance::new(cores);
-    let mut guard = Guard { house: &house, clock, list: &list, crew: &crew, balance };
+    let mut guard =
+        Guard { house: &house, clock, list: &list, crew: &crew, balance, looked: Cell::new(clock.now()) };
     let watched = guard.watch(&mut came, &leaves, terms).await;
     // Whether a core is still there or not, the stop takes no longer than on one core.
     if watched.is_ok() {
         let _ = phase.send(Phase::Stopping);
         let over = clock.now() + stop::limit(live.longest_deadline()) + 0.3;
-        stop::listener_closed(close, listening).await;
+        tokio::select! {
+            () = stop::listener_closed(close, listening) => {}
+            () = guard.look_on() => {}
+        }
         let _ = phase.send(Phase::Closed);
         let mut left = crew.borrow().count(|state| !matches!(state, State::Failed(_) | State::Lost));
         while left > 0 && clock.now() < over {
@@ -271,6 +275,8 @@
     list: &'a Rc<RefCell<List>>,
     crew: &'a Rc<RefCell<Crew>>,
     balance: Balance,
+    /// When the lead last looked at the cores.
+    looked: Cell<f64>,
 }
 
 impl Guard<'_> {
@@ -308,16 +314,32 @@
         }
     }
 
-    fn look(&mut self) {
+    /// Looks at the cores for as long as connections are dealt out in a stop: one that was silent may beat again.
+    async fn look_on(&self) {
+        loop {
+            sleep(BEAT).await;
+            self.see_beats().iter().for_each(log_change);
+        }
+    }
+
+    /// Takes in how the cores have beaten, and finds those that hang.
+    fn see_beats(&self) -> Vec<Change> {
         let (now, mut crew) = (self.clock.now(), self.crew.borrow_mut());
-        let counters = self.list.borrow().counters.clone();
-        self.house.lead.send_replace(Arc::new(Figures { counters, open: vec![] }));
         let mut changes = vec![];
         for (core, seat) in self.house.seats.iter().enumerate() {
             let at = seat.beat.load(Relaxed) as f64 / 1e3;
             changes.extend(crew.beat(core, at, seat.clients.load(Relaxed)));
         }
+        crew.lead_paused(self.looked.replace(now), now);
         changes.extend(crew.look(now));
+        changes
+    }
+
+    fn look(&mut self) {
+        let changes = self.see_beats();
+        let (now, crew) = (self.clock.now(), self.crew.borrow());
+        let counters = self.list.borrow().counters.clone();
+        self.house.lead.send_replace(Arc::new(Figures { counters, open: vec![] }));
         changes.iter().for_each(log_change);
         self.house.serving.store(crew.serving(), Relaxed);
         self.house.hung.store(crew.count(|s| matches!(s, State::Hung(_))), Relaxed);
--- a/crates/router/src/life/stop.rs
+++ b/crates/router/src/life/stop.rs
@@ -59,9 +59,23 @@
     let open = desk.borrow().queries.len();
     desk.borrow_mut().stage = Stage::Ended;
     desk.borrow_mut().abort_all();
-    // The last answers go out.
-    while clock.now() < began + limit + 0.5 * AHEAD && !desk.borrow().clients.is_empty() {
+    last_answers(&desk, began + limit + 0.5 * AHEAD).await;
+    tracing::info!(target: "stop", "ended after {:.1} s: {open} queries aborted", clock.now() - began);
+}
+
+/// The last answers go out, until a time at the latest.
+async fn last_answers(desk: &Shared, until: f64) {
+    let clock = desk.borrow().clock;
+    while clock.now() < until && !desk.borrow().clients.is_empty() {
         sleep(LOOK).await;
     }
-    tracing::info!(target: "stop", "ended after {:.1} s: {open} queries aborted", clock.now() - began);
+}
+
+/// Ends connections that came to a core whose stop was seen through: what they ask for is refused at once.
+pub async fn end(desk: Shared) {
+    let now = desk.borrow().clock.now();
+    // Their tasks have yet to run for the first time.
+    sleep(LOOK).await;
+    desk.borrow().clients.dismiss_idle();
+    last_answers(&desk, now + 0.5 * AHEAD).await;
 }
