--- a/crates/router/tests/system_faults.rs
+++ b/crates/router/tests/system_faults.rs
@@ -173,3 +173,16 @@
     let came = call.read(&mut [0; 64]);
     assert!(!matches!(came, Ok(1..)), "a call began at a data node that drains");
 }
+
+#[rstest]
+fn signals_are_taken_though_calls_are_interrupted() {
+    let (mut program, _agent) = serving_under("seed=5 eintr=0.2");
+    for _ in 0..15 {
+        program.signal("HUP");
+        program.says("configuration read");
+    }
+    program.signal("TERM");
+    program.says("SIGTERM");
+    let status = program.child.wait().expect("it ends");
+    assert!(status.success(), "{status}");
+}
