One place for what may happen now, checked at run time; signals survive interrupted calls

Change: src/permits.rs (policy) decides what may begin, be repeated, refused, closed or taken now, and how much time is told; the router asks it in the moment of the act and counts denials by reason; memory/audit.rs checks each act by facts of its own and counts rule_violations; crates/sockets takes signals itself; 10 ms less are told than are left.

--- a/crates/controller/src/driver.rs
+++ b/crates/controller/src/driver.rs
@@ -7,6 +7,8 @@
 use alderway_control::outlet::{Outlet, Summary};
 use alderway_control::version::{Number, Proposal};
 use alderway_router::memory::clock::Clock;
+use alderway_sockets::signals::Signals;
+use nix::sys::signal::Signal;
 use serde_json::Value;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -18,7 +20,6 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{MissedTickBehavior, interval};
@@ -182,7 +183,7 @@
     held.borrow_mut().run();
     links::start(&held, heard, &others, drawn());
     spawn_local(door::accept(held.clone(), door));
-    let (mut terms, mut interrupts) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    let (mut terms, mut interrupts) = (Signals::of(Signal::SIGTERM)?, Signals::of(Signal::SIGINT)?);
     let mut ticks = interval(Duration::from_secs_f64(TICK));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
--- a/crates/router/src/drive/lead.rs
+++ b/crates/router/src/drive/lead.rs
@@ -19,6 +19,8 @@
 use alderway_cores::crew::{Change, Crew, State};
 use alderway_layouts::history::News;
 use alderway_layouts::layout::Faulty;
+use alderway_sockets::signals::Signals;
+use nix::sys::signal::Signal;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
@@ -27,7 +29,6 @@
 use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::spawn_local;
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
@@ -161,7 +162,7 @@
     let Station { path, beside, name, listen, discovery, roster, seed, fixed, role, control, .. } = station;
     let (trunk, room, verticals) = (station.trunk, station.room, station.verticals);
     let was = Was { path, beside, fixed };
-    let (terms, hangups) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
+    let (terms, hangups) = (Signals::of(Signal::SIGTERM)?, Signals::of(Signal::SIGHUP)?);
     let kept = control.as_ref().map_or(0, |_| control::DESCRIPTORS);
     let (for_clients, for_nodes) = descriptors::shares(station.sockets - kept, station.memory, sharing.cores);
     let (house, inboxes) = House::new(room.room, sharing, PATIENCE);
@@ -258,7 +259,7 @@
 /// Discovery's address, which moves with each SIGHUP.
 fn agent_of(
     at: SocketAddr,
-    hangups: Signal,
+    hangups: Signals,
     was: Was,
     clock: Clock,
     live: Option<Live>,
@@ -285,7 +286,7 @@
         &mut self,
         came: &mut mpsc::UnboundedReceiver<Report>,
         leaves: &[mpsc::Sender<()>],
-        mut terms: Signal,
+        mut terms: Signals,
     ) -> io::Result<()> {
         let mut looks = interval(BEAT);
         looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/router/src/drive/nodes.rs
+++ b/crates/router/src/drive/nodes.rs
@@ -193,6 +193,9 @@
         match sender.write(stream, &out[*written..]) {
             Ok(0) => return true,
             Ok(count) => {
+                if *written == 0 {
+                    desk.borrow_mut().audit_begun(node, line);
+                }
                 *written += count;
                 desk.borrow_mut().counters.add("bytes_to_nodes", count);
             }
--- a/crates/router/src/life/reload.rs
+++ b/crates/router/src/life/reload.rs
@@ -2,9 +2,9 @@
 use super::settings::{Live, Outcome};
 use super::start::{self, Station};
 use crate::memory::clock::Clock;
+use alderway_sockets::signals::Signals;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use tokio::signal::unix::Signal;
 use tokio::sync::watch::Sender;
 
 /// Reads the configuration anew with every SIGHUP, by the code that read it at the start; discovery's address
@@ -12,13 +12,14 @@
 /// can take over its settings the file's are offered when they are others than it had when they were last taken from it:
 /// a reload for another reason does not undo what was brought another way since.
 pub async fn at_sighup(
-    mut hangups: Signal,
+    mut hangups: Signals,
     mut was: Was,
     agent: Sender<SocketAddr>,
     clock: Clock,
     live: Option<Live>,
 ) {
-    while hangups.recv().await.is_some() {
+    loop {
+        hangups.recv().await;
         let beside = was.beside.as_ref().map_or(Ok(false), |read| read());
         let read = start::read_at(&was.path, clock).and_then(|station| Ok((station, beside?)));
         match read {
--- a/crates/router/src/life/serve.rs
+++ b/crates/router/src/life/serve.rs
@@ -15,14 +15,15 @@
 use crate::peers::{self, Circle};
 use crate::tier::forwarder::Forwarder;
 use crate::tier::{links, post};
+use alderway_sockets::signals::Signals;
 use alderway_tier::members::Watch;
+use nix::sys::signal::Signal;
 use std::cell::RefCell;
 use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
 
@@ -43,7 +44,7 @@
     let Station { path, beside, name, listen, discovery, roster, seed, fixed, peers, role, control, .. } =
         station;
     // Before anybody can know that this program is up: unhandled, either of them would end it.
-    let (terms, hangups) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
+    let (terms, hangups) = (Signals::of(Signal::SIGTERM)?, Signals::of(Signal::SIGHUP)?);
     let kept =
         peers.as_ref().map_or(0, Circle::descriptors) + control.as_ref().map_or(0, |_| control::DESCRIPTORS);
     let (for_clients, for_nodes) = descriptors::shares(station.sockets - kept, station.memory, 1);
--- a/crates/router/src/life/stop.rs
+++ b/crates/router/src/life/stop.rs
@@ -1,9 +1,9 @@
 //! The way out after SIGTERM: nothing that was taken is lost, and clients keep their connections while they can.
 use crate::memory::Shared;
 use crate::memory::desk::Stage;
+use alderway_sockets::signals::Signals;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::signal::unix::Signal;
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
@@ -23,7 +23,7 @@
 }
 
 /// Waits for SIGTERM and sees the stop through on one core, whose listener ends with `close`.
-pub async fn at_sigterm(mut terms: Signal, desk: Shared, close: Rc<Notify>, listening: JoinHandle<()>) {
+pub async fn at_sigterm(mut terms: Signals, desk: Shared, close: Rc<Notify>, listening: JoinHandle<()>) {
     terms.recv().await;
     see_through(desk, listener_closed(close, listening)).await;
 }
--- a/crates/router/src/memory/desk.rs
+++ b/crates/router/src/memory/desk.rs
@@ -15,7 +15,8 @@
 use crate::tier::links::Tier;
 use crate::wire::http::Refusal;
 use crate::wire::{answer, frames};
-use alderway::host::{Ending, Evidence, Intake, NodeState, Writer};
+use alderway::host::{Effect, Ending, Evidence, Intake, NodeState, Vertical, Writer};
+use alderway::permits::{self, Denial};
 use alderway_cores::board::Board;
 use alderway_cores::fence;
 use alderway_cores::ids::Refused;
@@ -50,25 +51,30 @@
 }
 
 /// A vertical as the desk knows it.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Class {
     pub name: String,
-    /// For so long after a part's first call its data node drops what it has run before, where only that allows
-    /// another.
-    pub window: Option<f64>,
+    pub effect: Effect,
+    /// The share that makes a whole answer, and the least of any.
+    pub need: f64,
+    pub floor: f64,
 }
 
 impl Class {
     /// All verticals of some settings, in their order.
     pub fn all(settings: &Settings) -> Vec<Class> {
-        let both = settings.names.iter().zip(&settings.windows);
-        both.map(|(name, window)| Class { name: name.clone(), window: *window }).collect()
+        let both = settings.names.iter().zip(&settings.terms.verticals);
+        let class = |(name, vertical): (&String, &Vertical)| {
+            let Vertical { effect, need, floor, .. } = *vertical;
+            Class { name: name.clone(), effect, need, floor }
+        };
+        both.map(class).collect()
     }
 }
 
 impl From<&str> for Class {
     fn from(name: &str) -> Self {
-        Class { name: name.into(), window: None }
+        Class { name: name.into(), effect: Effect::Repeatable, need: 0.0, floor: 0.0 }
     }
 }
 
@@ -234,8 +240,10 @@
             return Err((400, "a query with this X-Correlation-Id is open"));
         }
         self.count("taken", vertical);
-        let (Some(room), Ok(id), true) = (room, id, self.stage < Stage::Ended) else {
+        let permit = permits::take(self.stage == Stage::Ended, room.is_some() && id.is_ok());
+        let (Some(room), Ok(id), Ok(())) = (room, id, permit) else {
             self.count("turned_away", vertical);
+            self.counters.one(&format!("queries_denied{{{}}}", permit.err().map_or("", Denial::label)));
             let (out, closes) = (&mut client.out.borrow_mut(), client.closes.get());
             answer::plain(out, 503, "too many queries are open, or none is taken any more", None, closes);
             return Ok(());
@@ -534,9 +542,9 @@
             Some(Frame::Call(parts)) => {
                 let asked = parts.iter().filter_map(|id| {
                     let (shard, text, not_after, keys) = self.queries.asked(&id.0)?;
-                    let until = self.calls.get(id).map_or(not_after, |c| c.until.min(not_after));
+                    let until = self.calls.get(id).map_or(not_after, |c| c.until);
                     let keys = keys.map(|keys| (version, keys.from, keys.to));
-                    Some((&*id.0, shard, ((until - now) * 1e3).max(1.0) as u64, text, keys))
+                    Some((&*id.0, shard, permits::told_ms(now, until, not_after), text, keys))
                 });
                 frames::call(out, asked);
                 self.counters.one("frames_sent{call}");
@@ -551,13 +559,16 @@
         true
     }
 
-    /// Of a call whose frame is next: which parts may still begin. What was decided may have waited for a dial or for
+    /// Of a call whose frame is next: why a part may not begin, if it may not. What was decided may have waited for a dial or for
     /// a place since, past a part's time, or past the window in which its node drops what it has run before.
-    fn too_late(&self, id: &CallId, now: f64) -> bool {
-        let Some((vertical, part)) = self.queries.vertical_and_part(&id.0) else { return true };
+    fn denied(&self, id: &CallId, node: NodeState, now: f64) -> Option<Denial> {
+        let Some((vertical, part)) = self.queries.vertical_and_part(&id.0) else {
+            return Some(Denial::QueryOver);
+        };
         let until = self.calls.get(id).map_or(now, |call| call.until);
-        let window = self.verticals[vertical].window.unwrap_or(f64::INFINITY);
-        until <= now || part.begun.iter().any(|(_, at)| at + window <= now)
+        let begun: Vec<f64> = part.begun.iter().map(|(_, at)| *at).collect();
+        let effect = self.verticals[vertical].effect;
+        permits::call(&permits::Call { now, until, effect, begun: &begun, node }).err()
     }
 
     /// Ends the calls of the next frame that come too late to begin, as ones that were never sent.
@@ -566,9 +577,12 @@
         loop {
             let Some(line) = self.roster.line(node, number) else { return };
             let next = line.next_call().to_vec();
-            let late: Vec<_> = next.iter().filter(|id| self.too_late(id, now)).collect();
+            let state = self.roster.nodes.get(node).map_or(NodeState::Gone, |record| record.state);
+            let denied = |id: &CallId| Some((id.clone(), self.denied(id, state, now)?));
+            let late: Vec<(CallId, Denial)> = next.iter().filter_map(denied).collect();
             self.counters.add("calls_too_late_to_begin", late.len());
-            for id in &late {
+            for (id, denial) in &late {
+                self.counters.one(&format!("calls_denied{{{}}}", denial.label()));
                 self.give_up(id, Ending::NeverSent);
                 // Guards against a call that has ended and waits here still: nothing is left to give up.
                 self.roster.line(node, number).into_iter().for_each(|line| line.take_back(id));
@@ -878,6 +892,7 @@
     fn answer(&mut self, query: &str, whole: bool) {
         let what = if whole { "merged" } else { "merged_in_part" };
         let Some((query, closes)) = self.close(query, what) else { return };
+        self.audit_answer(&query, whole);
         let mut out = query.client.out.borrow_mut();
         #[cfg(feature = "faults")]
         if self.ground.as_ref().is_some_and(|ground| ground.by_answers) {
@@ -899,6 +914,7 @@
 
     fn reject(&mut self, query: &str, come_back: Option<f64>) {
         let Some((query, closes)) = self.close(query, "rejected") else { return };
+        self.audit_reject(&query);
         answer::plain(&mut query.client.out.borrow_mut(), 503, "rejected, try again", come_back, closes);
     }
 
--- a/crates/router/src/memory/lines.rs
+++ b/crates/router/src/memory/lines.rs
@@ -101,6 +101,14 @@
         }
     }
 
+    /// The parts of the frame that has begun to go out.
+    pub fn begun_call(&self) -> &[CallId] {
+        match &self.begun {
+            Some(Frame::Call(parts)) => parts,
+            _ => &[],
+        }
+    }
+
     /// Whether the next frame asks for something new.
     pub fn next_is_call(&self) -> bool {
         self.begun.is_none() && matches!(self.frames.front(), Some(Frame::Call(_)))
--- a/crates/router/src/memory/mod.rs
+++ b/crates/router/src/memory/mod.rs
@@ -2,6 +2,7 @@
 //! The `Desk` holds them all and is the one place where a thing that came in meets what is kept; drivers and
 //! the round call it. Each core has one, used by its thread alone, and no borrow outlasts a call; the `House` is
 //! what the desks of several cores hold in common.
+pub mod audit;
 pub mod calls;
 pub mod clients;
 pub mod clock;
--- a/crates/router/src/peers/mod.rs
+++ b/crates/router/src/peers/mod.rs
@@ -9,7 +9,9 @@
 use alderway_peers::view::{Refused, State, View};
 use alderway_peers::{Frame, Name, Terms, ring};
 use alderway_sockets::Sender;
+use alderway_sockets::signals::Signals;
 use alderway_tier::frames::{self, Hello, Read, Reader, Speech};
+use nix::sys::signal::Signal;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
@@ -18,7 +20,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
@@ -113,12 +114,12 @@
     spawn_local(tick(ends.clone()));
     let mut dials = Dials { ends, own: name, seed: incarnation, tasks: BTreeMap::new() };
     dials.set(&circle.members);
-    let (mut terms, mut hangups) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
+    let (mut terms, mut hangups) = (Signals::of(Signal::SIGTERM)?, Signals::of(Signal::SIGHUP)?);
     spawn_local(async move {
         loop {
             tokio::select! {
-                _ = terms.recv() => dials.ends.peers.borrow_mut().view.leave(clock.now()),
-                Some(()) = hangups.recv() => dials.read_again(&circle),
+                () = terms.recv() => dials.ends.peers.borrow_mut().view.leave(clock.now()),
+                () = hangups.recv() => dials.read_again(&circle),
             }
         }
     });
--- a/crates/router/src/tier/post.rs
+++ b/crates/router/src/tier/post.rs
@@ -8,13 +8,14 @@
 use alderway::choice::Router;
 use alderway::host::Common;
 use alderway_sockets::Sender;
+use alderway_sockets::signals::Signals;
 use alderway_tier::frames::{Hello, Read, Reader, VERSION};
+use nix::sys::signal::Signal;
 use std::cell::RefCell;
 use std::io;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
@@ -34,7 +35,7 @@
 /// Runs a planner until SIGTERM has been seen through: it takes nothing new, and what it holds ends first.
 pub async fn run(station: Station, clock: Clock) -> io::Result<()> {
     let Station { path, beside, name, listen, discovery, roster, seed, fixed, .. } = station;
-    let (mut terms, hangups) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
+    let (mut terms, hangups) = (Signals::of(Signal::SIGTERM)?, Signals::of(Signal::SIGHUP)?);
     let mut router = Router::new(seed, station.began.terms);
     // It tells forwarders what it sees of data nodes, as one core tells others.
     router.join(Common::new(2).of(0));
--- a/crates/sockets/src/lib.rs
+++ b/crates/sockets/src/lib.rs
@@ -5,6 +5,7 @@
 //! retry the first, wait out the second and report only the third. No driver matches on error kinds by itself.
 
 mod failure;
+pub mod signals;
 
 pub use failure::Failure;
 
