Slow start goes by a start that agrees with what was seen, not by the wall clock alone

Cause: a data node's start was placed by the wall clock as it was when the program began, so one that started a moment ago was warm for a program that began an hour ahead. Change: src/slow_start.rs (policy) bounds a start by when discovery was last heard and by now; memory/roster.rs keeps what was told as the process's identity and what is believed beside it. Still open: starts told by the first list of a program that begins with a wrong clock.

--- a/crates/router/src/drive/discovery.rs
+++ b/crates/router/src/drive/discovery.rs
@@ -219,6 +219,7 @@
                     {
                         return why.into();
                     }
+                    list.borrow_mut().roster().heard = Some(now);
                 }
             }
         }
@@ -234,6 +235,7 @@
     let (index, whole) = discovery::version(line)?;
     let mut list = list.borrow_mut();
     let (clock, roster) = (list.clock(), list.roster());
+    let now = clock.now();
     if !whole && roster.index.is_none_or(|held| index < held) {
         // Not a change to the list held: the next watch asks for the whole one.
         roster.index = None;
@@ -244,7 +246,8 @@
     discovery::entries(line, |name, told| match told {
         Ok(node) => {
             entries += 1;
-            roster.entry(name, node.address, node.cell, node.state, clock.from_unix(node.since));
+            let started = clock.from_unix(node.since);
+            roster.told(name, node.address, node.cell, node.state, started, now);
         }
         Err((state, why)) => {
             unusable += 1;
--- a/crates/router/src/life/start.rs
+++ b/crates/router/src/life/start.rs
@@ -178,7 +178,10 @@
     roster.begin(index, true);
     let mut wrong = None;
     discovery::entries(text.as_bytes(), |name, told| match told {
-        Ok(node) => roster.entry(name, node.address, node.cell, node.state, clock.from_unix(node.since)),
+        Ok(node) => {
+            let (started, now) = (clock.from_unix(node.since), clock.now());
+            roster.told(name, node.address, node.cell, node.state, started, now);
+        }
         Err((_, why)) => wrong = wrong.or(Some(why)),
     })?;
     wrong.map_or(Ok(roster), |why| Err(why.into()))
--- a/crates/router/src/memory/roster.rs
+++ b/crates/router/src/memory/roster.rs
@@ -2,6 +2,7 @@
 use super::CallId;
 use super::lines::Line;
 use alderway::host::{Intake, NodeState};
+use alderway::slow_start;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -11,7 +12,9 @@
     pub state: NodeState,
     /// What it was before the list that is being taken in.
     before: NodeState,
+    /// Since when its process is taken to run, and the start as discovery told it, which says whether it is the same.
     pub started: Option<f64>,
+    told_start: Option<f64>,
     pub lines: BTreeMap<u64, Line>,
     /// Parts that this round sends here, not yet made into calls.
     pub fresh: Vec<CallId>,
@@ -37,6 +40,8 @@
     pub failed: bool,
     pub changed: BTreeSet<String>,
     pub last_line: u64,
+    /// When discovery was last heard.
+    pub heard: Option<f64>,
     /// Some node may be gone: otherwise nobody looks for one.
     any_gone: bool,
     /// Of the list that is being taken in: whether it is the whole one, and whether it is older than one held before.
@@ -71,6 +76,27 @@
         }
     }
 
+    /// One entry as discovery tells it, with the start by the wall clock as it was when this program began.
+    pub fn told(
+        &mut self,
+        name: &str,
+        address: SocketAddr,
+        cell: u32,
+        state: NodeState,
+        told_start: Option<f64>,
+        now: f64,
+    ) {
+        let held = self.nodes.get(name).filter(|node| node.told_start == told_start);
+        let started = match (held, told_start) {
+            (Some(node), _) => node.started,
+            (None, told) => told.map(|told| slow_start::believed_start(told, now, self.heard)),
+        };
+        self.entry(name, address, cell, state, started);
+        if let Some(node) = self.nodes.get_mut(name).filter(|_| state != NodeState::Gone) {
+            node.told_start = told_start;
+        }
+    }
+
     /// One entry. Connections to an address that is no longer the node's take nothing new, and those to a
     /// process that has since been started again are cut: nobody there will answer.
     pub fn entry(
@@ -86,7 +112,10 @@
             let (lines, fresh) = (BTreeMap::new(), vec![]);
             self.any_gone |= state == NodeState::Gone;
             let before = state;
-            self.nodes.insert(name.into(), Node { address, cell, state, before, started, lines, fresh });
+            self.nodes.insert(
+                name.into(),
+                Node { address, cell, state, before, started, told_start: started, lines, fresh },
+            );
             return;
         };
         if state == NodeState::Gone {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod host;
 mod kept;
 pub mod permits;
+pub mod slow_start;
