--- a/crates/router/tests/crossings.rs
+++ b/crates/router/tests/crossings.rs
@@ -4,7 +4,7 @@
 use common::*;
 use rstest::rstest;
 use std::io::Write;
-use std::net::TcpListener;
+use std::net::{TcpListener, TcpStream};
 use std::sync::mpsc::channel;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -159,3 +159,25 @@
     assert_eq!(nodes.serve().0, ["q.0"]);
     assert_eq!(client.status(), "200");
 }
+
+#[rstest]
+fn a_request_that_came_behind_another_at_the_end_of_a_stop_is_answered_too() {
+    let (program, nodes, _agent) = limited(1, 4000, 180, "{}");
+    let mut client = program.connect();
+    client.ask("first", &[0], 4000);
+    let mut call = nodes.next('S');
+    program.signal("TERM");
+    program.says("SIGTERM");
+    // By now connections close with their present answer.
+    let end = Instant::now() + PATIENCE;
+    while TcpStream::connect(program.address).is_ok() {
+        assert!(Instant::now() < end, "the listener stays open");
+        thread::sleep(Duration::from_millis(5));
+    }
+    client.ask("second", &[0], 4000);
+    reply(&mut call.stream, "first.0 done 17 -\nvalue");
+    assert_eq!(client.status(), "200");
+    assert_eq!(nodes.serve().0, ["second.0"]);
+    assert_eq!(client.status(), "200");
+    client.ended();
+}
