A connection closes with its answer only where nothing has been read behind it

Cause: Stage::Closing closed a connection with its present answer whatever had come behind it. Change: the desk asks permits::close with what has been read behind the request.

--- a/crates/router/src/drive/clients.rs
+++ b/crates/router/src/drive/clients.rs
@@ -194,6 +194,7 @@
             match self.messages.find(&mut self.buffer) {
                 Ok(true) => {
                     let (head, body) = self.messages.message(&self.buffer);
+                    self.client.behind.set(self.buffer.data().len() > self.messages.end());
                     requests::take(self.desk, self.client, head, body, self.read_at);
                     self.messages.done(&mut self.buffer);
                     self.client.used.set(true);
@@ -256,6 +257,7 @@
             Ok(Some((0, _))) | Err(_) => return false,
             Ok(Some((count, at))) => {
                 if !self.overrun {
+                    self.client.behind.set(self.client.query.get().is_some());
                     self.buffer.filled(count);
                     self.read_at = at;
                 }
--- a/crates/router/src/memory/clients.rs
+++ b/crates/router/src/memory/clients.rs
@@ -32,6 +32,8 @@
     pub idle: Cell<Option<f64>>,
     /// Part of a request has come.
     pub half_sent: Cell<bool>,
+    /// Bytes have come behind the present request.
+    pub behind: Cell<bool>,
     /// Has had bytes of an answer since this was last looked at.
     pub served: Cell<bool>,
 }
--- a/crates/router/src/memory/desk.rs
+++ b/crates/router/src/memory/desk.rs
@@ -811,6 +811,13 @@
         Some(line)
     }
 
+    /// Whether this side ends a connection with its present answer. Guards against dropping what has been read behind
+    /// the request: it is owed an answer as well.
+    pub fn closes_connection(&self, client: &Client) -> bool {
+        let closing = permits::Closing { query_open: false, unwritten: false, unread: client.behind.get() };
+        self.stage >= Stage::Closing && permits::close(&closing).is_ok()
+    }
+
     fn close(&mut self, query: &str, what: &str) -> Option<(Query, bool)> {
         let query = self.queries.number(query).and_then(|number| self.queries.release(number))?;
         self.count(what, query.vertical);
@@ -818,7 +825,7 @@
         for part in &query.parts {
             self.take_back(&part.id, Ending::NeverSent);
         }
-        let closes = query.client.closes.get() || self.stage >= Stage::Closing;
+        let closes = query.client.closes.get() || self.closes_connection(&query.client);
         query.client.closes.set(closes);
         query.client.wake.notify_one();
         Some((query, closes))
--- a/crates/router/src/requests.rs
+++ b/crates/router/src/requests.rs
@@ -1,7 +1,6 @@
 //! What a request asks for: a query, readiness or the counters; anything else is told why not.
 use crate::memory::Shared;
 use crate::memory::clients::Client;
-use crate::memory::desk::Stage;
 use crate::memory::queries::{Part, Query};
 use crate::wire::frames::LONGEST_ID;
 use crate::wire::http::{Head, Refusal};
@@ -12,8 +11,8 @@
 /// Takes a whole request whose last byte came at `at`; it is answered now, or it is an open query then.
 pub fn take(desk: &Shared, client: &Rc<Client>, head: Head, body: &[u8], at: f64) {
     // The answers here have a body, which an answer to HEAD must not: no further message could be told apart.
-    let closes = head.closes() || head.first().starts_with("HEAD ") || desk.borrow().stage >= Stage::Closing;
-    client.closes.set(client.closes.get() || closes);
+    let closes = head.closes() || head.first().starts_with("HEAD ");
+    client.closes.set(client.closes.get() || closes || desk.borrow().closes_connection(client));
     let mut words = head.first().split(' ');
     let (method, target) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
     let path = target.split('?').next().unwrap_or_default();
--- a/crates/router/src/wire/http.rs
+++ b/crates/router/src/wire/http.rs
@@ -243,6 +243,11 @@
         (Head { lines }, data.get(end..self.body).unwrap_or_default())
     }
 
+    /// Where the message that `find` has found ends.
+    pub fn end(&self) -> usize {
+        self.body
+    }
+
     /// Whether the client waits for a word before it sends the body.
     pub fn awaits_go_ahead(&self, buffer: &Buffer) -> bool {
         let bare = self.head == Some(buffer.data().len());
