--- a/crates/router/tests/subscription.rs
+++ b/crates/router/tests/subscription.rs
@@ -433,3 +433,25 @@
         assert!(seen.iter().all(|seen| seen.in_force.iter().map(|f| f.1).eq([1, 2])));
     });
 }
+
+#[rstest]
+fn a_version_that_the_disk_refuses_is_kept_as_soon_as_it_takes_it() {
+    story(async {
+        let folder = std::env::temp_dir().join(format!("alderway-kept-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        let path = folder.join("version");
+        let keep = kept::keeper(path.clone(), Clock::default());
+        // There is no such folder yet, so nothing can be written.
+        let settled = Settled::new(7, "{}");
+        keep.send_replace(Some((settled.clone(), None)));
+        sleep(Duration::from_millis(200)).await;
+        assert_eq!(kept::read(&path), Ok(None));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        while kept::read(&path).ok().flatten().is_none() {
+            sleep(Duration::from_millis(20)).await;
+        }
+        let kept = kept::read(&path).expect("sound").expect("kept");
+        assert_eq!(kept.settled, settled);
+        let _ = std::fs::remove_dir_all(&folder);
+    });
+}
