A version that the disk refuses is written again until it is kept

Cause: the keeper wrote each version once. Change: the newest version stays owed and is tried again each second, and said so.

--- a/crates/router/src/control/kept.rs
+++ b/crates/router/src/control/kept.rs
@@ -9,7 +9,8 @@
 use std::fs::{self, File};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::Duration;
+use tokio::time::timeout;
 
 const WORD: &str = "alderway-version 1";
 /// A head and the longest settings.
@@ -74,26 +75,22 @@
     File::open(directory.unwrap_or(Path::new(".")))?.sync_all()
 }
 
+/// A version, and when it was last known to be the newest.
+type Newest = Option<(Settled, Option<f64>)>;
+
+/// Between two tries to write a version that the disk refuses.
+const RETRY: Duration = Duration::from_secs(1);
+
 /// Keeps the newest of what it is sent, off the thread that serves.
-pub fn keeper(path: PathBuf, clock: Clock) -> watch::Sender<Option<(Settled, Option<f64>)>> {
-    let (sender, mut news) = watch::channel(None::<(Settled, Option<f64>)>);
+pub fn keeper(path: PathBuf, clock: Clock) -> watch::Sender<Newest> {
+    let (sender, mut news) = watch::channel::<Newest>(None);
     spawn_local(async move {
         while news.changed().await.is_ok() {
-            let Some((settled, as_of)) = news.borrow_and_update().clone() else { continue };
-            let (number, path) = (settled.number, path.clone());
-            let age = as_of.map(|as_of| clock.now() - as_of);
-            let as_of_unix_ms = age.and_then(|age| {
-                let unix = SystemTime::now().duration_since(UNIX_EPOCH).ok()?.as_secs_f64();
-                Some(((unix - age).max(0.0) * 1e3) as u64)
-            });
-            let kept = Kept { settled, as_of_unix_ms };
-            let written = spawn_blocking(move || write(&path, &kept)).await;
-            let why = match written {
-                Ok(Ok(())) => continue,
-                Ok(Err(why)) => why.to_string(),
-                Err(why) => why.to_string(),
-            };
-            tracing::error!(target: "control", "version {number} is not kept on disk: {why}");
+            // Guards against a disk that fails for a while: what is newest stays owed until it is kept.
+            while let Some(why) = keep_newest(&mut news, &path, clock).await {
+                tracing::error!(target: "control", "{why}; tried again in {} s", RETRY.as_secs());
+                let _ = timeout(RETRY, news.changed()).await;
+            }
         }
     });
     sender
@@ -128,3 +125,18 @@
     station.control = Some(subscription);
     Ok(station)
 }
+
+/// Writes the newest version; why it is not kept, if it is not.
+async fn keep_newest(news: &mut watch::Receiver<Newest>, path: &Path, clock: Clock) -> Option<String> {
+    let (settled, as_of) = news.borrow_and_update().clone()?;
+    let (number, path) = (settled.number, path.to_path_buf());
+    let age = as_of.map(|as_of| clock.now() - as_of);
+    let as_of_unix_ms = age.map(|age| ((clock.unix_now() - age).max(0.0) * 1e3) as u64);
+    let kept = Kept { settled, as_of_unix_ms };
+    let why = match spawn_blocking(move || write(&path, &kept)).await {
+        Ok(Ok(())) => return None,
+        Ok(Err(why)) => why.to_string(),
+        Err(why) => why.to_string(),
+    };
+    Some(format!("version {number} is not kept on disk: {why}"))
+}
