--- /dev/null
+++ b/crates/lab/tests/soak.rs
@@ -0,0 +1,173 @@
+//! The soak's oracle against ledgers that break one rule each, and its schedules against their seeds.
+use alderway_lab::soak::Soak;
+use alderway_lab::soak::ledger::{Attempt, Ledger, Outcome, Request, Run, Stalled, Told};
+use alderway_lab::soak::oracle::judge;
+use alderway_lab::soak::scenario::{Effect, Scenario};
+use rstest::rstest;
+
+fn soak() -> Soak {
+    Soak {
+        routers: 4,
+        nodes: 6,
+        seconds: 20.0,
+        clients: 2,
+        without: vec![],
+        logs: std::env::temp_dir(),
+        programs: None,
+    }
+}
+
+/// A scenario whose classes are `read`, `keyed` and `write`, with known limits.
+fn scenario() -> Scenario {
+    let mut scenario = Scenario::drawn(&soak(), 1);
+    scenario.grace = 0.5;
+    scenario.budget = None;
+    scenario.classes[1].effect = Effect::Deduplicated(0.5);
+    scenario.routers.iter_mut().for_each(|router| router.faults.clear());
+    scenario
+}
+
+/// One request of a class, answered in time by one attempt, in a process that ends in order.
+fn sound(class: usize) -> Ledger {
+    let run =
+        Run { started: 0.0, ready: Some(0.1), terminated: Some(20.0), ended: Some(21.0), ..Run::default() };
+    let request = Request {
+        id: "q".into(),
+        run: 0,
+        class,
+        parts: vec![3],
+        connected: 1.0,
+        reused: false,
+        pipelined: false,
+        sent: 1.0,
+        patience: 1.0,
+        in_order: 1.0,
+        outcome: Outcome::Answered { at: 1.5, status: 200, fault: None, share: 1.0 },
+    };
+    let (runs, requests, attempts) = (vec![run], vec![request], vec![attempt(1.1)]);
+    Ledger { runs, requests, attempts, ..Ledger::default() }
+}
+
+fn attempt(at: f64) -> Attempt {
+    let part = "q.3".to_string();
+    Attempt { part, run: 0, node: 2, begun: at, whole: at, told: 0.5, turned_away: None, ran: Some(at) }
+}
+
+fn rules(ledger: &Ledger) -> Vec<&'static str> {
+    judge(&scenario(), ledger).0.iter().map(|violation| violation.rule).collect()
+}
+
+#[rstest]
+#[case(0)]
+#[case(1)]
+#[case(2)]
+fn a_ledger_with_nothing_wrong_breaks_no_rule(#[case] class: usize) {
+    assert_eq!(rules(&sound(class)), Vec::<&str>::new());
+}
+
+#[rstest]
+#[case::late(Outcome::Answered { at: 2.6, status: 200, fault: None, share: 1.0 }, "lost")]
+#[case::closed(Outcome::Closed { at: 1.4, reset: false }, "lost")]
+#[case::reset(Outcome::Closed { at: 1.4, reset: true }, "lost")]
+#[case::never_answered(Outcome::Open, "lost")]
+#[case::wrong(Outcome::Answered { at: 1.5, status: 200, fault: Some("a part twice".into()), share: 1.0 }, "answer")]
+fn a_request_without_its_one_right_answer_in_time_is_told(#[case] outcome: Outcome, #[case] rule: &str) {
+    let mut ledger = sound(0);
+    ledger.requests[0].outcome = outcome;
+    assert_eq!(rules(&ledger), [rule]);
+}
+
+#[rstest]
+fn an_attempt_after_its_client_left_is_told() {
+    let mut ledger = sound(0);
+    ledger.requests[0].outcome = Outcome::Left { at: 1.0 };
+    ledger.attempts[0].begun = 1.05;
+    assert_eq!(rules(&ledger), Vec::<&str>::new());
+    ledger.attempts[0].begun = 1.2;
+    assert_eq!(rules(&ledger), ["lost"]);
+}
+
+#[rstest]
+fn more_time_told_than_is_left_is_told() {
+    let mut ledger = sound(0);
+    ledger.attempts[0].told = 1.2;
+    assert_eq!(rules(&ledger), ["deadline"]);
+}
+
+#[rstest]
+#[case::repeatable(0, 1.9, None, &[])]
+#[case::in_the_window(1, 1.3, None, &[])]
+#[case::past_the_window(1, 1.9, None, &["duplicate"])]
+#[case::side_effecting(2, 1.3, None, &["duplicate"])]
+#[case::turned_away_before(2, 1.3, Some(1.2), &[])]
+#[case::turned_away_after(2, 1.3, Some(1.4), &["duplicate"])]
+fn a_repeat_that_its_class_does_not_allow_is_told(
+    #[case] class: usize,
+    #[case] again: f64,
+    #[case] turned_away: Option<f64>,
+    #[case] wanted: &[&str],
+) {
+    let mut ledger = sound(class);
+    ledger.requests[0].outcome = Outcome::Answered { at: 1.95, status: 200, fault: None, share: 1.0 };
+    ledger.attempts[0].turned_away = turned_away;
+    ledger.attempts.push(Attempt { told: 0.1, ..attempt(again) });
+    assert_eq!(rules(&ledger), wanted);
+}
+
+#[rstest]
+fn a_refusal_of_what_may_have_run_is_told() {
+    let mut ledger = sound(2);
+    ledger.requests[0].outcome = Outcome::Answered { at: 1.5, status: 503, fault: None, share: 0.0 };
+    assert_eq!(rules(&ledger), ["duplicate"]);
+}
+
+#[rstest]
+#[case::within_the_grace(0.7, &[])]
+#[case::after_it(0.5, &["drain"])]
+fn an_attempt_at_a_node_told_to_drain_is_told(#[case] told: f64, #[case] wanted: &[&str]) {
+    let mut ledger = sound(0);
+    ledger.told.push(Told { run: 0, node: 2, leaving: true, at: told });
+    assert_eq!(rules(&ledger), wanted);
+    ledger.told.push(Told { run: 0, node: 2, leaving: false, at: told + 0.01 });
+    assert_eq!(rules(&ledger), Vec::<&str>::new());
+}
+
+#[rstest]
+fn attempts_past_a_stated_budget_are_told() {
+    let mut scenario = scenario();
+    scenario.budget = Some((1.0, 0.1, 10.0));
+    let mut ledger = sound(0);
+    ledger.attempts.push(attempt(1.2));
+    assert_eq!(judge(&scenario, &ledger).0.len(), 0);
+    ledger.attempts.push(attempt(1.3));
+    assert_eq!(judge(&scenario, &ledger).0[0].rule, "budget");
+}
+
+#[rstest]
+fn a_client_that_stalls_and_hears_nothing_is_told() {
+    let mut ledger = sound(0);
+    let stalled = |ended| Stalled { run: 0, connected: 2.0, owed_from: 2.0, ended };
+    ledger.stalled = vec![stalled(Some(4.9))];
+    assert_eq!(rules(&ledger), Vec::<&str>::new());
+    ledger.stalled = vec![stalled(None)];
+    assert_eq!(rules(&ledger), ["stalled client"]);
+}
+
+#[rstest]
+fn a_process_that_ends_by_itself_or_counts_a_violation_is_told() {
+    let mut ledger = sound(0);
+    ledger.runs[0].crashed = Some("exit status: 101".into());
+    ledger.runs[0].counted.insert("rule_violations{call}".into(), 1);
+    assert_eq!(rules(&ledger), ["crash", "counted by the router"]);
+}
+
+#[rstest]
+fn a_seed_draws_the_same_scenario_and_its_troubles_overlap() {
+    let [one, again] = [7, 7].map(|seed| Scenario::drawn(&soak(), seed));
+    let text = |scenario: &Scenario| scenario.troubles.iter().map(ToString::to_string).collect::<Vec<_>>();
+    assert_eq!(text(&one), text(&again));
+    assert_ne!(text(&one), text(&Scenario::drawn(&soak(), 8)));
+    let troubles = &one.troubles;
+    let overlaps = troubles.windows(2).filter(|pair| pair[1].at < pair[0].at + pair[0].lasts).count();
+    assert!(overlaps * 2 > troubles.len(), "{overlaps} of {}", troubles.len());
+}
