Counters say why each connection was closed; a query closed open is a counted violation

Change: client_closes{reason}, connection_closes{reason}; rule_violations{closed_unanswered}; an idle connection's end is looked for after a pause has been settled, not before.

--- a/crates/router/src/drive/clients.rs
+++ b/crates/router/src/drive/clients.rs
@@ -100,15 +100,30 @@
 }
 
 /// How this side's part in a connection ends.
+#[derive(Clone, Copy)]
 enum End {
-    /// The client has ended it, or it is broken, or it never brought a request.
-    Gone,
+    /// The client has ended it, or it is broken.
+    Left,
+    /// The client takes no byte of an answer, or never brought a request.
+    Gone(&'static str),
     /// This side ends it after an answer: what the client still sends must not reset that on its way.
     Closed,
     /// Another core goes on with it.
     Moves(usize),
 }
 
+impl End {
+    /// How counters name it.
+    fn reason(self) -> &'static str {
+        match self {
+            End::Left => "left",
+            End::Gone(reason) => reason,
+            End::Closed => "in_order",
+            End::Moves(_) => "moved",
+        }
+    }
+}
+
 /// One connection from its first byte to its last.
 async fn serve(desk: Shared, mut stream: TcpStream, mut held: Held, used: bool) {
     let _ = stream.set_nodelay(true);
@@ -141,7 +156,11 @@
         desk.borrow_mut().giving = None;
     };
     if let Some(number) = client.query.get() {
-        desk.borrow_mut().client_left(number);
+        let mut desk = desk.borrow_mut();
+        if !matches!(end, End::Left) {
+            desk.audit_closed_open(number);
+        }
+        desk.client_left(number);
     }
     client.idle.set(None);
     if matches!(end, End::Closed) && stream.shutdown().await.is_ok() {
@@ -163,6 +182,7 @@
     let mut desk = desk.borrow_mut();
     desk.clients.depart(id);
     desk.counters.one("clients{closed}");
+    desk.counters.one(&format!("client_closes{{{}}}", end.reason()));
 }
 
 /// What a connection is in the midst of.
@@ -232,7 +252,7 @@
                 self.written += count;
                 self.desk.borrow_mut().counters.add("bytes_to_clients", count);
             }
-            Err(_) => return ControlFlow::Break(End::Gone),
+            Err(_) => return ControlFlow::Break(End::Left),
         }
         if self.written < out.len() {
             return ControlFlow::Continue(false);
@@ -337,7 +357,7 @@
             biased;
             _ = stream.readable(), if room || open => {
                 if !talk.read(clock) {
-                    return End::Gone;
+                    return End::Left;
                 }
             }
             () = talk.sender.ready(stream), if writing => {}
@@ -345,13 +365,13 @@
             () = std::future::ready(()), if waiting && dismissed => {
                 // Guards against closing on a request that has come and is not read yet: it counts as taken.
                 if !room || !arrival::waits(stream) {
-                    return if client.used.get() { End::Closed } else { End::Gone };
+                    return if client.used.get() { End::Closed } else { End::Gone("never_asked") };
                 }
                 yield_now().await;
             }
             () = until(clock, by), if by.is_finite() && !(waiting && dismissed) => {
                 if writing {
-                    return End::Gone;
+                    return End::Gone("reads_nothing");
                 }
                 if half_sent {
                     talk.lose("requests{half_sent}", (408, "the request did not come in time"));
--- a/crates/router/src/drive/nodes.rs
+++ b/crates/router/src/drive/nodes.rs
@@ -27,11 +27,17 @@
         // In this order: the stream closes before its share is given back, or another takes that in between.
         Ok(Ok((_held, stream))) => {
             desk.borrow_mut().counters.one("connections{opened}");
-            if let Err((why, part)) = speak(&desk, &node, line, &stream).await {
-                tracing::warn!(target: "frame", "node {node}: {why}; its connection is closed");
-                desk.borrow_mut().spoilt(&node, line, part.as_deref());
-            }
-            desk.borrow_mut().counters.one("connections{closed}");
+            let reason = match speak(&desk, &node, line, &stream).await {
+                Ok(reason) => reason,
+                Err((why, part)) => {
+                    tracing::warn!(target: "frame", "node {node}: {why}; its connection is closed");
+                    desk.borrow_mut().spoilt(&node, line, part.as_deref());
+                    "spoilt"
+                }
+            };
+            let mut desk = desk.borrow_mut();
+            desk.counters.one("connections{closed}");
+            desk.counters.one(&format!("connection_closes{{{reason}}}"));
         }
         Ok(Err(_)) => desk.borrow_mut().counters.one("connections{refused}"),
         Err(_) if short.get() => {
@@ -72,14 +78,14 @@
     Ok((held, stream))
 }
 
-/// Writes what waits and reads what comes; an error is a frame that cannot be read.
-async fn speak(desk: &Shared, node: &str, line: u64, stream: &TcpStream) -> Result<(), Spoilt> {
+/// Writes what waits and reads what comes; says why the connection ended. An error is a frame that cannot be read.
+async fn speak(desk: &Shared, node: &str, line: u64, stream: &TcpStream) -> Result<&'static str, Spoilt> {
     let (clock, wake, idle, patience) = {
         let mut desk = desk.borrow_mut();
         let patience = desk.trunk.dial;
         // Idle connections close a dial's length before the node's machine would.
         let (clock, idle) = (desk.clock, (desk.trunk.idle - desk.trunk.dial).max(0.5 * desk.trunk.idle));
-        let Some(line) = desk.roster.line(node, line) else { return Ok(()) };
+        let Some(line) = desk.roster.line(node, line) else { return Ok("forgotten") };
         line.up = true;
         (clock, line.wake.clone(), idle, patience)
     };
@@ -90,16 +96,16 @@
     let mut whole_by = f64::INFINITY;
     loop {
         let before = written;
+        settle(desk, node, line, &mut settled).await;
         // Guards against a call written to a connection that its node has closed as idle, which would count as one
         // that may have run.
-        if desk.borrow_mut().roster.line(node, line).is_some_and(|l| l.is_unasked()) && arrival::ended(stream)
-        {
+        let unasked = desk.borrow_mut().roster.line(node, line).is_some_and(|l| l.is_unasked());
+        if unasked && arrival::ended(stream) {
             desk.borrow_mut().put_back(node, line);
-            return Ok(());
+            return Ok("ended_idle");
         }
-        settle(desk, node, line, &mut settled).await;
         if !write(desk, node, line, stream, &mut sender, &mut out, &mut written) {
-            return Ok(());
+            return Ok("cut_or_broken");
         }
         // A silent machine never closes: a frame that gets no further for so long ends the connection.
         if written == out.len() {
@@ -109,18 +115,19 @@
         }
         let idle_since = {
             let mut desk = desk.borrow_mut();
-            let Some(line) = desk.roster.line(node, line) else { return Ok(()) };
+            let Some(line) = desk.roster.line(node, line) else { return Ok("forgotten") };
             let idle_since = line.idle_since();
             if idle_since.is_some_and(|since| line.retired || since + idle <= clock.now()) {
+                let reason = if line.retired { "retired" } else { "idle" };
                 line.retired = true;
-                return Ok(());
+                return Ok(reason);
             }
             idle_since
         };
         tokio::select! {
             ready = stream.readable() => {
                 let came = if ready.is_ok() { read(desk, node, line, stream, &mut buffer)? } else { None };
-                let Some(frames) = came else { return Ok(()) };
+                let Some(frames) = came else { return Ok("ended_by_node") };
                 // A data node writes an answer in one go. Guards against a length that says more than comes,
                 // which would hold the calls out here, and take the next answer for its rest.
                 if buffer.is_empty() {
@@ -130,7 +137,7 @@
                 }
             }
             () = sender.ready(stream), if written < out.len() => {}
-            () = until(clock, stuck), if stuck.is_finite() => return Ok(()),
+            () = until(clock, stuck), if stuck.is_finite() => return Ok("takes_nothing"),
             () = until(clock, whole_by), if whole_by.is_finite() => {
                 return Err(("an answer that does not end", None));
             }
