Failing test: a call composed before its socket takes a byte goes out late as it was

A socket that takes nothing (no buffers, or a data node that does not read) has the same effect: the frame counts as begun, so a drain does not take it back, and the time in it is that of its composing.

--- a/crates/router/tests/system_faults.rs
+++ b/crates/router/tests/system_faults.rs
@@ -72,24 +72,37 @@
 }
 
 #[rstest]
-fn a_request_that_waited_to_be_read_has_less_time_left_whatever_the_wall_clock_shows() {
+#[case::kept_connection("wobble=3600", false)]
+#[case::new_connection("seed=7", true)]
+#[case::new_connection_and_interrupted("seed=8 eintr=0.2", true)]
+fn a_request_that_waited_to_be_read_has_less_time_left_whatever_the_wall_clock_shows(
+    #[case] faults: &str,
+    #[case] new: bool,
+) {
     let (nodes, agent) = (Nodes::new(1), Agent::new());
     let settings = settings(4000, 180);
-    let program = Program::with_faults(&nodes.addresses, agent.address, &settings, "wobble=3600");
+    let program = Program::with_faults(&nodes.addresses, agent.address, &settings, faults);
     let mut client = program.connect();
-    client.ask("a", &[1], 4000);
-    nodes.serve();
-    assert_eq!(client.status(), "200");
-    program.signal("STOP");
-    let asked = Instant::now();
-    client.ask("b", &[1], 4000);
-    thread::sleep(Duration::from_millis(600));
-    program.signal("CONT");
-    let call = nodes.next('S').text;
-    let told = call.split("d=").nth(1).and_then(|rest| rest.split(' ').next()).expect("in the form");
-    let left = Duration::from_millis(4000).saturating_sub(asked.elapsed());
-    let told = Duration::from_millis(told.parse().expect("a number"));
-    assert!(told <= left + Duration::from_millis(150), "told {told:?}, left {left:?}");
+    for round in 0..6 {
+        client.ask(&format!("a{round}"), &[1], 4000);
+        nodes.serve();
+        assert_eq!(client.status(), "200");
+        program.signal("STOP");
+        let asked = Instant::now();
+        if new {
+            client = program.connect();
+        }
+        client.ask(&format!("b{round}"), &[1], 4000);
+        thread::sleep(Duration::from_millis(400));
+        program.signal("CONT");
+        let mut came = nodes.next('S');
+        let told = came.text.split("d=").nth(1).and_then(|rest| rest.split(' ').next()).expect("in the form");
+        let left = Duration::from_millis(4000).saturating_sub(asked.elapsed());
+        let told = Duration::from_millis(told.parse().expect("a number"));
+        assert!(told <= left + Duration::from_millis(150), "round {round}: told {told:?}, left {left:?}");
+        reply(&mut came.stream, &format!("b{round}.1 done 17 -\nvalue"));
+        assert_eq!(client.status(), "200");
+    }
 }
 
 /// A data node whose dial stays pending until it accepts: its queue of connections is full.
@@ -220,3 +233,38 @@
     }
     assert!(sent <= 5, "{sent} of 30 queries went to a cold data node of 200 routers");
 }
+
+/// A call that is ready to be written as the system has no buffers for a second: what it says, and whether it may go
+/// out at all, is decided as its first byte does.
+#[rstest]
+#[case::its_data_node_drains(true)]
+#[case::its_client_waits_on(false)]
+fn a_call_that_could_not_be_written_is_decided_anew(#[case] drains: bool) {
+    let (nodes, agent) = (Nodes::new(1), Agent::new());
+    let settings = settings(4000, 180);
+    let began = Instant::now();
+    let program = Program::with_faults(&nodes.addresses, agent.address, &settings, "seed=9 nobufs=1@1.5-2.5");
+    let (_, mut watch) = agent.watch();
+    tell(&mut watch, &object(42, true, &[entry("s-0", nodes.addresses[0], "SERVING")]));
+    program.says("whole list 42");
+    let mut client = program.connect();
+    client.ask("a", &[1], 4000);
+    nodes.serve();
+    assert_eq!(client.status(), "200");
+    thread::sleep(Duration::from_millis(1700).saturating_sub(began.elapsed()));
+    let asked = Instant::now();
+    client.ask("b", &[1], 4000);
+    if drains {
+        thread::sleep(Duration::from_millis(100));
+        tell(&mut watch, &object(43, false, &[entry("s-0", nodes.addresses[0], "DRAINING")]));
+        program.says("change 43");
+        let came = nodes.frames.recv_timeout(Duration::from_millis(1500));
+        assert!(came.is_err(), "a call began long after its data node was told to drain");
+    } else {
+        let call = nodes.next('S').text;
+        let told = call.split("d=").nth(1).and_then(|rest| rest.split(' ').next()).expect("in the form");
+        let left = Duration::from_millis(4000).saturating_sub(asked.elapsed());
+        let told = Duration::from_millis(told.parse().expect("a number"));
+        assert!(told <= left + Duration::from_millis(150), "told {told:?}, left {left:?}");
+    }
+}
