A frame of which the socket takes no byte is looked at and composed anew

Cause: drive/nodes.rs composed a frame, marked it begun and kept it until the socket took it. Change: a frame with no byte taken is the next one again: drains, time-outs, clients that left and windows are looked at as its first byte goes out.

--- a/crates/router/src/drive/nodes.rs
+++ b/crates/router/src/drive/nodes.rs
@@ -90,12 +90,11 @@
         (clock, line.wake.clone(), idle, patience)
     };
     let mut buffer = Buffer::new(frames::LONGEST + 4);
-    let (mut out, mut written, mut stuck) = (Vec::new(), 0, f64::INFINITY);
-    let (mut sender, mut settled) = (Sender::default(), 0);
+    let (mut out, mut stuck, mut settled) = (Outgoing::default(), f64::INFINITY, 0);
     // By when a frame that has begun to come must be whole.
     let mut whole_by = f64::INFINITY;
     loop {
-        let before = written;
+        let before = out.taken;
         settle(desk, node, line, &mut settled).await;
         // Guards against a call written to a connection that its node has closed as idle, which would count as one
         // that may have run.
@@ -104,13 +103,14 @@
             desk.borrow_mut().put_back(node, line);
             return Ok("ended_idle");
         }
-        if !write(desk, node, line, stream, &mut sender, &mut out, &mut written) {
+        let wrote = write(desk, node, line, stream, &mut out);
+        if wrote == Wrote::Broken {
             return Ok("cut_or_broken");
         }
         // A silent machine never closes: a frame that gets no further for so long ends the connection.
-        if written == out.len() {
+        if wrote == Wrote::All {
             stuck = f64::INFINITY;
-        } else if stuck.is_infinite() || written != before {
+        } else if stuck.is_infinite() || out.taken != before {
             stuck = clock.now() + idle;
         }
         let idle_since = {
@@ -136,7 +136,7 @@
                     whole_by = clock.now() + patience;
                 }
             }
-            () = sender.ready(stream), if written < out.len() => {}
+            () = out.sender.ready(stream), if wrote == Wrote::Blocked => {}
             () = until(clock, stuck), if stuck.is_finite() => return Ok("takes_nothing"),
             () = until(clock, whole_by), if whole_by.is_finite() => {
                 return Err(("an answer that does not end", None));
@@ -168,45 +168,65 @@
     }
 }
 
-/// Writes frame after frame until none waits or the socket takes no more; false when it is broken.
-fn write(
-    desk: &Shared,
-    node: &str,
-    line: u64,
-    stream: &TcpStream,
-    sender: &mut Sender,
-    out: &mut Vec<u8>,
-    written: &mut usize,
-) -> bool {
+/// The frame that is being written.
+#[derive(Default)]
+struct Outgoing {
+    sender: Sender,
+    frame: Vec<u8>,
+    /// Bytes of the frame that the socket has taken, and of all frames.
+    written: usize,
+    taken: u64,
+}
+
+/// How far writing has got.
+#[derive(Clone, Copy, PartialEq)]
+enum Wrote {
+    /// No frame waits.
+    All,
+    /// The socket takes no more for now.
+    Blocked,
+    /// The connection is over, or is to end.
+    Broken,
+}
+
+/// Writes frame after frame until none waits or the socket takes no more.
+fn write(desk: &Shared, node: &str, line: u64, stream: &TcpStream, out: &mut Outgoing) -> Wrote {
     loop {
         // Guards against the rest of a frame going out after the final answer of a query in it.
         if desk.borrow_mut().roster.line(node, line).is_none_or(|l| l.cut) {
-            return false;
+            return Wrote::Broken;
         }
-        if *written == out.len() {
-            if !out.is_empty() {
+        if out.written == out.frame.len() {
+            if !out.frame.is_empty() {
                 let mut desk = desk.borrow_mut();
                 let now = desk.clock.now();
                 if let Some(line) = desk.roster.line(node, line) {
                     line.written(now);
                 }
-                out.clear();
-                *written = 0;
+                out.frame.clear();
+                out.written = 0;
             }
-            if !desk.borrow_mut().next_frame(node, line, out) {
-                return true;
+            if !desk.borrow_mut().next_frame(node, line, &mut out.frame) {
+                return Wrote::All;
             }
         }
-        match sender.write(stream, &out[*written..]) {
-            Ok(0) => return true,
+        match out.sender.write(stream, &out.frame[out.written..]) {
+            Ok(0) => {
+                if out.written == 0 {
+                    desk.borrow_mut().frame_not_begun(node, line);
+                    out.frame.clear();
+                }
+                return Wrote::Blocked;
+            }
             Ok(count) => {
-                if *written == 0 {
+                if out.written == 0 {
                     desk.borrow_mut().audit_begun(node, line);
                 }
-                *written += count;
+                out.written += count;
+                out.taken += count as u64;
                 desk.borrow_mut().counters.add("bytes_to_nodes", count);
             }
-            Err(_) => return false,
+            Err(_) => return Wrote::Broken,
         }
     }
 }
--- a/crates/router/src/memory/desk.rs
+++ b/crates/router/src/memory/desk.rs
@@ -559,6 +559,20 @@
         true
     }
 
+    /// The socket takes no byte of the frame that was to begin. Guards against a call that goes out as it was composed,
+    /// long after: it is looked at, and composed, anew.
+    pub fn frame_not_begun(&mut self, node: &str, line: u64) {
+        let Some(line) = self.roster.line(node, line) else { return };
+        let calls = line.begun_call().to_vec();
+        line.not_begun();
+        for (part, hop) in calls {
+            if let Some(part) = self.queries.part(&part) {
+                part.begun.retain(|(begun, _)| *begun != hop);
+            }
+        }
+        self.counters.one("frames_not_taken");
+    }
+
     /// Of a call whose frame is next: why a part may not begin, if it may not. What was decided may have waited for a dial or for
     /// a place since, past a part's time, or past the window in which its node drops what it has run before.
     fn denied(&self, id: &CallId, node: NodeState, now: f64) -> Option<Denial> {
--- a/crates/router/src/memory/lines.rs
+++ b/crates/router/src/memory/lines.rs
@@ -122,6 +122,13 @@
         self.begun.as_ref()
     }
 
+    /// Of the frame that had begun no byte was taken: it is the next one again.
+    pub fn not_begun(&mut self) {
+        if let Some(frame) = self.begun.take() {
+            self.frames.push_front(frame);
+        }
+    }
+
     /// The last byte of the frame that had begun is written.
     pub fn written(&mut self, now: f64) {
         if let Some(Frame::Call(parts)) = self.begun.take() {
