--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -175,16 +175,6 @@
     }
 }
 
-/// For each vertical the seconds after a part's first call in which it may be sent again, where that is what allows
-/// it.
-pub fn windows(all: &Value) -> Read<Vec<Option<f64>>> {
-    let window = |effect| match effect {
-        Effect::Deduplicated { window } => Some(window),
-        _ => None,
-    };
-    list(all, "Services")?.iter().map(|service| Ok(window(effect(service)?))).collect()
-}
-
 /// The connections and the intake of a router on sockets.
 pub fn sockets(all: &Value) -> Read<(Trunk, Intake)> {
     let (extra, limits) = (item(all, "Extra")?, item(all, "Limits")?);
--- a/crates/deployment/src/live.rs
+++ b/crates/deployment/src/live.rs
@@ -5,9 +5,8 @@
 #[derive(Clone, Debug)]
 pub struct Settings {
     pub terms: Terms,
-    /// The verticals' names, in the order of `terms`, and their windows (`windows`).
+    /// The verticals' names, in the order of `terms`.
     pub names: Vec<String>,
-    pub windows: Vec<Option<f64>>,
     pub trunk: Trunk,
     pub intake: Intake,
 }
@@ -16,7 +15,7 @@
 pub fn settings(all: &Value) -> Read<Settings> {
     let (terms, names) = terms(all)?;
     let (trunk, intake) = sockets(all)?;
-    Ok(Settings { terms, names, windows: windows(all)?, trunk, intake })
+    Ok(Settings { terms, names, trunk, intake })
 }
 
 /// What one set of settings says otherwise than another, by its keys. Keys that no router on sockets reads count for
--- a/crates/lab/src/soak/clients.rs
+++ b/crates/lab/src/soak/clients.rs
@@ -233,11 +233,10 @@
     if connection.stream.write_all(&asked.text.as_bytes()[..cut]).await.is_err() {
         return;
     }
-    let owed_from = connection.connected;
     let mut space = [0; 1024];
     let ended = timeout(Duration::from_secs_f64(STALLED), connection.stream.read(&mut space)).await;
     let ended = ended.is_ok().then(|| world.clock.now());
-    let stalled = Stalled { run: connection.run, connected: connection.connected, owed_from, ended };
+    let stalled = Stalled { run: connection.run, connected: connection.connected, ended };
     world.ledger.borrow_mut().stalled.push(stalled);
 }
 
@@ -254,8 +253,8 @@
     let at = world.clock.now();
     match came {
         Ok(Ok((status, body))) => {
-            let (fault, share) = judge(world, request, status, &body);
-            Outcome::Answered { at, status, fault, share }
+            let fault = judge(world, request, status, &body);
+            Outcome::Answered { at, status, fault }
         }
         Ok(Err(reset)) => Outcome::Closed { at, reset },
         Err(_) if manner == Manner::Leaves => {
@@ -294,12 +293,12 @@
     Some((status, body.to_vec(), end + length))
 }
 
-/// What is at fault in an answer, and the share of the query that it holds.
-fn judge(world: &World, request: &Request, status: u16, body: &[u8]) -> (Option<String>, f64) {
+/// What is at fault in an answer.
+fn judge(world: &World, request: &Request, status: u16, body: &[u8]) -> Option<String> {
     if status != 200 {
-        return (None, 0.0);
+        return None;
     }
-    let fault = |text: &str| (Some(text.to_string()), 0.0);
+    let fault = |text: &str| Some(text.to_string());
     let Ok(body) = serde_json::from_slice::<Value>(body) else { return fault("not JSON") };
     let (Some(whole), Some(results)) = (body["whole"].as_bool(), body["results"].as_array()) else {
         return fault("not in form");
@@ -319,10 +318,10 @@
     }
     let share = seen.len() as f64 / request.parts.len() as f64;
     if share < world.scenario.classes[request.class].floor - 1e-4 {
-        return (Some(format!("under its floor: {share:.2}")), share);
+        return Some(format!("under its floor: {share:.2}"));
     }
     if whole && seen.len() < request.parts.len() {
         return fault("whole, and lacks a part");
     }
-    (None, share)
+    None
 }
--- a/crates/lab/src/soak/ledger.rs
+++ b/crates/lab/src/soak/ledger.rs
@@ -35,7 +35,7 @@
     /// Nothing has come.
     Open,
     /// A whole answer: its status, and what is at fault in it.
-    Answered { at: f64, status: u16, fault: Option<String>, share: f64 },
+    Answered { at: f64, status: u16, fault: Option<String> },
     /// The connection ended with no whole answer.
     Closed { at: f64, reset: bool },
     /// The client closed its connection.
@@ -67,7 +67,6 @@
 pub struct Stalled {
     pub run: usize,
     pub connected: f64,
-    pub owed_from: f64,
     pub ended: Option<f64>,
 }
 
@@ -84,8 +83,6 @@
     pub told: f64,
     /// When a reply that says that it never ran was written back.
     pub turned_away: Option<f64>,
-    /// When it began to run at the data node.
-    pub ran: Option<f64>,
 }
 
 /// A state of a data node that a router was told, or counts as told, and from when.
--- a/crates/lab/src/soak/links.rs
+++ b/crates/lab/src/soak/links.rs
@@ -157,7 +157,6 @@
             whole: now,
             told: part.left,
             turned_away: None,
-            ran: None,
         });
         connection.out.borrow_mut().insert(part.id.clone(), ledger.attempts.len() - 1);
         (ledger.attempts.len() - 1, part)
--- a/crates/lab/src/soak/nodes.rs
+++ b/crates/lab/src/soak/nodes.rs
@@ -100,7 +100,6 @@
         // Given up before it arrived.
         return;
     }
-    world.ledger.borrow_mut().attempts[attempt].ran = Some(world.clock.now());
     if trouble == Some(NodeTrouble::Hang) {
         return;
     }
--- a/crates/lab/src/soak/oracle.rs
+++ b/crates/lab/src/soak/oracle.rs
@@ -87,7 +87,7 @@
         for request in &ledger.requests {
             self.count("requests");
             match &request.outcome {
-                Outcome::Answered { at, status, fault, .. } => {
+                Outcome::Answered { at, status, fault } => {
                     self.count(match status {
                         200 => "merged",
                         429 | 503 => "refused",
@@ -184,10 +184,10 @@
             self.count("clients that stall");
             let until = stalled.ended.unwrap_or(f64::INFINITY);
             let run = self.run(stalled.run);
-            let died = run.killed.or(run.ended).is_some_and(|end| end < stalled.owed_from + OWED);
+            let died = run.killed.or(run.ended).is_some_and(|end| end < stalled.connected + OWED);
             let looked = stalled.ended.unwrap_or(stalled.connected + OWED);
             let allowed = OWED + self.delayed(stalled.run, stalled.connected, looked);
-            if !died && until > stalled.owed_from + allowed {
+            if !died && until > stalled.connected + allowed {
                 let what = format!("run {}: no error or close within {OWED} s", stalled.run);
                 self.breaks("stalled client", stalled.connected, what);
             }
--- a/crates/lab/tests/soak.rs
+++ b/crates/lab/tests/soak.rs
@@ -42,7 +42,7 @@
         sent: 1.0,
         patience: 1.0,
         in_order: 1.0,
-        outcome: Outcome::Answered { at: 1.5, status: 200, fault: None, share: 1.0 },
+        outcome: Outcome::Answered { at: 1.5, status: 200, fault: None },
     };
     let (runs, requests, attempts) = (vec![run], vec![request], vec![attempt(1.1)]);
     Ledger { runs, requests, attempts, ..Ledger::default() }
@@ -50,7 +50,7 @@
 
 fn attempt(at: f64) -> Attempt {
     let part = "q.3".to_string();
-    Attempt { part, run: 0, node: 2, begun: at, whole: at, told: 0.5, turned_away: None, ran: Some(at) }
+    Attempt { part, run: 0, node: 2, begun: at, whole: at, told: 0.5, turned_away: None }
 }
 
 fn rules(ledger: &Ledger) -> Vec<&'static str> {
@@ -66,11 +66,11 @@
 }
 
 #[rstest]
-#[case::late(Outcome::Answered { at: 2.6, status: 200, fault: None, share: 1.0 }, "lost")]
+#[case::late(Outcome::Answered { at: 2.6, status: 200, fault: None }, "lost")]
 #[case::closed(Outcome::Closed { at: 1.4, reset: false }, "lost")]
 #[case::reset(Outcome::Closed { at: 1.4, reset: true }, "lost")]
 #[case::never_answered(Outcome::Open, "lost")]
-#[case::wrong(Outcome::Answered { at: 1.5, status: 200, fault: Some("a part twice".into()), share: 1.0 }, "answer")]
+#[case::wrong(Outcome::Answered { at: 1.5, status: 200, fault: Some("a part twice".into()) }, "answer")]
 fn a_request_without_its_one_right_answer_in_time_is_told(#[case] outcome: Outcome, #[case] rule: &str) {
     let mut ledger = sound(0);
     ledger.requests[0].outcome = outcome;
@@ -108,7 +108,7 @@
     #[case] wanted: &[&str],
 ) {
     let mut ledger = sound(class);
-    ledger.requests[0].outcome = Outcome::Answered { at: 1.95, status: 200, fault: None, share: 1.0 };
+    ledger.requests[0].outcome = Outcome::Answered { at: 1.95, status: 200, fault: None };
     ledger.attempts[0].turned_away = turned_away;
     ledger.attempts.push(Attempt { told: 0.1, ..attempt(again) });
     assert_eq!(rules(&ledger), wanted);
@@ -117,7 +117,7 @@
 #[rstest]
 fn a_refusal_of_what_may_have_run_is_told() {
     let mut ledger = sound(2);
-    ledger.requests[0].outcome = Outcome::Answered { at: 1.5, status: 503, fault: None, share: 0.0 };
+    ledger.requests[0].outcome = Outcome::Answered { at: 1.5, status: 503, fault: None };
     assert_eq!(rules(&ledger), ["duplicate"]);
 }
 
@@ -146,7 +146,7 @@
 #[rstest]
 fn a_client_that_stalls_and_hears_nothing_is_told() {
     let mut ledger = sound(0);
-    let stalled = |ended| Stalled { run: 0, connected: 2.0, owed_from: 2.0, ended };
+    let stalled = |ended| Stalled { run: 0, connected: 2.0, ended };
     ledger.stalled = vec![stalled(Some(4.9))];
     assert_eq!(rules(&ledger), Vec::<&str>::new());
     ledger.stalled = vec![stalled(None)];
--- a/crates/router/src/control/kept.rs
+++ b/crates/router/src/control/kept.rs
@@ -89,7 +89,10 @@
             // Guards against a disk that fails for a while: what is newest stays owed until it is kept.
             while let Some(why) = keep_newest(&mut news, &path, clock).await {
                 tracing::error!(target: "control", "{why}; tried again in {} s", RETRY.as_secs());
-                let _ = timeout(RETRY, news.changed()).await;
+                // Whoever tells of versions is gone only as the program ends.
+                if let Ok(Err(_)) = timeout(RETRY, news.changed()).await {
+                    return;
+                }
             }
         }
     });
--- a/crates/router/src/memory/audit.rs
+++ b/crates/router/src/memory/audit.rs
@@ -31,12 +31,11 @@
         let Some((vertical, part)) = self.queries.vertical_and_part(&id.0) else {
             return self.violation("call_after_answer", &id.0, "its query is over");
         };
-        let earlier: Vec<f64> =
-            part.begun.iter().filter(|(hop, _)| *hop != id.1).map(|(_, at)| *at).collect();
+        let begun = part.first_begun(Some(id.1));
         let effect = self.verticals[vertical].effect;
         let not_after = self.queries.asked(&id.0).map_or(now, |(_, _, not_after, _)| not_after);
         // The frame was allowed to begin a moment ago: time that passed since is the system's.
-        let call = permits::Call { now, until: not_after + LATE, effect, begun: &earlier, node: state };
+        let call = permits::Call { now, until: not_after + LATE, effect, begun, node: state };
         if let Err(denial) = permits::call(&call) {
             self.violation("call", &id.0, &format!("{} at {node}", denial.label()));
         }
--- a/crates/router/src/memory/clock.rs
+++ b/crates/router/src/memory/clock.rs
@@ -9,8 +9,8 @@
 
 impl Default for Clock {
     fn default() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), unix: unix.as_secs_f64() }
+        let clock = Clock { start: Instant::now(), unix: 0.0 };
+        Clock { unix: clock.unix_now(), ..clock }
     }
 }
 
--- a/crates/router/src/memory/desk.rs
+++ b/crates/router/src/memory/desk.rs
@@ -580,9 +580,9 @@
             return Some(Denial::QueryOver);
         };
         let until = self.calls.get(id).map_or(now, |call| call.until);
-        let begun: Vec<f64> = part.begun.iter().map(|(_, at)| *at).collect();
+        let begun = part.first_begun(None);
         let effect = self.verticals[vertical].effect;
-        permits::call(&permits::Call { now, until, effect, begun: &begun, node }).err()
+        permits::call(&permits::Call { now, until, effect, begun, node }).err()
     }
 
     /// Ends the calls of the next frame that come too late to begin, as ones that were never sent.
--- a/crates/router/src/memory/queries.rs
+++ b/crates/router/src/memory/queries.rs
@@ -45,6 +45,12 @@
         Part { id, shard, weight, value: None, calls: 0, begun: vec![], keys: None }
     }
 
+    /// When the first of its calls that may have run began, one of them left out.
+    pub fn first_begun(&self, but: Option<usize>) -> Option<f64> {
+        let others = self.begun.iter().filter(|(hop, _)| Some(*hop) != but);
+        others.map(|(_, at)| *at).reduce(f64::min)
+    }
+
     pub fn is_divided(&self) -> bool {
         self.keys.is_some_and(|keys| keys.divided)
     }
--- a/crates/router/tests/system_faults.rs
+++ b/crates/router/tests/system_faults.rs
@@ -71,6 +71,12 @@
     assert_eq!(ask_in_turn(&program, 200), 0, "queries that were not merged");
 }
 
+/// How long a call of one part tells its data node that its answer is waited for.
+fn told(call: &str) -> Duration {
+    let told = call.split("d=").nth(1).and_then(|rest| rest.split(' ').next()).expect("in the form");
+    Duration::from_millis(told.parse().expect("a number"))
+}
+
 #[rstest]
 #[case::kept_connection("wobble=3600", false)]
 #[case::new_connection("seed=7", true)]
@@ -96,9 +102,8 @@
         thread::sleep(Duration::from_millis(400));
         program.signal("CONT");
         let mut came = nodes.next('S');
-        let told = came.text.split("d=").nth(1).and_then(|rest| rest.split(' ').next()).expect("in the form");
+        let told = told(&came.text);
         let left = Duration::from_millis(4000).saturating_sub(asked.elapsed());
-        let told = Duration::from_millis(told.parse().expect("a number"));
         assert!(told <= left + Duration::from_millis(150), "round {round}: told {told:?}, left {left:?}");
         reply(&mut came.stream, &format!("b{round}.1 done 17 -\nvalue"));
         assert_eq!(client.status(), "200");
@@ -263,9 +268,8 @@
         assert!(came.is_err(), "a call began long after its data node was told to drain");
     } else {
         let call = nodes.next('S').text;
-        let told = call.split("d=").nth(1).and_then(|rest| rest.split(' ').next()).expect("in the form");
+        let told = told(&call);
         let left = Duration::from_millis(4000).saturating_sub(asked.elapsed());
-        let told = Duration::from_millis(told.parse().expect("a number"));
         assert!(told <= left + Duration::from_millis(150), "told {told:?}, left {left:?}");
     }
 }
--- a/crates/sockets/src/signals.rs
+++ b/crates/sockets/src/signals.rs
@@ -1,6 +1,5 @@
 //! Signals as a stream of events. The handler writes a byte to a socket pair, as is usual; it and the reading side make
 //! a call again that was interrupted, so that no signal is lost and none ends the program by the way it is told.
-use crate::Failure;
 use nix::errno::Errno;
 use nix::sys::signal::{SaFlags, SigAction, SigHandler, SigSet, Signal, sigaction};
 use nix::sys::socket::{MsgFlags, send};
@@ -71,7 +70,6 @@
             match self.pair.try_read(&mut space) {
                 Ok(1..) => return,
                 Ok(0) => std::future::pending().await,
-                Err(why) if Failure::of(&why) == Failure::Interrupted => {}
                 Err(_) => {}
             }
         }
--- a/src/permits.rs
+++ b/src/permits.rs
@@ -50,13 +50,13 @@
 
 /// A leaf call whose frame is about to begin. Times are seconds of the steady clock.
 #[derive(Clone, Copy, Debug)]
-pub struct Call<'a> {
+pub struct Call {
     pub now: f64,
     /// When its time-out or its client's time has passed, whichever is first.
     pub until: f64,
     pub effect: Effect,
-    /// When earlier calls of the part that may have run began.
-    pub begun: &'a [f64],
+    /// When the first of the part's earlier calls that may have run began.
+    pub begun: Option<f64>,
     pub node: NodeState,
 }
 
@@ -70,11 +70,11 @@
     }
     match call.effect {
         Effect::Repeatable => Ok(()),
-        Effect::Deduplicated { window } if call.begun.iter().any(|at| at + window <= call.now) => {
+        Effect::Deduplicated { window } if call.begun.is_some_and(|at| at + window <= call.now) => {
             Err(Denial::WindowOver)
         }
         Effect::Deduplicated { .. } => Ok(()),
-        Effect::SideEffecting if call.begun.is_empty() => Ok(()),
+        Effect::SideEffecting if call.begun.is_none() => Ok(()),
         Effect::SideEffecting => Err(Denial::MayHaveRun),
     }
 }
--- a/tests/permits.rs
+++ b/tests/permits.rs
@@ -6,17 +6,17 @@
 const KEYED: Effect = Effect::Deduplicated { window: 1.0 };
 
 #[rstest]
-#[case::first(Effect::SideEffecting, &[], 2.0, NodeState::Serving, Ok(()))]
-#[case::time_over(Effect::Repeatable, &[], 1.0, NodeState::Serving, Err(Denial::TimeOver))]
-#[case::drains(Effect::Repeatable, &[], 2.0, NodeState::Draining, Err(Denial::NodeLeaving))]
-#[case::gone(Effect::Repeatable, &[], 2.0, NodeState::Gone, Err(Denial::NodeLeaving))]
-#[case::repeatable(Effect::Repeatable, &[-9.0], 2.0, NodeState::Serving, Ok(()))]
-#[case::in_the_window(KEYED, &[0.1], 2.0, NodeState::Serving, Ok(()))]
-#[case::past_the_window(KEYED, &[0.5, 0.0], 2.0, NodeState::Serving, Err(Denial::WindowOver))]
-#[case::may_have_run(Effect::SideEffecting, &[0.9], 2.0, NodeState::Serving, Err(Denial::MayHaveRun))]
+#[case::first(Effect::SideEffecting, None, 2.0, NodeState::Serving, Ok(()))]
+#[case::time_over(Effect::Repeatable, None, 1.0, NodeState::Serving, Err(Denial::TimeOver))]
+#[case::drains(Effect::Repeatable, None, 2.0, NodeState::Draining, Err(Denial::NodeLeaving))]
+#[case::gone(Effect::Repeatable, None, 2.0, NodeState::Gone, Err(Denial::NodeLeaving))]
+#[case::repeatable(Effect::Repeatable, Some(-9.0), 2.0, NodeState::Serving, Ok(()))]
+#[case::in_the_window(KEYED, Some(0.1), 2.0, NodeState::Serving, Ok(()))]
+#[case::past_the_window(KEYED, Some(0.0), 2.0, NodeState::Serving, Err(Denial::WindowOver))]
+#[case::may_have_run(Effect::SideEffecting, Some(0.9), 2.0, NodeState::Serving, Err(Denial::MayHaveRun))]
 fn a_leaf_call_begins_only_within_the_rules(
     #[case] effect: Effect,
-    #[case] begun: &[f64],
+    #[case] begun: Option<f64>,
     #[case] until: f64,
     #[case] node: NodeState,
     #[case] wanted: Result<(), Denial>,
