A late adopted attempt at an unlisted data node no longer ends the decisions

What callers saw: a planner ended with all open queries of its forwarders; a forwarder that had taken queries over failed all that were open.

Cause: adopt() recorded an attempt in flight at its request and by age, but at its node only if the endpoint list named the node. As the attempt got late, is_stuck() looked the node up by its key and panicked.

With the first half of the fix alone the property found a second way: successors of a split request, after their node was forgotten.

Change: an adopted attempt in flight gives its node a record, as a removed one, so that every attempt in flight has one; is_stuck no longer rests on that alone; a split is taken in only for the query that it names.

--- a/src/policy/hedging.rs
+++ b/src/policy/hedging.rs
@@ -7,6 +7,7 @@
 
 use super::Policy;
 use super::attempts_by_age::AttemptPosition;
+use super::node::Node;
 use super::outlier_detection::{Health, VERY_LATE_MULTIPLE};
 use super::query::{Attempt, Query, RequestPosition, ShardClass, ShardRequest};
 use crate::interface::{DecisionSink, Idempotency};
@@ -99,10 +100,11 @@
     }
 
     /// Whether an attempt waits for an unresponsive node. Age alone is no reason to give it up: one shard request of
-    /// many takes long by nature.
+    /// many takes long by nature. A node without a record has nothing in flight, so no answer comes from it.
     fn is_stuck(&self, attempt: &Attempt, late_after_s: f64) -> bool {
         let age_s = self.now_stall_free_s - attempt.started_at_stall_free_s;
-        age_s > VERY_LATE_MULTIPLE * late_after_s && self.nodes[&attempt.node].health == Health::Unresponsive
+        let unresponsive = |node: &Node| node.health == Health::Unresponsive;
+        age_s > VERY_LATE_MULTIPLE * late_after_s && self.nodes.get(&attempt.node).is_none_or(unresponsive)
     }
 
     fn cancel_live_attempts(&mut self, position: RequestPosition, sink: &mut dyn DecisionSink) {
--- a/src/policy/node.rs
+++ b/src/policy/node.rs
@@ -62,6 +62,12 @@
         }
     }
 
+    /// A node that the endpoint list does not name, at which another host made an attempt. Nothing is sent to it; if the
+    /// list names it later, that entry says what it is.
+    pub fn unlisted() -> Self {
+        Node::new(0, NodeState::Removed, None, None)
+    }
+
     /// Age in seconds of its oldest attempt in flight, 0 if there is none.
     pub fn oldest_attempt_age_s(&self, now_stall_free_s: f64) -> f64 {
         let ages = self.in_flight.values().map(|attempt| now_stall_free_s - attempt.started_at_stall_free_s);
--- a/src/policy/shard_changes.rs
+++ b/src/policy/shard_changes.rs
@@ -4,7 +4,7 @@
 
 use super::attempts_by_age::AttemptPosition;
 use super::latency::{LatencyWindow, SHARD_SAMPLES_MIN};
-use super::node::InFlightAttempt;
+use super::node::{InFlightAttempt, Node};
 use super::query::{Attempt, RequestPosition, ShardClass, ShardRequest};
 use super::{Policy, ShardState};
 use crate::interface::{AttemptOutcome, ClassSlot, PolicyConfig, ShardHolders, StateTransfer};
@@ -41,8 +41,11 @@
     /// of attempts count for it. Guards against a second effect or a fresh retry budget by way of a split. An attempt in
     /// flight takes its node's capacity once, whatever waits for it.
     fn shard_request_split(&mut self, number: u64, request: &str, into: &[(&str, u32, f64)]) {
-        let Some(position) = self.shard_requests.remove(request) else { return };
+        let is_of_query = |position: &RequestPosition| position.query == number;
+        let position = self.shard_requests.get(request).copied().filter(is_of_query);
+        let Some(position) = position else { return };
         let Some(query) = self.queries.get_mut(&number) else { return };
+        self.shard_requests.remove(request);
         query.next_check_at_s = 0.0;
         let old = &query.requests[position.index];
         let key = ShardClass { shard: old.shard, class: query.class };
@@ -113,7 +116,8 @@
     }
 
     /// An attempt made by another host counts against the most attempts and for its possible effect; one in flight also
-    /// for its lateness and its node's capacity.
+    /// for its lateness and its node's capacity. Its node gets a record where this host's endpoint list does not name
+    /// it: every attempt in flight has one.
     fn adopt(&mut self, request_id: &str, node_id: &str, age_s: f64, outcome: Option<AttemptOutcome>) {
         let Some(&position) = self.shard_requests.get(request_id) else { return };
         let Some(query) = self.queries.get(&position.query) else { return };
@@ -143,10 +147,9 @@
             let age_position =
                 AttemptPosition { query: position.query, request: position.index, attempt: number };
             self.attempts_in_flight.insert(key, started_at_stall_free_s, age_position);
-            if let Some(node) = self.nodes.get_mut(node_id) {
-                let in_flight = InFlightAttempt { started_at_stall_free_s, late_after_s };
-                node.in_flight.insert((request_id.into(), number), in_flight);
-            }
+            let in_flight = InFlightAttempt { started_at_stall_free_s, late_after_s };
+            let node = self.nodes.entry(node_id.into()).or_insert_with(Node::unlisted);
+            node.in_flight.insert((request_id.into(), number), in_flight);
         }
     }
 }
