A time that is no number is due at once instead of a panic

What callers would see: a time-out that is no number, in a message between planner and forwarder, ends the process as its timer is set.

Cause: f64::clamp keeps a NaN, and Duration::from_secs_f64 panics on it.

Result: the new case failed before (a_time_that_is_no_finite_number_has_an_instant, NaN) and passes.

--- a/crates/telemetry/src/clock.rs
+++ b/crates/telemetry/src/clock.rs
@@ -29,8 +29,9 @@
         unix_now_s()
     }
 
-    /// A time of this clock, in seconds, as the operating system's monotonic time.
+    /// A time of this clock, in seconds, as the operating system's monotonic time. What is no number is due at once.
     pub fn instant(&self, at: f64) -> Instant {
+        let at = if at.is_nan() { 0.0 } else { at };
         self.start + Duration::from_secs_f64(at.clamp(0.0, MAX_TIME_S))
     }
 
--- a/crates/telemetry/tests/clock.rs
+++ b/crates/telemetry/tests/clock.rs
@@ -27,3 +27,13 @@
     assert_eq!(clock.instant(-1.0), clock.instant(0.0));
     assert!(clock.instant(f64::INFINITY) > clock.instant(1e6));
 }
+
+/// Guards against a panic by a time that another process sent.
+#[rstest]
+#[case(f64::NAN)]
+#[case(f64::INFINITY)]
+#[case(f64::NEG_INFINITY)]
+fn a_time_that_is_no_finite_number_has_an_instant(#[case] at: f64) {
+    let clock = Clock::default();
+    assert!(clock.instant(at) >= clock.instant(0.0));
+}
