A planner whose decision module panics goes on with a new one

What callers saw: a query that made the policy panic ended the planner, and with it every open query's place; its forwarders handed the same query to the next planner.

Cause: tier/post.rs played the planner's rounds without a guard; the panic ended their task, and the program with it.

The new test did not build before, as the round had no error; the panic went through planner::round.

--- a/crates/router/src/tier/planner.rs
+++ b/crates/router/src/tier/planner.rs
@@ -13,6 +13,7 @@
 use alderway_transport::Hello;
 use std::collections::{BTreeMap, BTreeSet};
 use std::convert::Infallible;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
 use std::sync::Arc;
 use tokio::sync::Notify;
@@ -181,6 +182,23 @@
         self.wake.notify_one();
     }
 
+    /// After a failure of the policy: ends all sessions, so that each forwarder has what it asked decided elsewhere, and
+    /// tells the next policy the endpoint list from the start.
+    pub fn start_over(&mut self) {
+        self.counters.increment("module_failures");
+        let sessions: Vec<SessionId> = self.sessions.keys().copied().collect();
+        for id in sessions {
+            if let Some(session) = self.sessions.get(&id) {
+                session.outbox.wake.notify_one();
+            }
+            self.end(id);
+        }
+        self.came.clear();
+        self.alarms.clear();
+        self.endpoints.mark_all_changed();
+        self.wake.notify_one();
+    }
+
     fn send(&mut self, session: SessionId, message: &Message) {
         if let Some(session) = self.sessions.get_mut(&session) {
             session.outbox.send(message);
@@ -367,15 +385,25 @@
     }
 }
 
+/// The policy panicked in a round: nothing of it may be used any more.
+#[derive(Debug, thiserror::Error)]
+#[error("the decision module failed")]
+pub struct PolicyFailed;
+
 /// One round: all that came in is told, and decisions go to their forwarders.
-pub fn round(planner: &std::cell::RefCell<Planner>, module: &mut Policy) {
+///
+/// # Errors
+/// The policy panicked. The planner goes on with another one after [`Planner::start_over`].
+pub fn round(planner: &std::cell::RefCell<Planner>, module: &mut Policy) -> Result<(), PolicyFailed> {
     let now = planner.borrow().clock.now();
     let tell = |intake: &mut dyn PolicyInput| {
         planner.borrow_mut().tell(now, intake);
         Ok::<(), Infallible>(())
     };
-    let Ok(()) = module.round(now, tell, &mut Pen(planner));
+    let round = AssertUnwindSafe(|| module.round(now, tell, &mut Pen(planner)));
+    let Ok(Ok(())) = catch_unwind(round) else { return Err(PolicyFailed) };
     planner.borrow_mut().counters.increment("rounds");
+    Ok(())
 }
 
 struct Pen<'a>(&'a std::cell::RefCell<Planner>);
--- a/crates/router/src/tier/post.rs
+++ b/crates/router/src/tier/post.rs
@@ -39,9 +39,13 @@
     let previous = PreviousConfig::of(&config);
     let StartupConfig { name, listen, discovery, endpoints, seed, settings, .. } = config;
     let (mut terms, hangups) = (Signals::of(Signal::SIGTERM)?, Signals::of(Signal::SIGHUP)?);
-    let mut router = Policy::new(seed, settings.policy);
-    // It tells forwarders what it sees of data nodes, as one core tells others.
-    router.join(SharedLimits::new(2).for_core(0));
+    let policy_config = settings.policy;
+    let make_policy = move || {
+        let mut policy = Policy::new(seed, policy_config.clone());
+        // It tells forwarders what it sees of data nodes, as one core tells others.
+        policy.join(SharedLimits::new(2).for_core(0));
+        policy
+    };
     let verticals = config.query_classes.len();
     let (deadline, room) = (settings.admission.max_deadline_s, settings.admission.max_open);
     let shared = Rc::new(RefCell::new(Planner::new(clock, verticals, deadline, room, endpoints)));
@@ -54,7 +58,7 @@
     let hello = Hello::of_planner::<Message>(name, incarnation());
     spawn_local(accept(shared.clone(), listener, hello));
     spawn_local(beats(shared.clone()));
-    let mut rounds = spawn_local(rounds(shared.clone(), router));
+    let mut rounds = spawn_local(rounds(shared.clone(), make_policy));
     tokio::select! {
         _ = terms.recv() => {}
         ended = &mut rounds => return Err(io::Error::other(format!("the rounds ended: {ended:?}"))),
@@ -72,7 +76,10 @@
     Ok(())
 }
 
-async fn rounds(planner: Shared, mut router: Policy) {
+/// Plays rounds for as long as the program runs. Guards against a query that makes the policy panic: the planner goes on
+/// with a new policy, and the forwarders have what they asked of it decided elsewhere.
+async fn rounds(planner: Shared, make_policy: impl Fn() -> Policy) {
+    let mut policy = make_policy();
     let (clock, wake) = (planner.borrow().clock, planner.borrow().wake.clone());
     loop {
         let due = planner.borrow().next_due();
@@ -82,7 +89,11 @@
         }
         // Whatever else has come by now is told in the same round.
         yield_now().await;
-        planner::round(&planner, &mut router);
+        if let Err(error) = planner::round(&planner, &mut policy) {
+            tracing::error!(target: "failure", "{error}: all forwarders are left, it starts anew");
+            policy = make_policy();
+            planner.borrow_mut().start_over();
+        }
     }
 }
 
@@ -120,7 +131,9 @@
         let mut waits = false;
         {
             let mut planner = planner.borrow_mut();
-            let Some(outbox) = planner.outbox(session) else { break Err("it does not read".to_string()) };
+            let Some(outbox) = planner.outbox(session) else {
+                break Err("it does not read, or this planner starts anew".to_string());
+            };
             if !outbox.bytes.is_empty() {
                 match sender.write(stream, &outbox.bytes) {
                     Ok(count) => drop(outbox.bytes.drain(..count)),
--- /dev/null
+++ b/crates/router/tests/planner.rs
@@ -0,0 +1,49 @@
+//! A planner without sockets: forwarders' sessions, and a policy that fails.
+use alderway::interface::PolicyConfig;
+use alderway::policy::Policy;
+use alderway_deployment as deployment;
+use alderway_router::state::endpoints::EndpointTable;
+use alderway_router::tier::planner::{self, Planner};
+use alderway_telemetry::clock::Clock;
+use alderway_tier::messages::Message;
+use alderway_transport::Hello;
+use rstest::rstest;
+use std::cell::RefCell;
+
+/// A policy that knows one query class.
+fn policy() -> Policy {
+    let settings = r#"{"Extra":{"Cells":1,"Reach":1},"Discovery":"automatic","Obligations":{},"ReplicasOfMe":1,
+        "Limits":{"MayCancel":true,"ParallelTries":true,"MaxAttempts":3},"Services":[{"Name":"v","Worth":1,
+        "PromiseUs":1000000,"DeadlineUs":5000000,"Effect":"idempotent","LateShare":0.3}]}"#;
+    let settings = deployment::parse(settings).expect("readable");
+    deployment::policy(7, &settings).expect("sound").0
+}
+
+fn take(query: &str) -> Message {
+    let parts = vec![(format!("{query}.0"), 0, 1.0, vec![])];
+    Message::Take { term: 1, query: query.into(), vertical: 0, customer: String::new(), left: 5.0, parts }
+}
+
+/// Guards against a query that ends one planner after the other, as each forwarder hands it on.
+#[rstest]
+fn a_policy_that_panics_ends_the_sessions_and_the_planner_goes_on_with_another() {
+    let hello = Hello::of_planner::<Message>("p-0", 1);
+    let planner = RefCell::new(Planner::new(Clock::default(), 1, 5.0, 100, EndpointTable::default()));
+    let (session, _wake) = planner.borrow_mut().begin(&hello);
+    assert!(planner.borrow_mut().read(session, take("q")));
+    // It knows no query class, so that it panics on any query.
+    let mut without_classes = Policy::new(7, PolicyConfig::default());
+    assert!(planner::round(&planner, &mut without_classes).is_err());
+
+    planner.borrow_mut().start_over();
+    assert!(planner.borrow_mut().outbox(session).is_none(), "the forwarder is left");
+    assert_eq!(planner.borrow().open(), 0);
+    assert!(planner.borrow().counters.text().contains("module_failures 1"));
+
+    let (session, _wake) = planner.borrow_mut().begin(&hello);
+    let greeting_bytes = planner.borrow_mut().outbox(session).expect("it is served").bytes.len();
+    assert!(planner.borrow_mut().read(session, take("r")));
+    assert!(planner::round(&planner, &mut policy()).is_ok());
+    assert_eq!(planner.borrow().open(), 0, "without a data node it is rejected at once");
+    assert!(planner.borrow_mut().outbox(session).expect("it is served").bytes.len() > greeting_bytes);
+}
