A shutdown held up at its end writes its last answers before the process exits

Cause: graceful_shutdown failed the open queries and then waited for their answers until a time fixed before. A hold of 0.15 s that covered that time made the wait empty, and the process ended before its clients' tasks had run once.

Evidence: the new test holds processes up at 20 moments of the last 0.7 s; before, holds from 1.46 to 1.50 s after SIGTERM lost every open query, each time (queries fail at 1.5 s there).

Change: the wait counts from its begin and lasts for three polls at least. Open queries fail 0.4 s before the earliest SIGKILL instead of 0.2 s: last answers 0.1 s, a hold 0.15 s, 0.15 s to spare. The same for late connections of a core, for the lead's wait for its cores (it reached 0.1 s past SIGKILL), and for the accept queue of a listener that closes.

--- a/crates/router/src/io/core_supervisor.rs
+++ b/crates/router/src/io/core_supervisor.rs
@@ -16,6 +16,9 @@
 use tokio::sync::mpsc;
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
+/// How long a report of a core that shuts down is waited for at the least.
+const REPORT_WAIT_MIN: Duration = Duration::from_millis(50);
+
 /// Watches over the cores: starts failed ones anew, finds those that hang, and evens out their load.
 pub struct CoreSupervisor {
     shared: Arc<SharedState>,
@@ -85,12 +88,13 @@
         }
     }
 
-    /// Waits until the cores that are still there have shut down, until a time at the latest; how many have not.
+    /// Waits until the cores that are still there have shut down, until a time at the latest; how many have not. Guards
+    /// against a process that stands still past that time: what the cores have reported by then is read all the same.
     pub async fn wait_for_shutdown(&mut self, until: f64) -> usize {
         let is_there = |state| !matches!(state, State::Failed(_) | State::Lost);
         let mut left = self.crew.borrow().count(is_there);
-        while left > 0 && self.clock.now() < until {
-            let remaining = Duration::from_secs_f64((until - self.clock.now()).max(0.0));
+        while left > 0 {
+            let remaining = Duration::from_secs_f64((until - self.clock.now()).max(0.0)).max(REPORT_WAIT_MIN);
             match timeout(remaining, self.reports.recv()).await {
                 Ok(Some(CoreReport::Ended(_) | CoreReport::Failed(..))) => left -= 1,
                 _ => break,
--- a/crates/router/src/lifecycle/graceful_shutdown.rs
+++ b/crates/router/src/lifecycle/graceful_shutdown.rs
@@ -21,15 +21,22 @@
 /// The users' protocol: SIGKILL comes no sooner than the longest deadline, counted as 3 s where it is longer, and 0.7 s.
 const MAX_DEADLINE_S: f64 = 3.0;
 const KILL_AFTER_DEADLINE_S: f64 = 0.7;
-/// How long before SIGKILL the program has ended.
-const SAFETY_MARGIN_S: f64 = 0.2;
-/// The last answers may take up to this part of the margin.
-const LAST_ANSWERS_S: f64 = 0.5 * SAFETY_MARGIN_S;
+/// How long the last answers may take to go out.
+const LAST_ANSWERS_S: f64 = 0.1;
+/// The users' standing test: the process may be held up for so long at any moment.
+const STALL_S: f64 = 0.15;
+/// How long before SIGKILL the program has ended, even if it was held up.
+const SAFETY_MARGIN_S: f64 = 0.15;
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Polls that a wait for the last answers makes at the least: one to read what has come, one to answer it, one to write.
+const POLLS_MIN: usize = 3;
+/// How long accepting the connections that wait as the listener closes may take at the least.
+const ACCEPT_WAITING_MIN: Duration = Duration::from_millis(100);
 
-/// How long a shutdown may take in all, in seconds, for a longest deadline in seconds.
+/// How long after SIGTERM the last open queries fail, in seconds, for a longest deadline in seconds.
 pub fn time_limit_s(longest_deadline_s: f64) -> f64 {
-    longest_deadline_s.min(MAX_DEADLINE_S) + KILL_AFTER_DEADLINE_S - SAFETY_MARGIN_S
+    let reserved_s = LAST_ANSWERS_S + STALL_S + SAFETY_MARGIN_S;
+    longest_deadline_s.min(MAX_DEADLINE_S) + KILL_AFTER_DEADLINE_S - reserved_s
 }
 
 /// Waits for SIGTERM and shuts one core down, whose listener ends with `close`; returns when the program may end.
@@ -40,15 +47,21 @@
     listening: JoinHandle<()>,
 ) {
     terminations.recv().await;
-    shut_down(dispatcher, listener_closed(close, listening)).await;
+    let longest_deadline_s = {
+        let dispatcher = dispatcher.borrow();
+        dispatcher.longest_deadline_s(dispatcher.clock.now())
+    };
+    shut_down(dispatcher, listener_closed(close, listening, time_limit_s(longest_deadline_s))).await;
 }
 
-/// Closes the listener after [`LISTEN_DURATION`]; returns once no further connection is accepted. Guards against ending
-/// with connections that the system has accepted and this program has not looked at yet, as after standing still.
-pub async fn listener_closed(close: Rc<Notify>, listening: JoinHandle<()>) {
+/// Closes the listener after [`LISTEN_DURATION`]; returns once no further connection is accepted, by the end of a shutdown
+/// of `limit_s` seconds where the descriptors for them come free too slowly. Guards against ending with connections that
+/// the system has accepted and this program has not looked at yet, as after standing still.
+pub async fn listener_closed(close: Rc<Notify>, listening: JoinHandle<()>, limit_s: f64) {
     sleep(LISTEN_DURATION).await;
     close.notify_one();
-    let _ = timeout(LISTEN_DURATION, listening).await;
+    let remaining = Duration::from_secs_f64(limit_s.max(0.0)).saturating_sub(LISTEN_DURATION);
+    let _ = timeout(remaining.clamp(ACCEPT_WAITING_MIN, LISTEN_DURATION), listening).await;
 }
 
 /// Shuts one core down; returns when the program may end. `listener_closed` ends when no further connection comes.
@@ -66,7 +79,7 @@
         sleep(POLL_INTERVAL).await;
     }
     let open_queries = fail_open_queries(&dispatcher);
-    clients_gone(&dispatcher, times.end + LAST_ANSWERS_S).await;
+    last_answers_written(&dispatcher).await;
     let took_s = clock.now() - times.began;
     tracing::info!(target: "stop", "ended after {took_s:.1} s: {open_queries} queries aborted");
 }
@@ -99,19 +112,23 @@
     open_queries
 }
 
-/// Waits until the last answers have gone out and all clients with them, until a time at the latest.
-async fn clients_gone(dispatcher: &DispatcherHandle, until: f64) {
+/// Waits until the last answers have gone out and all clients with them, for [`LAST_ANSWERS_S`] at most. Guards against a
+/// process that stands still just before or meanwhile, and would end before its tasks have written an answer: the time
+/// counts from here, and passes only with some polls.
+async fn last_answers_written(dispatcher: &DispatcherHandle) {
     let clock = dispatcher.borrow().clock;
-    while clock.now() < until && !dispatcher.borrow().clients.is_empty() {
+    let until = clock.now() + LAST_ANSWERS_S;
+    let mut polls = 0;
+    while !dispatcher.borrow().clients.is_empty() && (clock.now() < until || polls < POLLS_MIN) {
         sleep(POLL_INTERVAL).await;
+        polls += 1;
     }
 }
 
 /// Ends connections that came to a core which had shut down already: what they ask for is rejected at once.
 pub async fn end_late_connections(dispatcher: DispatcherHandle) {
-    let began = dispatcher.borrow().clock.now();
     // Their tasks have yet to run for the first time.
     sleep(POLL_INTERVAL).await;
     dispatcher.borrow().clients.close_idle();
-    clients_gone(&dispatcher, began + LAST_ANSWERS_S).await;
+    last_answers_written(&dispatcher).await;
 }
--- a/crates/router/src/server/several_cores.rs
+++ b/crates/router/src/server/several_cores.rs
@@ -31,8 +31,9 @@
 /// Half the grace period of a drain: a thread that has not looked at discovery for so many seconds may have missed one
 /// that is due.
 const MAX_DISCOVERY_AGE_S: f64 = 1.0;
-/// How much longer than on one core a shutdown may take, in seconds.
-const CORES_MARGIN_S: f64 = 0.3;
+/// How much longer than until their open queries fail the cores may take, in seconds: for their last answers, and for
+/// those to connections that came late.
+const CORES_MARGIN_S: f64 = 0.25;
 
 /// Serves until SIGTERM has been seen through.
 pub async fn run(
@@ -108,7 +109,7 @@
         let limit_s = graceful_shutdown::time_limit_s(live_config.max_deadline_s()) + CORES_MARGIN_S;
         let until = clock.now() + limit_s;
         tokio::select! {
-            () = graceful_shutdown::listener_closed(close, listening) => {}
+            () = graceful_shutdown::listener_closed(close, listening, limit_s) => {}
             () = supervisor.look_on() => {}
         }
         let _ = phase.send(Phase::Closed);
--- /dev/null
+++ b/crates/router/tests/shutdown.rs
@@ -0,0 +1,88 @@
+//! Graceful shutdowns of a process that stands still in the midst of one: every query that was read is answered, and the
+//! process has ended before the earliest SIGKILL.
+mod common;
+use common::*;
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use rstest::rstest;
+use std::io::Read;
+use std::net::TcpStream;
+use std::thread::{self, sleep};
+use std::time::{Duration, Instant};
+
+/// The longest deadline of the settings below, in seconds.
+const LONGEST_DEADLINE_S: f64 = 1.0;
+/// The users' protocol: SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM.
+const EARLIEST_KILL_S: f64 = LONGEST_DEADLINE_S + 0.7;
+/// The users' standing test: a router may be held up for so long.
+const HELD_UP_S: f64 = 0.15;
+/// The last part of a shutdown, in seconds before the earliest SIGKILL, in which its moments are tried.
+const LAST_PART_S: f64 = 0.7;
+const MOMENTS: usize = 20;
+const CLIENTS: usize = 4;
+
+/// What a client's connection has brought when it ends.
+fn received(client: Client) -> String {
+    let mut bytes = client.0.buffer().to_vec();
+    let mut stream: TcpStream = client.0.into_inner();
+    // A reset is an end as well.
+    let _ = stream.read_to_end(&mut bytes);
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// Stands still at a moment of the shutdown; what went wrong, if anything did.
+fn faults_of_a_shutdown_held_up(held_from_s: f64) -> Vec<String> {
+    let settings = settings(500, 180).replace("\"DeadlineUs\":5000000", "\"DeadlineUs\":1000000");
+    // The data node answers nothing from SIGTERM on, so that queries are open until the end.
+    let (nodes, agent) = (Nodes::new(1), Agent::new());
+    let mut program = Program::start(&nodes.addresses, agent.address, &settings, r#"{"sockets":256}"#);
+    let mut clients: Vec<Client> = (0..CLIENTS).map(|_| program.connect()).collect();
+    let process = Pid::from_raw(program.child.id() as i32);
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.ask(&format!("before{number}"), &[number as u32], 900);
+        nodes.serve();
+        assert_eq!(client.status(), "200");
+    }
+    let terminated = Instant::now();
+    let at = |since_s: f64| {
+        sleep((terminated + Duration::from_secs_f64(since_s)).saturating_duration_since(Instant::now()));
+    };
+    kill(process, Signal::SIGTERM).expect("it runs");
+    // Read in time to be answered, and with more time left than the shutdown may take.
+    at(0.6);
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.ask(&format!("open{number}"), &[number as u32], 5000);
+    }
+    at(held_from_s);
+    let _ = kill(process, Signal::SIGSTOP);
+    at(held_from_s + HELD_UP_S);
+    let _ = kill(process, Signal::SIGCONT);
+
+    let mut faults = vec![];
+    for (number, client) in clients.into_iter().enumerate() {
+        let received = received(client);
+        if received.matches("HTTP/1.1 ").count() != 1 {
+            faults.push(format!("held at {held_from_s:.2}: client {number} got {received:?}"));
+        }
+    }
+    program.child.wait().expect("it ends");
+    let ended_s = terminated.elapsed().as_secs_f64();
+    if ended_s > EARLIEST_KILL_S {
+        faults.push(format!("held at {held_from_s:.2}: ended {ended_s:.3} s after SIGTERM"));
+    }
+    faults
+}
+
+/// Guards against queries read and never answered, as a process that stood still ends with its last answers unwritten.
+#[rstest]
+fn a_shutdown_held_up_at_any_moment_of_its_last_part_answers_what_was_read() {
+    let moment = |number: usize| {
+        EARLIEST_KILL_S - LAST_PART_S + number as f64 * (LAST_PART_S - HELD_UP_S) / MOMENTS as f64
+    };
+    let held: Vec<_> = (0..MOMENTS)
+        .map(|number| thread::spawn(move || faults_of_a_shutdown_held_up(moment(number))))
+        .collect();
+    let faults: Vec<String> =
+        held.into_iter().flat_map(|held| held.join().expect("a shutdown is played")).collect();
+    assert!(faults.is_empty(), "{faults:#?}");
+}
