The testbed's data nodes have a fault in force when the call that sets it returns

Cause: the test's stand-in. Handle::set left the order in a channel of the node's thread and returned, so that under load a query came first.

Change: set and tell return once the order is in force.

--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -55,16 +55,28 @@
     pub name: String,
     pub address: SocketAddr,
     pub met: Arc<Met>,
-    orders: orders::UnboundedSender<Order>,
+    orders: orders::UnboundedSender<PendingOrder>,
+}
+
+/// An order, and where the node says that it is in force.
+struct PendingOrder {
+    order: Order,
+    in_force: mpsc::Sender<()>,
 }
 
 impl Handle {
+    /// Returns once the fault is in force: what is sent to the node after that meets it.
     pub fn set(&self, fault: Fault) {
         self.tell(Order::Fault(fault));
     }
 
+    /// Returns once the order is in force. Blocks for as long as the node's thread is busy; not to be called there.
     pub fn tell(&self, order: Order) {
-        let _ = self.orders.send(order);
+        let (in_force, told) = mpsc::channel();
+        if self.orders.send(PendingOrder { order, in_force }).is_ok() {
+            // A node that ends drops its end.
+            let _ = told.recv();
+        }
     }
 
     pub fn last_call(&self) -> f64 {
@@ -214,7 +226,7 @@
     let handle = Handle { name: format!("s-{n}"), address, met: met.clone(), orders };
     let (faulty, replies) = (stand.clone(), stand.clone());
     spawn_local(async move {
-        while let Some(order) = set.recv().await {
+        while let Some(PendingOrder { order, in_force }) = set.recv().await {
             let mut stand = faulty.borrow_mut();
             match order {
                 Order::Fault(fault) => stand.node.set(fault, clock.now()),
@@ -224,6 +236,8 @@
                 }
             }
             stand.wake.notify_one();
+            // Whoever told it may have gone.
+            let _ = in_force.send(());
         }
     });
     spawn_local(reply(replies, clock));
