Soak: signals in series, holds within stops, crowds, and clients that go on through the last stops

At the end all routers stop together while their clients go on until the last moment at which SIGKILL can come; before, the clients had left by then.

The oracle: a connection that ends with no answer crossed a close only if its request was not read, as attempts show; in a crowd new connections may be shut unread (STANDING), nothing else. Tested on ledgers that break one rule each.

--- a/crates/lab/src/soak/clients.rs
+++ b/crates/lab/src/soak/clients.rs
@@ -17,6 +17,8 @@
 /// About as long as a router keeps an idle connection.
 const REST: (f64, f64) = (1.9, 2.1);
 const REFUSED: Duration = Duration::from_millis(20);
+/// Before a client of a crowd connects again.
+const CROWD_PAUSE: Duration = Duration::from_millis(200);
 
 /// What a client does with its next request.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -73,11 +75,11 @@
     }
 }
 
-/// One client of a router, until the load is over.
+/// One client of a router, until the last moment at which the router can be there.
 pub async fn run(world: Rc<World>, router: usize, number: usize) {
     let mut kept: Option<Connection> = None;
     let mut asked = 0;
-    while world.clock.now() < world.scenario.seconds {
+    while world.clock.now() < world.scenario.seconds + world.scenario.stop_limit() {
         let pause = world.chance.borrow_mut().between(0.0, 0.08);
         sleep(Duration::from_secs_f64(pause)).await;
         let manner = draw_manner(&world);
@@ -101,6 +103,19 @@
     }
 }
 
+/// One client of a crowd: connects, says nothing, and comes again when its connection has ended, until the load is over.
+pub async fn stay_idle(world: Rc<World>, router: usize) {
+    let mut space = [0; 64];
+    while world.clock.now() < world.scenario.seconds {
+        if let Some(mut connection) = connect(&world, router).await {
+            let left = world.scenario.seconds - world.clock.now();
+            let ended = connection.stream.read(&mut space);
+            let _ = timeout(Duration::from_secs_f64(left.max(0.0)), ended).await;
+        }
+        sleep(CROWD_PAUSE).await;
+    }
+}
+
 fn draw_manner(world: &World) -> Manner {
     let mut left = world.chance.borrow_mut().draw();
     for (manner, share) in MANNERS {
--- a/crates/lab/src/soak/ledger.rs
+++ b/crates/lab/src/soak/ledger.rs
@@ -15,6 +15,8 @@
     pub crashed: Option<String>,
     /// SIGSTOP to SIGCONT.
     pub held: Vec<(f64, f64)>,
+    /// The same within a stop, for no longer than the pages allow: its SIGKILL is not put off.
+    pub held_in_stop: Vec<(f64, f64)>,
     /// Violations that the process counted itself, by counter.
     pub counted: BTreeMap<String, u64>,
     /// Lines of its log that tell of a failure.
@@ -24,9 +26,17 @@
 impl Run {
     /// Seconds between two times in which the process was held.
     pub fn held_within(&self, from: f64, until: f64) -> f64 {
-        let within = |(began, ended): &(f64, f64)| (ended.min(until) - began.max(from)).max(0.0);
-        self.held.iter().map(within).sum()
+        within(&self.held, from, until) + within(&self.held_in_stop, from, until)
     }
+
+    /// Seconds between two times by which a SIGKILL that is due is put off.
+    pub fn kill_put_off(&self, from: f64, until: f64) -> f64 {
+        within(&self.held, from, until)
+    }
+}
+
+fn within(spans: &[(f64, f64)], from: f64, until: f64) -> f64 {
+    spans.iter().map(|(began, ended)| (ended.min(until) - began.max(from)).max(0.0)).sum()
 }
 
 /// How a request ended for its client.
--- a/crates/lab/src/soak/oracle.rs
+++ b/crates/lab/src/soak/oracle.rs
@@ -103,7 +103,9 @@
                     }
                     self.refusal(request, *status, *at, attempts.get(request.id.as_str()));
                 }
-                Outcome::Closed { at, reset } => self.closed(request, *at, *reset),
+                Outcome::Closed { at, reset } => {
+                    self.closed(request, *at, *reset, attempts.contains_key(request.id.as_str()));
+                }
                 Outcome::Open => self.unanswered(request),
                 Outcome::Left { .. } => self.count("left"),
             }
@@ -124,7 +126,8 @@
         }
     }
 
-    fn closed(&mut self, request: &Request, at: f64, reset: bool) {
+    /// A connection that ended with no answer. What was `read`, as attempts show, was taken; what was not may cross a close.
+    fn closed(&mut self, request: &Request, at: f64, reset: bool, read: bool) {
         let run = self.run(request.run);
         let how = if reset { "reset" } else { "closed" };
         if run.killed.is_some_and(|killed| at >= killed - SLACK) {
@@ -141,9 +144,13 @@
             return self.count("died with their router");
         }
         let allowed = CROSSING + self.delayed(request.run, request.sent, at);
-        if request.pipelined || request.reused && at - request.sent <= allowed {
+        if !read && (request.pipelined || request.reused && at - request.sent <= allowed) {
             return self.count("crossed by a close");
         }
+        let is_crowded = self.scenario.crowds.get(run.router).is_some_and(|crowd| *crowd > 0);
+        if !read && !request.reused && is_crowded {
+            return self.count("shut unread in a crowd");
+        }
         let late_for_front = run.terminated.is_some_and(|term| request.connected > term + NEW_AFTER_TERM);
         if late_for_front && !request.reused {
             return self.count("connected after the listener's time");
--- a/crates/lab/src/soak/processes.rs
+++ b/crates/lab/src/soak/processes.rs
@@ -110,8 +110,8 @@
             if let Some(ended) = self.look() {
                 break ended;
             }
-            // A process that is held cannot end.
-            let held = world.ledger.borrow().runs[self.run].held_within(began, world.clock.now());
+            // A process that is held for longer than the pages allow cannot end.
+            let held = world.ledger.borrow().runs[self.run].kill_put_off(began, world.clock.now());
             if world.clock.now() > began + limit + held {
                 world.ledger.borrow_mut().runs[self.run].killed = Some(world.clock.now());
                 let _ = self.child.kill();
--- a/crates/lab/src/soak/scenario.rs
+++ b/crates/lab/src/soak/scenario.rs
@@ -98,17 +98,47 @@
     SpoiltReload(usize),
 }
 
+/// A signal beside the SIGTERM that begins a stop, so many seconds after it; before it where that is negative.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum StopSignal {
+    Terminate(f64),
+    /// SIGHUP, with the configuration as it is.
+    Reload(f64),
+}
+
+impl StopSignal {
+    pub fn at(self) -> f64 {
+        let (StopSignal::Terminate(at) | StopSignal::Reload(at)) = self;
+        at
+    }
+}
+
+/// What happens within a stop.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct StopPlan {
+    /// In their order.
+    pub signals: Vec<StopSignal>,
+    /// The process stands still from a moment on, for a span of what the pages allow; both in seconds.
+    pub hold: Option<(f64, f64)>,
+}
+
 /// One trouble: what begins when, and for how long where it lasts.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Trouble {
     pub at: f64,
     pub lasts: f64,
     pub act: Act,
+    /// For a stop: what happens within it.
+    pub stop: StopPlan,
 }
 
 impl fmt::Display for Trouble {
     fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
-        write!(out, "{:.2} for {:.2}: {:?}", self.at, self.lasts, self.act)
+        write!(out, "{:.2} for {:.2}: {:?}", self.at, self.lasts, self.act)?;
+        for signal in &self.stop.signals {
+            write!(out, ", {signal:.3?}")?;
+        }
+        self.stop.hold.map_or(Ok(()), |(at, span)| write!(out, ", held at {at:.3} for {span:.3}"))
     }
 }
 
@@ -127,6 +157,10 @@
     /// Free attempts, ratio, and window in seconds of the budget for further attempts.
     pub budget: Option<(f64, f64, f64)>,
     pub troubles: Vec<Trouble>,
+    /// What happens within the stop of each router at the end.
+    pub last_stops: Vec<StopPlan>,
+    /// Idle clients of each router; in some runs they fill the descriptors.
+    pub crowds: Vec<usize>,
 }
 
 /// Draws with helpers for what is drawn most.
@@ -192,6 +226,36 @@
     "wobble=3600",
 ];
 
+/// The users' protocol: SIGKILL comes no sooner than the longest deadline, counted as 3 s at most, and 0.7 s.
+const KILL_AFTER_DEADLINE: f64 = 0.7;
+const LONGEST_DEADLINE: f64 = 3.0;
+/// The users' standing test: how long a router may be held up.
+const HOLD_MOST: f64 = 0.15;
+const SERIES_SHARE: f64 = 0.6;
+const SERIES_MOST: usize = 5;
+const STOP_HOLD_SHARE: f64 = 0.6;
+/// Share of seeds in which some routers have a crowd, and of their routers that have one.
+const CROWD_SHARE: f64 = 0.3;
+const CROWDED_ROUTERS: f64 = 0.4;
+/// More than a router has descriptors.
+const CROWD_CLIENTS: usize = 300;
+
+/// Half of a stop's signals come in quick succession with SIGTERM.
+fn draw_signal(chance: &mut Chance, limit: f64) -> StopSignal {
+    let quick = chance.happens(0.5);
+    if chance.happens(0.5) {
+        StopSignal::Terminate(if quick { chance.between(0.0, 0.03) } else { chance.between(0.0, limit) })
+    } else {
+        StopSignal::Reload(if quick { chance.between(-0.03, 0.03) } else { chance.between(-0.5, limit) })
+    }
+}
+
+/// Half of the holds come in the last part of a stop, where little time is left to make up for them.
+fn draw_moment(chance: &mut Chance, limit: f64) -> f64 {
+    let earliest = if chance.happens(0.5) { limit - 0.6 } else { 0.0 };
+    chance.between(earliest, limit - 0.05)
+}
+
 impl Scenario {
     pub fn drawn(soak: &Soak, seed: u64) -> Scenario {
         let mut chance = Chance::new(seed, 11);
@@ -231,11 +295,49 @@
             grace: chance.pick(&[0.25, 0.5, 1.0]),
             budget: chance.happens(0.5).then_some((10.0, 0.05, 10.0)),
             troubles: vec![],
+            last_stops: vec![],
+            crowds: vec![],
         };
         scenario.draw_troubles(&mut chance, &without);
+        scenario.draw_stops(&mut Chance::new(seed, 13), &without);
+        scenario.draw_crowds(&mut Chance::new(seed, 14), &without);
         scenario
     }
 
+    /// The users' protocol: how long after SIGTERM a SIGKILL comes at the earliest.
+    pub fn stop_limit(&self) -> f64 {
+        let longest = self.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
+        longest.min(LONGEST_DEADLINE) + KILL_AFTER_DEADLINE
+    }
+
+    fn draw_stops(&mut self, chance: &mut Chance, without: &impl Fn(&str) -> bool) {
+        let limit = self.stop_limit();
+        let plan = |chance: &mut Chance| {
+            let mut signals = vec![];
+            if chance.happens(SERIES_SHARE) && !without("series") {
+                signals = (0..1 + chance.below(SERIES_MOST)).map(|_| draw_signal(chance, limit)).collect();
+                signals.sort_by(|one, other| one.at().total_cmp(&other.at()));
+            }
+            let holds = chance.happens(STOP_HOLD_SHARE) && !without("stophold");
+            let hold = holds.then(|| (draw_moment(chance, limit), chance.between(0.05, HOLD_MOST)));
+            StopPlan { signals, hold }
+        };
+        for trouble in &mut self.troubles {
+            if matches!(trouble.act, Act::Terminate(_)) {
+                trouble.stop = plan(chance);
+            }
+        }
+        self.last_stops = self.routers.iter().map(|_| plan(chance)).collect();
+    }
+
+    fn draw_crowds(&mut self, chance: &mut Chance, without: &impl Fn(&str) -> bool) {
+        let has_crowd = chance.happens(CROWD_SHARE) && !without("crowd");
+        let crowd = |chance: &mut Chance| {
+            if has_crowd && chance.happens(CROWDED_ROUTERS) { CROWD_CLIENTS } else { 0 }
+        };
+        self.crowds = self.routers.iter().map(|_| crowd(chance)).collect();
+    }
+
     /// Troubles begin every quarter of a second in the mean and last longer than that, so that several overlap.
     fn draw_troubles(&mut self, chance: &mut Chance, without: &impl Fn(&str) -> bool) {
         let mut at = 1.0;
@@ -263,7 +365,7 @@
             };
             let lasts = chance.between(0.1, longest);
             if !without(&format!("{act:?}")) {
-                self.troubles.push(Trouble { at, lasts, act });
+                self.troubles.push(Trouble { at, lasts, act, stop: StopPlan::default() });
             }
             at += chance.between(0.05, 0.45);
         }
--- a/crates/lab/src/soak/world.rs
+++ b/crates/lab/src/soak/world.rs
@@ -3,7 +3,7 @@
 use super::ledger::Ledger;
 use super::nodes::Node;
 use super::processes::{self, Router};
-use super::scenario::{Act, Chance, LinkTrouble, Scenario, Trouble};
+use super::scenario::{Act, Chance, LinkTrouble, Scenario, StopPlan, StopSignal, Trouble};
 use super::{Soak, clients, links};
 use crate::Clock;
 use crate::program::beside;
@@ -20,7 +20,7 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{sleep, timeout};
 
-/// After the load, until the routers are told to end: the last answers come meanwhile.
+/// After the routers have ended: clients that wait for an answer all the same come to their end.
 const REST: Duration = Duration::from_millis(3000);
 /// How often this process's own lag is read.
 const BEAT: Duration = Duration::from_millis(5);
@@ -29,9 +29,6 @@
 const SUCCEEDS: Duration = Duration::from_millis(600);
 /// Share of data nodes that serve at any time, at the least.
 const SERVING: f64 = 0.6;
-/// The users' protocol: SIGKILL comes no sooner than the longest deadline, counted as 3 s at most, and 0.7 s.
-const KILL: f64 = 0.7;
-const LONGEST_DEADLINE: f64 = 3.0;
 
 /// Everything that the stand-ins share.
 pub struct World {
@@ -65,12 +62,6 @@
     pub fn front(&self, router: usize) -> Option<(SocketAddr, usize)> {
         self.fronts[router].get()
     }
-
-    /// When SIGKILL follows a SIGTERM.
-    fn stop_limit(&self) -> f64 {
-        let longest = self.scenario.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
-        longest.min(LONGEST_DEADLINE) + KILL
-    }
 }
 
 /// Plays a scenario and hands over what passed.
@@ -104,6 +95,9 @@
         for number in 0..soak.clients {
             spawn_local(clients::run(world.clone(), router, number));
         }
+        for _ in 0..world.scenario.crowds[router] {
+            spawn_local(clients::stay_idle(world.clone(), router));
+        }
         spawn_local(watch_for_crashes(world.clone(), router));
     }
     let began = world.clock.now();
@@ -115,10 +109,9 @@
         });
     }
     let left = world.scenario.seconds - world.clock.now();
-    sleep(Duration::from_secs_f64(left.max(0.0)) + REST).await;
-    for router in 0..world.scenario.routers.len() {
-        stop(&world, router, false).await;
-    }
+    sleep(Duration::from_secs_f64(left.max(0.0))).await;
+    stop_all(&world).await;
+    sleep(REST).await;
     Ok(world.ledger.take())
 }
 
@@ -221,8 +214,25 @@
     }
 }
 
-/// Ends a router by SIGTERM, or SIGKILL, and sees its end.
-async fn stop(world: &Rc<World>, router: usize, at_once: bool) -> bool {
+/// Ends all routers at about the same time, while their clients go on.
+async fn stop_all(world: &Rc<World>) {
+    let mut stops = vec![];
+    for (router, plan) in world.scenario.last_stops.iter().enumerate() {
+        let (world, plan) = (world.clone(), plan.clone());
+        stops.push(spawn_local(async move {
+            stop(&world, router, Some(plan)).await;
+        }));
+    }
+    for stop in stops {
+        let _ = stop.await;
+    }
+}
+
+/// Ends a router by SIGTERM and what goes with it, or by SIGKILL where there is no plan, and sees its end.
+async fn stop(world: &Rc<World>, router: usize, plan: Option<StopPlan>) -> bool {
+    if let Some(plan) = &plan {
+        signal_before(world, router, plan).await;
+    }
     let Some(mut running) = world.routers[router].take() else { return false };
     let now = world.clock.now();
     let new_front = world.clone();
@@ -231,14 +241,16 @@
         sleep(Duration::from_millis(300)).await;
         new_front.fronts[router].set(None);
     });
-    if at_once {
+    if let Some(plan) = plan {
+        world.ledger.borrow_mut().runs[running.run].terminated = Some(now);
+        running.signal(Signal::SIGTERM);
+        spawn_local(signal_after(world.clone(), router, plan.clone()));
+        spawn_local(hold_in_stop(world.clone(), router, plan));
+        running.wait(world, world.scenario.stop_limit()).await;
+    } else {
         world.ledger.borrow_mut().runs[running.run].killed = Some(now);
         running.signal(Signal::SIGKILL);
         running.wait(world, 1.0).await;
-    } else {
-        world.ledger.borrow_mut().runs[running.run].terminated = Some(now);
-        running.signal(Signal::SIGTERM);
-        running.wait(world, world.stop_limit()).await;
     }
     world.processes[router].set(None);
     // The log's last lines may still be on their way to the file.
@@ -247,8 +259,49 @@
     true
 }
 
-async fn restart(world: &Rc<World>, router: usize, at_once: bool, pause: f64) {
-    if stop(world, router, at_once).await {
+/// Sends the signals that come before SIGTERM, and waits for the moment of that.
+async fn signal_before(world: &Rc<World>, router: usize, plan: &StopPlan) {
+    let Some((_, process)) = world.processes[router].get() else { return };
+    let mut at = plan.signals.first().map_or(0.0, |signal| signal.at().min(0.0));
+    for signal in plan.signals.iter().filter(|signal| signal.at() < 0.0) {
+        sleep(Duration::from_secs_f64(signal.at() - at)).await;
+        at = signal.at();
+        let _ = kill(process, Signal::SIGHUP);
+    }
+    sleep(Duration::from_secs_f64(-at)).await;
+}
+
+/// Sends the signals that come after SIGTERM, as long as the process is there.
+async fn signal_after(world: Rc<World>, router: usize, plan: StopPlan) {
+    let (process, mut at) = (world.processes[router].get(), 0.0);
+    for signal in plan.signals.iter().filter(|signal| signal.at() >= 0.0) {
+        sleep(Duration::from_secs_f64(signal.at() - at)).await;
+        at = signal.at();
+        let Some((_, pid)) = process.filter(|_| world.processes[router].get() == process) else { return };
+        let kind = match signal {
+            StopSignal::Terminate(_) => Signal::SIGTERM,
+            StopSignal::Reload(_) => Signal::SIGHUP,
+        };
+        let _ = kill(pid, kind);
+    }
+}
+
+/// Has a process that was told to end stand still for a span that the pages allow: SIGKILL comes no later for it.
+async fn hold_in_stop(world: Rc<World>, router: usize, plan: StopPlan) {
+    let (Some((at, span)), process) = (plan.hold, world.processes[router].get()) else { return };
+    sleep(Duration::from_secs_f64(at)).await;
+    let Some((run, pid)) = process.filter(|_| world.processes[router].get() == process) else { return };
+    let from = world.clock.now();
+    let _ = kill(pid, Signal::SIGSTOP);
+    world.ledger.borrow_mut().runs[run].held_in_stop.push((from, from + span));
+    sleep(Duration::from_secs_f64(span)).await;
+    if world.processes[router].get() == process {
+        let _ = kill(pid, Signal::SIGCONT);
+    }
+}
+
+async fn restart(world: &Rc<World>, router: usize, plan: Option<StopPlan>, pause: f64) {
+    if stop(world, router, plan).await {
         sleep(Duration::from_secs_f64(pause.max(0.35))).await;
         if let Err(why) = start(world, router).await {
             eprintln!("{why}");
@@ -281,8 +334,8 @@
         Act::Drain(node) => drain(world, node, lasts).await,
         Act::Remove(node) => remove(world, node).await,
         Act::RestartNode(node) => restart_node(world, node),
-        Act::Terminate(router) => restart(world, router, false, 0.1 * trouble.lasts).await,
-        Act::Kill(router) => restart(world, router, true, trouble.lasts).await,
+        Act::Terminate(router) => restart(world, router, Some(trouble.stop), 0.1 * trouble.lasts).await,
+        Act::Kill(router) => restart(world, router, None, trouble.lasts).await,
         Act::Hold(router) => hold(world, router, lasts).await,
         Act::Reload(router) => reload(world, router, true).await,
         Act::SpoiltReload(router) => reload(world, router, false).await,
--- a/crates/lab/tests/soak.rs
+++ b/crates/lab/tests/soak.rs
@@ -22,6 +22,7 @@
     let mut scenario = Scenario::drawn(&soak(), 1);
     scenario.grace = 0.5;
     scenario.budget = None;
+    scenario.crowds.iter_mut().for_each(|crowd| *crowd = 0);
     scenario.classes[1].effect = Effect::Deduplicated(0.5);
     scenario.routers.iter_mut().for_each(|router| router.faults.clear());
     scenario
@@ -77,6 +78,56 @@
     assert_eq!(rules(&ledger), [rule]);
 }
 
+/// A close may cross a request on a kept connection that was not read; attempts show that it was.
+#[rstest]
+#[case::not_read(false, &[])]
+#[case::read(true, &["lost"])]
+fn a_close_that_crosses_a_request_is_told_where_that_was_read(#[case] read: bool, #[case] wanted: &[&str]) {
+    let mut ledger = sound(0);
+    ledger.requests[0].reused = true;
+    ledger.requests[0].outcome = Outcome::Closed { at: 1.04, reset: true };
+    ledger.attempts[0].begun = 1.02;
+    ledger.attempts.retain(|_| read);
+    assert_eq!(rules(&ledger), wanted);
+}
+
+/// Idle clients that fill the descriptors excuse new connections shut unread, and nothing else.
+#[rstest]
+#[case::new_and_not_read(false, false, &[])]
+#[case::new_and_read(false, true, &["lost"])]
+#[case::kept(true, false, &["lost"])]
+fn a_crowd_excuses_only_new_connections_shut_unread(
+    #[case] reused: bool,
+    #[case] read: bool,
+    #[case] wanted: &[&str],
+) {
+    let mut scenario = scenario();
+    scenario.crowds[0] = 300;
+    let mut ledger = sound(0);
+    ledger.requests[0].reused = reused;
+    ledger.requests[0].outcome = Outcome::Closed { at: 1.4, reset: true };
+    ledger.attempts.retain(|_| read);
+    let violations = judge(&scenario, &ledger).0;
+    assert_eq!(violations.iter().map(|violation| violation.rule).collect::<Vec<_>>(), wanted);
+}
+
+#[rstest]
+fn only_a_hold_past_what_the_pages_allow_puts_sigkill_off() {
+    let run = Run { held: vec![(1.0, 1.5)], held_in_stop: vec![(2.0, 2.15)], ..Run::default() };
+    assert!((run.kill_put_off(0.0, 3.0) - 0.5).abs() < 1e-9);
+    assert!((run.held_within(0.0, 3.0) - 0.65).abs() < 1e-9);
+}
+
+#[rstest]
+fn stops_draw_signals_in_series_and_holds_that_the_pages_allow() {
+    let drawn: Vec<Scenario> = (1..40).map(|seed| Scenario::drawn(&soak(), seed)).collect();
+    let stops: Vec<_> = drawn.iter().flat_map(|scenario| &scenario.last_stops).collect();
+    assert!(stops.iter().any(|stop| stop.signals.len() > 1));
+    assert!(stops.iter().filter_map(|stop| stop.hold).all(|(_, span)| span <= 0.15));
+    assert!(stops.iter().any(|stop| stop.hold.is_some()));
+    assert!(drawn.iter().any(|scenario| scenario.crowds.iter().any(|crowd| *crowd > 0)));
+}
+
 #[rstest]
 fn an_attempt_after_its_client_left_is_told() {
     let mut ledger = sound(0);
