A planner or router that starts again with its wall clock set back is taken in again

Cause: the incarnation of a program is the wall time of its start. Forwarders refused a planner below the largest one ever met; gossip refused the links of a member below the one known of it, over which alone it could have heard that it has to outbid it.

Evidence: both new tests failed before: a planner refused 3.3 s after its former self had ended; a router dead to all four others.

Change: forwarders refuse an earlier incarnation while the later one is there and for 3 s after, longer than a dial and a hello take. Gossip opens the link and tells the member the incarnation that is known, by a word that the wire has. Refused::Former is gone with its case.

Result: tests of tier and peers pass.

--- a/crates/peers/src/view.rs
+++ b/crates/peers/src/view.rs
@@ -41,8 +41,6 @@
 pub enum Refused {
     /// It is not of the stated list.
     Stranger(Name),
-    /// A later start of that name was met.
-    Former(Name, Incarnation),
     /// It calls itself by the own name.
     Oneself,
 }
@@ -51,9 +49,6 @@
     fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
         match self {
             Refused::Stranger(name) => write!(out, "`{name}` is not of the members here"),
-            Refused::Former(name, incarnation) => {
-                write!(out, "incarnation {incarnation} of `{name}` is an earlier one")
-            }
             Refused::Oneself => write!(out, "it calls itself by the name of this router"),
         }
     }
@@ -115,6 +110,8 @@
     verdicts: BTreeMap<Name, Own>,
     /// Data nodes on which others have said something since it was last asked.
     changed: BTreeSet<Name>,
+    /// Members whose links say an earlier incarnation than is known here: they have yet to hear of the later one.
+    outbid: BTreeSet<Name>,
     /// Own queries that ended late and in time and have yet to be told of; the fleet's that have yet to be heard.
     own_over: (u32, u32),
     over: (u32, u32),
@@ -143,6 +140,7 @@
             leaves: false,
             verdicts: BTreeMap::new(),
             changed: BTreeSet::new(),
+            outbid: BTreeSet::new(),
             own_over: (0, 0),
             over: (0, 0),
             over_at: now,
@@ -173,7 +171,11 @@
         ring::dialled(&all, &self.own)
     }
 
-    /// A peer has said hello; the number of the link from here on.
+    /// A peer has said hello; the number of the link from here on. One whose incarnation is earlier than what is known here
+    /// is told the later one, which it outbids: incarnations go by wall clocks, and its clock may have gone back.
+    ///
+    /// # Errors
+    /// It is no member, or calls itself by the own name.
     pub fn greeted(&mut self, peer: &str, incarnation: Incarnation) -> Result<u64, Refused> {
         if peer == self.own {
             return Err(Refused::Oneself);
@@ -182,7 +184,7 @@
             return Err(Refused::Stranger(peer.into()));
         }
         if self.words.incarnation(peer).is_some_and(|known| incarnation < known) {
-            return Err(Refused::Former(peer.into(), incarnation));
+            self.outbid.insert(peer.into());
         }
         self.last_link += 1;
         let link = Link { peer: peer.into(), transit: Transit::default(), upto: 0 };
@@ -225,10 +227,8 @@
         for mut word in frame.words {
             word.age += way;
             if word.origin == self.own {
-                // Guards against a clock that went back between two starts: a later self is outbid.
                 if word.incarnation > self.incarnation {
-                    self.incarnation = word.incarnation.saturating_add(1);
-                    self.pulse_at = now;
+                    self.outbid_former_self(word.incarnation, now);
                 }
                 continue;
             }
@@ -258,7 +258,7 @@
                 What::Misses { member, incarnation } => {
                     if member == self.own && incarnation >= self.incarnation && !self.leaves {
                         self.met.refuted += 1;
-                        self.pulse_at = now;
+                        self.outbid_former_self(incarnation, now);
                     }
                 }
                 What::Over { late, in_time } => self.add(late, in_time),
@@ -268,6 +268,15 @@
         changes
     }
 
+    /// Others know an incarnation of this router: it says that it is there, under a later one if that is not its own.
+    /// Guards against a clock that went back between two starts, which makes the former self look like the later one.
+    fn outbid_former_self(&mut self, known: Incarnation, now: f64) {
+        if known > self.incarnation {
+            self.incarnation = known.saturating_add(1);
+        }
+        self.pulse_at = now;
+    }
+
     /// A query of this router is over.
     pub fn over(&mut self, late: bool) {
         let count = if late { &mut self.own_over.0 } else { &mut self.own_over.1 };
@@ -362,6 +371,7 @@
                 missed.extend((state == State::Missed).then(|| name.clone()));
             }
         }
+        missed.extend(std::mem::take(&mut self.outbid));
         for member in missed {
             if let Some(incarnation) = self.words.incarnation(&member) {
                 self.tell(What::Misses { member, incarnation }, now);
--- a/crates/peers/tests/mesh.rs
+++ b/crates/peers/tests/mesh.rs
@@ -318,7 +318,7 @@
     mesh.starts_anew(1, 900);
     mesh.pass(1.0);
     mesh.starts_anew(1, 901);
-    // Its clock went back: those that know the later one refuse its links, those that do not tell it.
+    // Its clock went back: those that know the later one tell it.
     let words = Frame {
         words: vec![Word { origin: name(1), incarnation: 950, number: 4, age: 0.0, what: What::Alive }],
         ..Frame::default()
@@ -330,6 +330,27 @@
     assert_eq!(mesh.routers[1].view.incarnation(), 951);
 }
 
+/// Guards against a router that all others refuse for ever, as its wall clock went back between two starts.
+#[rstest]
+fn a_router_that_starts_again_with_its_clock_set_back_is_heard_by_all() {
+    let mut mesh = Mesh::new(5, Terms::default(), 12);
+    mesh.starts_anew(1, 900);
+    mesh.pass(1.0);
+    // Its words are stale to the others by then, its incarnation is known.
+    mesh.routers[1].stopped = true;
+    mesh.pass(30.0);
+    mesh.starts_anew(1, 7);
+    mesh.routers[1].stopped = false;
+    mesh.pass(2.0);
+    let states: Vec<_> = (0..5).filter(|n| *n != 1).map(|n| mesh.routers[n].view.state(&name(1))).collect();
+    assert_eq!(states, [Some(State::Alive); 4]);
+    assert_eq!(mesh.routers[1].view.incarnation(), 901);
+    mesh.say(1, "s-1", 1000.0);
+    mesh.say(2, "s-1", 1000.0);
+    mesh.pass(0.5);
+    assert!(!mesh.believers("s-1").is_empty(), "its words count");
+}
+
 /// Guards against a router that was stopped and is taken for dead for longer than it takes to say that it is not.
 #[rstest]
 fn a_router_that_was_stopped_says_that_it_is_there() {
--- a/crates/tier/src/members.rs
+++ b/crates/tier/src/members.rs
@@ -1,6 +1,6 @@
 //! Which planners are there, as one forwarder knows it by its own clock. A planner is believed for as long as it answers
 //! beats: one that hangs, or is cut off either way, stops answering though its connection stands. A later incarnation of a
-//! name takes the place of the earlier one, whose words count no more.
+//! name takes the place of the earlier one, whose words count no more while the later one is there.
 use crate::{Incarnation, Name};
 use std::collections::BTreeMap;
 
@@ -13,6 +13,10 @@
     pub patience: f64,
 }
 
+/// For how long an earlier incarnation is refused once the later one was last there. A connection that the network held
+/// back says its hello sooner; past it the clock of a planner that started again has gone back.
+const EARLIER_REFUSED_FOR_S: f64 = 3.0;
+
 #[derive(Clone, Debug)]
 struct Planner {
     incarnation: Incarnation,
@@ -38,8 +42,15 @@
 pub struct Members {
     watch: Watch,
     planners: BTreeMap<Name, Planner>,
-    /// The latest incarnation of each name that was ever met: an older one is not believed again.
-    met: BTreeMap<Name, Incarnation>,
+    /// The incarnation of each name that was met last.
+    met: BTreeMap<Name, Met>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Met {
+    incarnation: Incarnation,
+    /// When it was last there.
+    last_seen: f64,
 }
 
 impl Members {
@@ -47,13 +58,14 @@
         Members { watch, planners: BTreeMap::new(), met: BTreeMap::new() }
     }
 
-    /// A planner has said hello. None where it is an earlier incarnation of one that was met: its connection ends.
+    /// A planner has said hello. None where it is an earlier incarnation of one that is there, or was a moment ago: its
+    /// connection ends. Incarnations go by wall clocks, so that an earlier one may be the planner started again.
     pub fn greeted(&mut self, name: &str, incarnation: Incarnation, now: f64) -> Option<Vec<Change>> {
-        if self.met.get(name).is_some_and(|met| incarnation < *met) {
+        if self.met.get(name).is_some_and(|met| incarnation < met.incarnation) && self.was_there(name, now) {
             return None;
         }
         let lost = self.planners.remove(name).map(|_| Change::Lost(name.into()));
-        self.met.insert(name.into(), incarnation);
+        self.met.insert(name.into(), Met { incarnation, last_seen: now });
         let planner = Planner {
             incarnation,
             able: false,
@@ -66,6 +78,12 @@
         Some(lost.into_iter().collect())
     }
 
+    /// Whether the planner met last under a name is there, or was a moment ago.
+    fn was_there(&self, name: &str, now: f64) -> bool {
+        self.planners.contains_key(name)
+            || self.met.get(name).is_some_and(|met| now - met.last_seen < EARLIER_REFUSED_FOR_S)
+    }
+
     /// Its connection has ended.
     pub fn ended(&mut self, name: &str, incarnation: Incarnation) -> Vec<Change> {
         if self.planners.get(name).is_none_or(|planner| planner.incarnation != incarnation) {
@@ -96,6 +114,11 @@
     /// Beats that are due now, and planners that have been silent for too long.
     pub fn tick(&mut self, now: f64) -> (Vec<(Name, u64)>, Vec<Change>) {
         let Watch { beat, patience } = self.watch;
+        for name in self.planners.keys() {
+            if let Some(met) = self.met.get_mut(name) {
+                met.last_seen = now;
+            }
+        }
         let silent = |planner: &Planner| planner.unanswered.is_some_and(|(_, at)| now - at >= patience);
         let lost: Vec<Name> =
             self.planners.iter().filter(|(_, p)| silent(p)).map(|(name, _)| name.clone()).collect();
--- a/crates/tier/tests/stories.rs
+++ b/crates/tier/tests/stories.rs
@@ -96,6 +96,21 @@
     assert_eq!(members.greeted("p", 1, 2.0), None, "a connection that the network held back");
 }
 
+/// Guards against a planner that is refused for ever as its wall clock went back between two starts.
+#[rstest]
+fn a_planner_that_starts_again_with_its_clock_set_back_is_taken_once_its_former_self_is_gone() {
+    let mut members = Members::new(WATCH);
+    members.greeted("p", 900, 0.0);
+    let (beats, _) = members.tick(5.0);
+    members.heard("p", 900, beats[0].1);
+    assert_eq!(members.greeted("p", 7, 5.1), None, "the later one is there");
+    members.ended("p", 900);
+    assert_eq!(members.greeted("p", 7, 5.2), None, "it was there a moment ago");
+    assert_eq!(members.greeted("p", 7, 8.5), Some(vec![]));
+    assert_eq!(members.beat("p", 7, 0, true), [Change::Able("p".into(), true)]);
+    assert_eq!(members.greeted("p", 6, 8.6), None, "and its own earlier self is refused");
+}
+
 #[rstest]
 fn a_planner_that_has_just_started_takes_forwarders_one_after_the_other() {
     let taken = |now: f64| (0..400).filter(|n| ramp::takes(&format!("f-{n}"), 10.0, 2.0, now)).count();
