A control server killed in its first start can be started again

Cause: the database was made under its final name, and only a file of length 0 counted as a new one; between its creation and its first commit there is a file without a format.

Change: a new log is made beside, synced, renamed, and the folder synced. The preloaded library counts calls that change a file and ends the process at one of them (exit=N); it sees ftruncate and rename as well.

--- a/crates/control-server/src/log_store.rs
+++ b/crates/control-server/src/log_store.rs
@@ -30,6 +30,8 @@
 /// The part of the file that may be held in memory.
 const CACHE_BYTES: usize = 16 * 1024 * 1024;
 const FILE_NAME: &str = "log.redb";
+/// The log while it is made.
+const UNFINISHED_FILE_NAME: &str = "log.redb.new";
 const LOCK_FILE_NAME: &str = "lock";
 
 /// Why the control log cannot be opened or written. Each message names the file.
@@ -125,13 +127,10 @@
         let lock = lock_folder(folder, &path)?;
         // A replica with an empty file has made no promise to its peers yet: it gets a new identity.
         let is_new = fs::metadata(&path).map_or(true, |metadata| metadata.len() == 0);
-        let database = open_database(&path).map_err(|source| unreadable(source.into()))?;
         if is_new {
-            let initialized = without_panic(|| initialize(&database));
-            initialized.map_err(|source| LogStoreError::Write { path: path.clone(), source })?;
-            // Without this a crash can lose the new file's directory entry, and with it promises made later.
-            File::open(folder).and_then(|folder| folder.sync_all()).map_err(io_error)?;
+            create_log(folder, &path)?;
         }
+        let database = open_database(&path).map_err(|source| unreadable(source.into()))?;
         let recovered = recover(&database).map_err(unreadable)?;
         Ok((LogStore { path, database: Some(database), _lock: lock }, recovered))
     }
@@ -185,6 +184,26 @@
     without_panic(|| Ok(Builder::new().set_cache_size(CACHE_BYTES).create(path)?))
 }
 
+/// Makes an empty log. It gets its name only once it is whole and synced: guards against a process that is killed in the
+/// midst of it, or a disk that fails, and a file that every later start would refuse.
+fn create_log(folder: &Path, path: &Path) -> Result<(), LogStoreError> {
+    let io_error = |source| LogStoreError::Io { path: path.into(), source };
+    let unfinished = folder.join(UNFINISHED_FILE_NAME);
+    match fs::remove_file(&unfinished) {
+        Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(io_error(error)),
+        _ => {}
+    }
+    let created = open_database(&unfinished).and_then(|database| {
+        // Moved in, as closing a database after a failed write may panic too.
+        without_panic(move || initialize(&database))
+    });
+    created.map_err(|source| LogStoreError::Write { path: path.into(), source })?;
+    File::open(&unfinished).and_then(|file| file.sync_all()).map_err(io_error)?;
+    fs::rename(&unfinished, path).map_err(io_error)?;
+    // Without this a crash can lose the new file's directory entry, and with it promises made later.
+    File::open(folder).and_then(|folder| folder.sync_all()).map_err(io_error)
+}
+
 fn initialize(database: &Database) -> Result<(), redb::Error> {
     let transaction = database.begin_write()?;
     transaction.open_table(ENTRIES)?;
--- a/crates/control-server/tests/log_store.rs
+++ b/crates/control-server/tests/log_store.rs
@@ -3,9 +3,17 @@
 
 use alderway_control_plane::consensus::{RecoveredState, StableStorage, WriteBatch};
 use alderway_control_server::log_store::LogStore;
+use alderway_fault_injection::{Plan, inject};
 use common::TempFolder;
 use rstest::rstest;
 use std::fs;
+use std::path::Path;
+use std::process::{Command, ExitStatus};
+
+/// Names the folder to the process in which [`opens_a_log_as_another_process`] does its work.
+const FOLDER_VARIABLE: &str = "ALDERWAY_TEST_LOG_FOLDER";
+/// More calls that change a file than a first start makes.
+const DISK_CALLS_MAX: u64 = 200;
 
 fn entries(from: u64, to: u64, text: &str) -> Vec<(u64, Vec<u8>)> {
     (from..=to).map(|index| (index, format!("{text}{index}").into_bytes())).collect()
@@ -70,3 +78,48 @@
     let why = LogStore::open(&folder.0).err().expect("refused").to_string();
     assert!(why.contains("log.redb: ") && why.contains("by an empty one") && !why.contains('\n'), "{why}");
 }
+
+/// Not a test by itself: what other tests have a process of its own do.
+#[rstest]
+fn opens_a_log_as_another_process() {
+    if let Some(folder) = std::env::var_os(FOLDER_VARIABLE) {
+        LogStore::open(Path::new(&folder)).expect("opened");
+    }
+}
+
+/// Opens the log in a process whose calls fail by a plan.
+fn open_with_faults(folder: &Path, faults: &str) -> ExitStatus {
+    let mut command = Command::new(std::env::current_exe().expect("this test"));
+    command.args(["--exact", "opens_a_log_as_another_process"]).env(FOLDER_VARIABLE, folder);
+    inject(&mut command, &Plan::parse(faults).expect("a plan")).expect("the library");
+    command.output().expect("it runs").status
+}
+
+/// Guards against a control server that refuses its log for ever, as it was killed in the midst of making it.
+#[rstest]
+fn a_first_start_killed_at_any_call_leaves_a_folder_that_the_next_start_takes() {
+    let mut killed = 0;
+    for call in 1..DISK_CALLS_MAX {
+        let folder = TempFolder::new(&format!("killed-{call}"));
+        if open_with_faults(&folder.0, &format!("exit={call}")).success() {
+            break;
+        }
+        killed += 1;
+        let opened = LogStore::open(&folder.0).map(|(_, recovered)| recovered);
+        assert_eq!(opened.expect("taken"), RecoveredState::default(), "killed at call {call}");
+    }
+    assert!((5..DISK_CALLS_MAX - 1).contains(&killed), "{killed} calls");
+}
+
+#[rstest]
+#[case::full_disk("nospace=0.2")]
+#[case::failing_syncs("fsync=0.3")]
+fn a_first_start_on_a_disk_that_fails_leaves_a_folder_that_the_next_start_takes(#[case] faults: &str) {
+    let mut failed = 0;
+    for seed in 0..20 {
+        let folder = TempFolder::new(&format!("failing-{faults}-{seed}"));
+        failed += usize::from(!open_with_faults(&folder.0, &format!("seed={seed} {faults}")).success());
+        LogStore::open(&folder.0).unwrap_or_else(|error| panic!("seed {seed}: {error}"));
+    }
+    assert!(failed > 0, "no first start failed");
+}
--- a/crates/fault-injection/src/plan.rs
+++ b/crates/fault-injection/src/plan.rs
@@ -32,9 +32,11 @@
     Sync,
     /// Writes to files end with ENOSPC, after half of the bytes where there are several.
     NoSpace,
+    /// The process ends, as by SIGKILL, at a call that changes a file on a disk; the value says at the how many-th.
+    Exit,
 }
 
-const NAMES: [(&str, Kind); 12] = [
+const NAMES: [(&str, Kind); 13] = [
     ("eintr", Kind::Interrupt),
     ("short", Kind::Short),
     ("nobufs", Kind::NoBuffers),
@@ -47,13 +49,14 @@
     ("wobble", Kind::Wobble),
     ("fsync", Kind::Sync),
     ("nospace", Kind::NoSpace),
+    ("exit", Kind::Exit),
 ];
 
 /// One fault, active from `from` to `until` seconds after the start of the process.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Fault {
     pub kind: Kind,
-    /// A probability for each call, or seconds for faults of the wall clock.
+    /// A probability for each call, seconds for faults of the wall clock, or the number of a call.
     pub value: f64,
     pub from: f64,
     pub until: f64,
--- a/crates/fault-preload/src/lib.rs
+++ b/crates/fault-preload/src/lib.rs
@@ -19,6 +19,8 @@
     plan: Plan,
     began: f64,
     draws: AtomicU64,
+    /// Calls so far that changed a file on a disk.
+    disk_calls: AtomicU64,
 }
 
 static INJECTOR: OnceLock<Option<Injector>> = OnceLock::new();
@@ -53,7 +55,7 @@
         let text = std::env::var(VARIABLE).ok()?;
         let plan = Plan::parse(&text).unwrap_or_else(|why| panic!("{VARIABLE}: {why}"));
         let draws = AtomicU64::new(plan.seed);
-        Some(Injector { plan, began: monotonic(), draws })
+        Some(Injector { plan, began: monotonic(), draws, disk_calls: AtomicU64::new(0) })
     };
     INJECTOR.get_or_init(begin).as_ref()
 }
@@ -205,10 +207,39 @@
     done
 }
 
+/// Ends the process where the plan says so: before the call that comes now, which changes a file on a disk.
+fn count_disk_call() {
+    let Some(injector) = injector() else { return };
+    let Some(last) = injector.active(Kind::Exit) else { return };
+    if injector.disk_calls.fetch_add(1, Relaxed) + 1 >= last as u64 {
+        // SAFETY: ending the process is always sound.
+        unsafe { libc::kill(libc::getpid(), libc::SIGKILL) };
+    }
+}
+
+/// # Safety
+/// As the C library's.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn ftruncate64(fd: c_int, length: off_t) -> c_int {
+    count_disk_call();
+    let ftruncate = real!("ftruncate64", unsafe extern "C" fn(c_int, off_t) -> c_int);
+    unsafe { ftruncate(fd, length) }
+}
+
+/// # Safety
+/// As the C library's.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn rename(from: *const c_char, to: *const c_char) -> c_int {
+    count_disk_call();
+    let rename = real!("rename", unsafe extern "C" fn(*const c_char, *const c_char) -> c_int);
+    unsafe { rename(from, to) }
+}
+
 /// # Safety
 /// As the C library's.
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn fsync(fd: c_int) -> c_int {
+    count_disk_call();
     if happens(Kind::Sync) {
         return fail(libc::EIO);
     }
@@ -220,6 +251,7 @@
 /// As the C library's.
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn fdatasync(fd: c_int) -> c_int {
+    count_disk_call();
     if happens(Kind::Sync) {
         return fail(libc::EIO);
     }
@@ -238,6 +270,9 @@
 
 /// What a write to a file may transfer: all, half before the disk is full, or nothing.
 fn disk_takes(fd: c_int, length: size_t) -> Option<size_t> {
+    if is_file(fd) {
+        count_disk_call();
+    }
     match injector() {
         Some(injector) if is_file(fd) && injector.happens(Kind::NoSpace) => {
             (length > 1 && injector.draw() % 2 == 0).then_some(length / 2)
