A client that has sent half a request as a shutdown ends gets its answer

What callers saw: half a request was on its way as the program failed its open queries; the program ended 0.1 s later with no answer, and a rest that came meanwhile was read by nobody. A request counts as taken with its last byte.

Cause: in its last phase a shutdown asked nobody to close, and a close spared connections with half a request, for which no time is left then.

Evidence: the new test's client with half a request got nothing before (case the_rest_never_comes); the case with a rest within the last answers' time passed before as well, the moment after it is not forced.

Change: with the failing of open queries every connection without one is asked to close, and half a request is answered 503.

Result: the tests of shutdown.rs and of the router pass.

--- a/crates/router/src/io/client_session.rs
+++ b/crates/router/src/io/client_session.rs
@@ -3,7 +3,7 @@
 use super::{arrival, until};
 use crate::requests;
 use crate::state::DispatcherHandle;
-use crate::state::clients::ClientConnection;
+use crate::state::clients::{ClientConnection, CloseRequest};
 use crate::state::descriptors::DescriptorPermit;
 use crate::state::dispatcher::Handover;
 use crate::state::shared::{CoreCommand, TransferredConnection};
@@ -265,7 +265,10 @@
                 () = ready(()), if should_close => {
                     // Guards against closing on a request that has come and is not read yet: it counts as taken.
                     if !has_room || !arrival::waits(stream) {
-                        return self.closed_while_idle();
+                        if !self.must_reject_half_sent() {
+                            return self.closed_while_idle();
+                        }
+                        self.reject_unreadable("requests{half_sent}", (503, "this program ends"));
                     }
                     yield_now().await;
                 }
@@ -282,6 +285,12 @@
         }
     }
 
+    /// Whether the client of half a request is owed an answer, as the program ends before the rest can come. Guards against
+    /// a rest that comes in the last moment, with nobody to read it.
+    fn must_reject_half_sent(&self) -> bool {
+        self.client.is_half_sent.get() && self.client.close_request.get() == CloseRequest::AtProgramEnd
+    }
+
     fn closed_while_idle(&self) -> CloseReason {
         if self.client.has_sent_request.get() { CloseReason::AfterAnswer } else { CloseReason::NeverAsked }
     }
--- a/crates/router/src/lifecycle/graceful_shutdown.rs
+++ b/crates/router/src/lifecycle/graceful_shutdown.rs
@@ -109,6 +109,7 @@
     let open_queries = dispatcher.queries.len();
     dispatcher.shutdown_phase = ShutdownPhase::Ending;
     dispatcher.fail_all_queries();
+    dispatcher.clients.close_at_program_end();
     open_queries
 }
 
@@ -129,6 +130,6 @@
 pub async fn end_late_connections(dispatcher: DispatcherHandle) {
     // Their tasks have yet to run for the first time.
     sleep(POLL_INTERVAL).await;
-    dispatcher.borrow().clients.close_idle();
+    dispatcher.borrow().clients.close_at_program_end();
     last_answers_written(&dispatcher).await;
 }
--- a/crates/router/src/state/clients.rs
+++ b/crates/router/src/state/clients.rs
@@ -15,6 +15,8 @@
     WhenIdle,
     /// To close though part of a request has come: the rest takes too long.
     EvenIfHalfSent,
+    /// To close as the program ends: where part of a request has come, its client is told so.
+    AtProgramEnd,
 }
 
 /// One connection of a client.
@@ -63,7 +65,7 @@
         match self.close_request.get() {
             CloseRequest::KeepOpen => false,
             CloseRequest::WhenIdle => !self.is_half_sent.get(),
-            CloseRequest::EvenIfHalfSent => true,
+            CloseRequest::EvenIfHalfSent | CloseRequest::AtProgramEnd => true,
         }
     }
 }
@@ -132,6 +134,14 @@
         }
     }
 
+    /// Asks all connections without an open query to close, as the program ends.
+    pub fn close_at_program_end(&self) {
+        for client in self.all.values().filter(|client| client.idle_since.get().is_some()) {
+            client.close_request.set(CloseRequest::AtProgramEnd);
+            client.wake.notify_one();
+        }
+    }
+
     /// Asks all idle connections to close.
     pub fn close_idle(&self) {
         let idle = self
--- a/crates/router/tests/shutdown.rs
+++ b/crates/router/tests/shutdown.rs
@@ -5,7 +5,7 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use rstest::rstest;
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
@@ -86,3 +86,31 @@
         held.into_iter().flat_map(|held| held.join().expect("a shutdown is played")).collect();
     assert!(faults.is_empty(), "{faults:#?}");
 }
+
+/// Guards against a client that sends the rest of its request to a program that ends just then.
+#[rstest]
+#[case::the_rest_never_comes(None)]
+#[case::the_rest_comes_with_the_end(Some(1.35))]
+fn a_request_half_sent_as_the_program_ends_is_answered(#[case] rest_at_s: Option<f64>) {
+    let settings = settings(500, 180).replace("\"DeadlineUs\":5000000", "\"DeadlineUs\":1000000");
+    let (nodes, agent) = (Nodes::new(1), Agent::new());
+    let program = Program::start(&nodes.addresses, agent.address, &settings, r#"{"sockets":256}"#);
+    let mut client = program.connect();
+    client.ask("before", &[1], 900);
+    nodes.serve();
+    assert_eq!(client.status(), "200");
+    let request = post("half", "site-search", &[1], 5000);
+    let (first, rest) = request.split_at(request.len() / 2);
+    let terminated = Instant::now();
+    kill(Pid::from_raw(program.child.id() as i32), Signal::SIGTERM).expect("it runs");
+    // While idle connections are still served.
+    sleep(Duration::from_secs_f64(0.3));
+    client.send(first);
+    if let Some(at_s) = rest_at_s {
+        sleep((terminated + Duration::from_secs_f64(at_s)).saturating_duration_since(Instant::now()));
+        // The connection may have ended by then, with the answer on it.
+        let _ = client.0.get_mut().write_all(rest.as_bytes());
+    }
+    let received = received(client);
+    assert_eq!(received.matches("HTTP/1.1 503 ").count(), 1, "{received:?}");
+}
