Hedges go out only where they win past the late node, with a trial in a while elsewhere

Change: a running win rate of hedges, past each node and past any. A hedge goes out where it wins in two of five or more, else as one trial each quarter of a second; before any hedge has ended the odds are even, so that what a cut-off node needs goes out at once. A hedge wins if it brings its request's first answer; one that ends otherwise, or is out as its query ends, has lost. The token bucket is as before.

Both new tests fail without the rule; all older tests of the decisions pass unchanged.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -12,6 +12,7 @@
 mod concurrency_limit;
 mod config_changes;
 mod events;
+mod hedge_success;
 mod hedging;
 mod latency;
 mod node;
@@ -31,6 +32,7 @@
 };
 use admission::LoadShedding;
 use attempts_by_age::AttemptsByAge;
+use hedge_success::HedgeSuccess;
 use latency::{ClassState, LatencyWindow};
 use node::Node;
 use query::{Query, RequestPosition, ShardClass};
@@ -76,6 +78,7 @@
     queries: BTreeMap<u64, Query>,
     shard_requests: BTreeMap<String, RequestPosition>,
     attempts_in_flight: AttemptsByAge,
+    hedge_success: HedgeSuccess,
     /// Attempts started so far.
     attempts_started: u64,
     /// Queries that were not answered, whose clients may come again.
--- a/src/policy/events.rs
+++ b/src/policy/events.rs
@@ -159,7 +159,9 @@
         let age_position =
             AttemptPosition { query: position.query, request: position.index, attempt: number };
         self.attempts_in_flight.remove(ShardClass { shard: request.shard, class }, age_position);
+        let is_first_success = outcome == AttemptOutcome::Success && !request.succeeded;
         request.succeeded |= outcome == AttemptOutcome::Success;
+        let settled = settled_hedges(request, number, is_first_success);
         if let Some(attempt) = request.attempts.get_mut(number) {
             attempt.in_flight = false;
             attempt.possible_effect = !outcome.had_no_effect();
@@ -174,5 +176,22 @@
             let shard = self.shards.entry(request.shard).or_default();
             shard.latencies.record(latency_s, SHARD_SAMPLES_MAX);
         }
+        for (past, won) in settled {
+            self.record_hedge(&past, won);
+        }
+    }
+}
+
+/// Hedges that have won or lost as an attempt ended: the first success decides for all, and a hedge that ends without
+/// one has lost. Each with the late node that it was to get past.
+fn settled_hedges(request: &mut ShardRequest, ended: usize, is_first_success: bool) -> Vec<(String, bool)> {
+    let mut settled = vec![];
+    for (number, attempt) in request.attempts.iter_mut().enumerate() {
+        if (number == ended || is_first_success)
+            && let Some(past) = attempt.hedges_past.take()
+        {
+            settled.push((past, number == ended && is_first_success));
+        }
     }
+    settled
 }
--- a/src/policy/hedging.rs
+++ b/src/policy/hedging.rs
@@ -7,6 +7,7 @@
 
 use super::Policy;
 use super::attempts_by_age::AttemptPosition;
+use super::hedge_success::WinRate;
 use super::node::Node;
 use super::outlier_detection::{Health, VERY_LATE_MULTIPLE};
 use super::query::{Attempt, Query, RequestPosition, ShardClass, ShardRequest};
@@ -63,12 +64,47 @@
         let Some(action) = self.late_action(query, request) else { return };
         let Some(node) = self.select_node(position, &[request.shard], 1) else { return };
         match action {
-            LateAction::Hedge if self.try_pay_for_hedge() => self.start_attempt(position, &node.id, sink),
-            LateAction::Hedge => {}
+            LateAction::Hedge => self.hedge(position, &node.id, sink),
             LateAction::Replace => self.cancel_live_attempts(position, sink),
         }
     }
 
+    /// Sends a hedge to a node, if the budget pays and a hedge past the late node does.
+    fn hedge(&mut self, position: RequestPosition, to: &str, sink: &mut dyn DecisionSink) {
+        let request = &self.queries[&position.query].requests[position.index];
+        let Some(late) = request.attempts.iter().rfind(|attempt| attempt.is_live()) else { return };
+        let past = late.node.clone();
+        let pays = self.hedge_win_rate(&past).pays();
+        if !pays && !self.hedge_success.trial_is_due(self.now_s) || !self.try_pay_for_hedge() {
+            return;
+        }
+        if !pays {
+            self.hedge_success.record_trial(self.now_s);
+        }
+        self.start_attempt(position, to, sink);
+        let query = self.queries.get_mut(&position.query);
+        let hedge = query.and_then(|query| query.requests[position.index].attempts.last_mut());
+        if let Some(hedge) = hedge {
+            hedge.hedges_past = Some(past);
+        }
+    }
+
+    /// The win rate of hedges past a node: its own if any has ended, else that past any node.
+    fn hedge_win_rate(&self, past: &str) -> WinRate {
+        let own = self.nodes.get(past).and_then(|node| node.hedge_win_rate);
+        own.unwrap_or(self.hedge_success.win_rate)
+    }
+
+    /// Records that a hedge past a node has won or lost.
+    pub(super) fn record_hedge(&mut self, past: &str, won: bool) {
+        let mut win_rate = self.hedge_win_rate(past);
+        win_rate.record(won);
+        if let Some(node) = self.nodes.get_mut(past) {
+            node.hedge_win_rate = Some(win_rate);
+        }
+        self.hedge_success.win_rate.record(won);
+    }
+
     /// What is to be done about a shard request, if another node can be found for it.
     fn late_action(&self, query: &Query, request: &ShardRequest) -> Option<LateAction> {
         let newest = request.attempts.iter().rfind(|attempt| attempt.is_live())?;
--- a/src/policy/node.rs
+++ b/src/policy/node.rs
@@ -1,6 +1,7 @@
 //! The record of one data node: what is in flight at it, and the state that the decisions about it keep.
 
 use super::concurrency_limit::ConcurrencyLimit;
+use super::hedge_success::WinRate;
 use super::outlier_detection::{Health, OwnObservations, RemoteObservation};
 use super::slow_start::WarmUpLoad;
 use crate::interface::NodeState;
@@ -19,6 +20,8 @@
     /// What other cores or routers observed.
     pub remote: RemoteObservation,
     pub warm_up_load: WarmUpLoad,
+    /// Of hedges past it, if any has ended.
+    pub hedge_win_rate: Option<WinRate>,
     /// Number of this router's latest attempt at it; the lowest is next in round robin.
     pub last_attempt: u64,
     /// Its health as of the start of this round.
@@ -56,6 +59,7 @@
             own: OwnObservations::default(),
             remote: RemoteObservation::default(),
             warm_up_load: WarmUpLoad::new(warm_up_phase.unwrap_or(0.0)),
+            hedge_win_rate: None,
             last_attempt: 0,
             health: Health::Healthy,
             expected_wait_s: 0.0,
--- a/src/policy/shard_changes.rs
+++ b/src/policy/shard_changes.rs
@@ -55,7 +55,11 @@
             self.rename_in_flight(request, first, &attempts);
         }
         for (nth, &(id, shard, weight)) in into.iter().enumerate() {
-            let attempts = attempts.clone();
+            let mut attempts = attempts.clone();
+            if nth > 0 {
+                // A hedge wins or loses once.
+                attempts.iter_mut().for_each(|attempt| attempt.hedges_past = None);
+            }
             let successor = ShardRequest { id: id.into(), shard, weight, succeeded, hedges, attempts };
             // The first successor takes the old one's place.
             self.place_successor(number, successor, (nth == 0).then_some(position.index));
@@ -130,6 +134,7 @@
             started_at_stall_free_s,
             in_flight: outcome.is_none(),
             cancelled: false,
+            hedges_past: None,
             possible_effect: outcome.is_none_or(|outcome| !outcome.had_no_effect()),
             rejected: outcome.is_some_and(AttemptOutcome::was_rejected),
             connection_lost: outcome == Some(AttemptOutcome::ConnectionReset),
--- a/tests/hedging.rs
+++ b/tests/hedging.rs
@@ -103,3 +103,76 @@
     host.query(0, &[0]);
     assert_eq!(host.timeouts_s, [limit]);
 }
+
+/// Longer than any attempt may take before it is late.
+const LATE_S: f64 = 1.1;
+/// What an attempt takes otherwise, and how many such queries come between two late ones: no load is shed.
+const QUICK_S: f64 = 0.05;
+const QUICK_QUERIES: u64 = 5;
+/// By then no node is passed over any more.
+const AVOIDANCE_ENDS_S: f64 = 16.0;
+
+/// A query that gets late after some quick ones. Its first attempt's node, and how many hedges went out; it is answered
+/// by the last of them where `hedge_wins` holds of that node, else by its first attempt.
+fn late_query(host: &mut Host, number: u64, hedge_wins: impl Fn(&str) -> bool) -> (String, usize) {
+    host.answer_queries(1000 * (number + 1), QUICK_QUERIES, QUICK_S);
+    let request = format!("p{number}.0");
+    let first = last_node(&host.query(number, &[0]), &request);
+    let decisions = host.wait(LATE_S);
+    let hedges = attempts(&decisions).len();
+    let hedge = (hedges > 0).then(|| last_node(&decisions, &request));
+    let (winner, node) = match &hedge {
+        Some(hedge) if hedge_wins(&first) => (1, hedge),
+        _ => (0, &first),
+    };
+    host.attempt_ended(&request, winner, node, AttemptOutcome::Success, LATE_S);
+    if let Some(hedge) = &hedge {
+        let loser = if winner == 0 { hedge } else { &first };
+        host.attempt_ended(&request, 1 - winner, loser, AttemptOutcome::Cancelled, LATE_S);
+    }
+    (first, hedges)
+}
+
+/// A query of three shard requests that get late at the same time: for each the node of its first attempt, and whether a
+/// hedge followed at once.
+fn hedged_requests(host: &mut Host, number: u64) -> Vec<(String, bool)> {
+    host.answer_queries(1000 * (number + 1), 20, QUICK_S);
+    host.wait(AVOIDANCE_ENDS_S);
+    let decisions = host.query(number, &[0, 0, 0]);
+    let requests: Vec<String> = (0..3).map(|index| format!("p{number}.{index}")).collect();
+    let first: Vec<String> = requests.iter().map(|request| last_node(&decisions, request)).collect();
+    // The first hedge, and what goes out in the same moment.
+    let mut hedges = vec![];
+    for _ in 0..(LATE_S / 0.01) as usize {
+        hedges = host.wait(0.01);
+        if !attempts(&hedges).is_empty() {
+            break;
+        }
+    }
+    let is_hedged =
+        |request: &String| hedges.iter().any(|one| one.starts_with(&format!("attempt {request} ")));
+    first.into_iter().zip(requests.iter().map(is_hedged)).collect()
+}
+
+/// Guards against an overload that hedges prolong: they lose past all nodes.
+#[rstest]
+#[case::nothing_is_known_yet(0, 3)]
+#[case::all_have_lost(12, 1)]
+fn hedges_that_lose_stop_but_for_trials(#[case] lost: u64, #[case] wanted: usize) {
+    let mut host = Host::with(|d| d.capabilities.max_attempts = 2);
+    (0..lost).for_each(|number| drop(late_query(&mut host, number, |_| false)));
+    let requests = hedged_requests(&mut host, 100);
+    assert_eq!(requests.iter().filter(|(_, hedged)| *hedged).count(), wanted, "{requests:?}");
+}
+
+/// Guards against a slow or silent node past which no hedge goes, as hedges lose elsewhere.
+#[rstest]
+fn hedges_that_win_go_on_past_that_node() {
+    let mut host = Host::with(|d| d.capabilities.max_attempts = 2);
+    let queries: Vec<_> =
+        (0..40).map(|number| late_query(&mut host, number, |first| first == "n0")).collect();
+    assert!(queries.iter().filter(|(first, hedges)| first == "n0" && *hedges > 0).count() > 2, "{queries:?}");
+    let requests = hedged_requests(&mut host, 100);
+    assert!(requests.contains(&("n0".to_string(), true)), "{requests:?}");
+    assert!(requests.iter().filter(|(_, hedged)| *hedged).count() < 3, "{requests:?}");
+}
