Operator's file: values, arguments, statements and evaluation in modules of their own

Cause: one file of 584 lines held the values, the checks of arguments, the calls of the script and their evaluation.

Change: four modules; what may not be said together is one function with an error each. The calls stay in one block, as the library's macro wants it.

--- /dev/null
+++ b/crates/operator/src/statements.rs
@@ -0,0 +1,314 @@
+//! The calls that an operator's file may make: each subject is said once, by its arguments.
+use crate::arguments::{addresses, flag, whole};
+use crate::values::{
+    Control, Cores, Count, Layouts, LogForm, MOST_CONTROL, MOST_CORES, MOST_MEMBERS, MOST_TOLD_OF, Peers,
+    Subscription, Tier,
+};
+use starlark::any::ProvidesStaticType;
+use starlark::environment::GlobalsBuilder;
+use starlark::eval::Evaluator;
+use starlark::starlark_module;
+use starlark::values::Value;
+use starlark::values::dict::DictRef;
+use starlark::values::list::ListRef;
+use starlark::values::none::NoneType;
+use starlark::values::tuple::TupleRef;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+/// What has been said so far.
+#[derive(Debug, Default, ProvidesStaticType)]
+pub struct Said {
+    pub cores: RefCell<Option<Cores>>,
+    pub log: RefCell<Option<LogForm>>,
+    pub layouts: RefCell<Option<Layouts>>,
+    pub tier: RefCell<Option<Tier>>,
+    pub peers: RefCell<Option<Peers>>,
+    pub control: RefCell<Option<Control>>,
+    pub subscription: RefCell<Option<Subscription>>,
+}
+
+impl Said {
+    /// Whether anything was said that is for a router, even if it is the default.
+    pub fn concerns_router(&self) -> bool {
+        self.cores.borrow().is_some()
+            || self.layouts.borrow().is_some()
+            || self.tier.borrow().is_some()
+            || self.peers.borrow().is_some()
+            || self.subscription.borrow().is_some()
+    }
+}
+
+fn said<'a>(eval: &Evaluator<'_, 'a, '_>) -> anyhow::Result<&'a Said> {
+    eval.extra
+        .and_then(|e| e.downcast_ref::<Said>())
+        .ok_or_else(|| anyhow::anyhow!("not evaluated as a file"))
+}
+
+/// Keeps what a subject says; each is said once, so that no line of the file undoes another unseen.
+fn once<T>(slot: &RefCell<Option<T>>, subject: &str, value: T) -> anyhow::Result<NoneType> {
+    match slot.borrow_mut().replace(value) {
+        None => Ok(NoneType),
+        Some(_) => Err(anyhow::anyhow!("`{subject}`: said twice")),
+    }
+}
+
+#[starlark_module]
+pub fn subjects(globals: &mut GlobalsBuilder) {
+    /// How many cores serve and how they share.
+    fn cores<'v>(
+        #[starlark(require = named)] count: Value<'v>,
+        #[starlark(require = named)] node_connections: Option<Value<'v>>,
+        #[starlark(require = named)] evidence: Option<Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        let count = match count.unpack_str() {
+            Some("all") => Count::All,
+            Some(word) => {
+                return Err(anyhow::anyhow!("`cores`: `count` is a number or \"all\", found \"{word}\""));
+            }
+            None => Count::Cores(whole("cores", "count", count, 1, MOST_CORES)?),
+        };
+        let node_connections = node_connections.filter(|v| !v.is_none());
+        let node_connections =
+            node_connections.map(|v| whole("cores", "node_connections", v, 1, 65_536)).transpose()?;
+        if let (Count::Cores(cores), Some(most)) = (count, node_connections)
+            && most < cores
+        {
+            return Err(anyhow::anyhow!(
+                "`cores`: `node_connections` of {most} leaves some of {cores} cores without any"
+            ));
+        }
+        let evidence = evidence.map_or(Ok(true), |v| flag("cores", "evidence", v))?;
+        once(&said(eval)?.cores, "cores", Cores { count, node_connections, evidence })
+    }
+
+    /// That shards lie by layouts which discovery tells, and how much lateness is allowed for.
+    fn layouts<'v>(
+        #[starlark(require = named)] late_clients_ms: Option<Value<'v>>,
+        #[starlark(require = named)] lagging_nodes_ms: Option<Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        let span = |name, value: Option<Value<'v>>, usual, least, most| {
+            let value = value.map_or(Ok(usual), |value| whole("layouts", name, value, least, most))?;
+            anyhow::Ok(value as f64 / 1e3)
+        };
+        let late_clients = span("late_clients_ms", late_clients_ms, 2000, 0, 3_600_000)?;
+        let lagging_nodes = span("lagging_nodes_ms", lagging_nodes_ms, 250, 10, 60_000)?;
+        once(&said(eval)?.layouts, "layouts", Layouts { late_clients, lagging_nodes })
+    }
+
+    /// That planners decide for this program.
+    fn forwarder<'v>(
+        #[starlark(require = named)] planners: Value<'v>,
+        #[starlark(require = named)] count: Value<'v>,
+        #[starlark(require = named)] beat_ms: Option<Value<'v>>,
+        #[starlark(require = named)] patience_ms: Option<Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        let wrong = || {
+            anyhow::anyhow!("`forwarder`: `planners` is a list of address:port, found {}", planners.to_repr())
+        };
+        let list = ListRef::from_value(planners).filter(|list| !list.is_empty()).ok_or_else(wrong)?;
+        let address = |v: &Value<'v>| v.unpack_str().and_then(|text| text.parse().ok());
+        let planners =
+            list.iter().map(|v| address(&v)).collect::<Option<Vec<SocketAddr>>>().ok_or_else(wrong)?;
+        if (1..planners.len()).any(|n| planners[..n].contains(&planners[n])) {
+            return Err(anyhow::anyhow!("`forwarder`: `planners` names one twice"));
+        }
+        let count = whole("forwarder", "count", count, 1, 10_000)?;
+        let span = |name, value: Option<Value<'v>>, usual, least, most| {
+            let value = value.map_or(Ok(usual), |value| whole("forwarder", name, value, least, most))?;
+            anyhow::Ok(value as f64 / 1e3)
+        };
+        let beat = span("beat_ms", beat_ms, 50, 5, 10_000)?;
+        let patience = span("patience_ms", patience_ms, 250, 10, 60_000)?;
+        if patience < 2.0 * beat {
+            return Err(anyhow::anyhow!("`forwarder`: `patience_ms` is under two beats"));
+        }
+        once(&said(eval)?.tier, "forwarder or planner", Tier::Forwarder { planners, count, beat, patience })
+    }
+
+    /// That this program decides for forwarders.
+    fn planner<'v>(
+        #[starlark(require = named)] count: Value<'v>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        let count = whole("planner", "count", count, 1, 1000)?;
+        once(&said(eval)?.tier, "forwarder or planner", Tier::Planner { count })
+    }
+
+    /// That this router is one of several that know each other.
+    fn peers<'v>(
+        #[starlark(require = named)] members: Value<'v>,
+        #[starlark(require = named)] beat_ms: Option<Value<'v>>,
+        #[starlark(require = named)] pulse_ms: Option<Value<'v>>,
+        #[starlark(require = named)] stale_ms: Option<Value<'v>>,
+        #[starlark(require = named)] witnesses: Option<Value<'v>>,
+        #[starlark(require = named)] verdicts: Option<Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        let members = addresses("peers", "members", members)?;
+        if !(2..=MOST_MEMBERS).contains(&members.len()) {
+            let found = members.len();
+            return Err(anyhow::anyhow!("`peers`: `members` are 2 to {MOST_MEMBERS}, found {found}"));
+        }
+        let span = |name, value: Option<Value<'v>>, usual| {
+            let value = value.map_or(Ok(usual), |value| whole("peers", name, value, 5, 60_000))?;
+            anyhow::Ok(value as f64 / 1e3)
+        };
+        let (beat, pulse) = (span("beat_ms", beat_ms, 100)?, span("pulse_ms", pulse_ms, 1000)?);
+        let stale = span("stale_ms", stale_ms, 2000)?;
+        if pulse < beat {
+            return Err(anyhow::anyhow!("`peers`: `pulse_ms` is under `beat_ms`"));
+        }
+        // A word goes over as many links as the count of members has digits, and is said again at half its time.
+        let digits = (usize::BITS - (members.len() - 1).leading_zeros()).max(1);
+        if stale < 2.0 * beat * f64::from(digits + 1) {
+            return Err(anyhow::anyhow!(
+                "`peers`: `stale_ms` is too short for {} members and this `beat_ms`: {:.0} at least",
+                members.len(),
+                2e3 * beat * f64::from(digits + 1)
+            ));
+        }
+        let witnesses =
+            witnesses.map_or(Ok(2), |value| whole("peers", "witnesses", value, 1, MOST_MEMBERS))?;
+        if witnesses >= members.len() {
+            return Err(anyhow::anyhow!(
+                "`peers`: `witnesses` of {witnesses} need {} members at least, found {}",
+                witnesses + 1,
+                members.len()
+            ));
+        }
+        let verdicts = verdicts.map_or(Ok(true), |value| flag("peers", "verdicts", value))?;
+        once(&said(eval)?.peers, "peers", Peers { members, beat, pulse, stale, witnesses, verdicts })
+    }
+
+    /// That this program is a control machine.
+    fn control<'v>(
+        #[starlark(require = named)] name: Value<'v>,
+        #[starlark(require = named)] members: Value<'v>,
+        #[starlark(require = named)] doors: Value<'v>,
+        #[starlark(require = named)] data: Value<'v>,
+        #[starlark(require = named)] routers: Option<Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        let text = |what: &str, value: Value<'v>| {
+            let text = value.unpack_str().filter(|text| !text.is_empty()).map(str::to_string);
+            text.ok_or_else(|| anyhow::anyhow!("`control`: `{what}` is a text, found {}", value.to_repr()))
+        };
+        let (name, data) = (text("name", name)?, text("data", data)?);
+        let members = addresses("control", "members", members)?;
+        let doors = addresses("control", "doors", doors)?;
+        if members.len() > MOST_CONTROL || members.len().is_multiple_of(2) {
+            let found = members.len();
+            return Err(anyhow::anyhow!("`control`: `members` are 1, 3, 5 or 7, found {found}"));
+        }
+        if !members.contains_key(&name) {
+            return Err(anyhow::anyhow!("`control`: `members` does not name this machine, `{name}`"));
+        }
+        if !members.keys().eq(doors.keys()) {
+            return Err(anyhow::anyhow!("`control`: `doors` does not name the same machines as `members`"));
+        }
+        let routers = routers.map(|value| {
+            let at = value.unpack_str().and_then(|text| text.parse::<SocketAddr>().ok());
+            at.ok_or_else(|| {
+                anyhow::anyhow!("`control`: `routers` is address:port, found {}", value.to_repr())
+            })
+        });
+        let routers = routers.transpose()?;
+        let own = [members.get(&name), doors.get(&name), routers.as_ref()];
+        let own: Vec<&SocketAddr> = own.into_iter().flatten().filter(|at| at.port() > 0).collect();
+        if own.iter().collect::<BTreeSet<_>>().len() < own.len() {
+            return Err(anyhow::anyhow!("`control`: this machine has one address for two things"));
+        }
+        once(&said(eval)?.control, "control", Control { name, members, doors, data, routers })
+    }
+
+    /// That control machines tell this router its settings.
+    fn subscription<'v>(
+        #[starlark(require = named)] control: Value<'v>,
+        #[starlark(require = named)] zone: Option<Value<'v>>,
+        #[starlark(require = named)] keep: Option<Value<'v>>,
+        #[starlark(require = named)] silent_ms: Option<Value<'v>>,
+        #[starlark(require = named)] old_ms: Option<Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        let wrong = || {
+            let found = control.to_repr();
+            anyhow::anyhow!(
+                "`subscription`: `control` gives names, each with its address:port or (address:port, zone), found {found}"
+            )
+        };
+        let word = |value: Value<'v>| {
+            let text = value.unpack_str().filter(|text| !text.is_empty() && text.len() <= 64)?;
+            Some(text.to_string())
+        };
+        let entry = |(name, at): (Value<'v>, Value<'v>)| {
+            let (at, zone) = match TupleRef::from_value(at) {
+                Some(pair) if pair.len() == 2 => (pair.content()[0], word(pair.content()[1])?),
+                Some(_) => return None,
+                None => (at, String::new()),
+            };
+            Some((word(name)?, (at.unpack_str()?.parse().ok()?, zone)))
+        };
+        let given = DictRef::from_value(control).ok_or_else(wrong)?;
+        let control = given.iter().map(entry).collect::<Option<BTreeMap<_, _>>>().ok_or_else(wrong)?;
+        if !(1..=MOST_TOLD_OF).contains(&control.len()) {
+            let found = control.len();
+            return Err(anyhow::anyhow!(
+                "`subscription`: `control` names 1 to {MOST_TOLD_OF} machines, found {found}"
+            ));
+        }
+        let addresses: BTreeSet<SocketAddr> = control.values().map(|(at, _)| *at).collect();
+        if addresses.len() < control.len() {
+            return Err(anyhow::anyhow!("`subscription`: `control` gives one address twice"));
+        }
+        let text = |name, value: Option<Value<'v>>| match value.filter(|value| !value.is_none()) {
+            None => Ok(None),
+            Some(value) => match value.unpack_str().filter(|text| !text.is_empty()) {
+                Some(text) => Ok(Some(text.to_string())),
+                None => Err(anyhow::anyhow!(
+                    "`subscription`: `{name}` is a text that is not empty, found {}",
+                    value.to_repr()
+                )),
+            },
+        };
+        let zone = text("zone", zone)?.unwrap_or_default();
+        if !zone.is_empty() && !control.values().any(|(_, of)| *of == zone) {
+            return Err(anyhow::anyhow!("`subscription`: no machine of `control` is in `zone` \"{zone}\""));
+        }
+        let keep = text("keep", keep)?;
+        let span = |name, value: Option<Value<'v>>, usual, least, most| {
+            let value = value.map_or(Ok(usual), |value| whole("subscription", name, value, least, most))?;
+            anyhow::Ok(value as f64 / 1e3)
+        };
+        // A machine answers a pulse a second.
+        let silent = span("silent_ms", silent_ms, 3000, 2000, 60_000)?;
+        let old = span("old_ms", old_ms, 10_000, 2000, 86_400_000)?;
+        if old < silent {
+            return Err(anyhow::anyhow!("`subscription`: `old_ms` is under `silent_ms`"));
+        }
+        let said = said(eval)?;
+        once(&said.subscription, "subscription", Subscription { control, zone, keep, silent, old })
+    }
+
+    /// How the log is written.
+    fn log<'v>(
+        #[starlark(require = named)] form: Value<'v>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        let form = match form.unpack_str() {
+            Some("text") => LogForm::Text,
+            Some("json") => LogForm::Json,
+            _ => {
+                return Err(anyhow::anyhow!(
+                    "`log`: `form` is \"text\" or \"json\", found {}",
+                    form.to_repr()
+                ));
+            }
+        };
+        once(&said(eval)?.log, "log", form)
+    }
+}
