A signal whose taker is gone is handled with one call, not a thousand

What callers saw: a router on two cores, told to end twice, was still there as SIGKILL came; what it had left to answer would be lost.

Cause: the lead drops its taker of SIGTERM with the first one. The handler of a second one tried a thousand times to tell it, as any error but a full pair counted as one that passes.

Evidence: strace of the process by hand with the soak's faults: a thousand send() = EPIPE, three of them held up for 0.15 s by the plan.

Change: the handler tries again only after EINTR, ENOBUFS and ENOMEM.

--- a/crates/sockets/src/signals.rs
+++ b/crates/sockets/src/signals.rs
@@ -25,9 +25,10 @@
     let writers = known.map(|at| &WRITERS[at]).into_iter().flatten().map(|writer| writer.load(Relaxed));
     for writer in writers.filter(|writer| *writer != NONE) {
         let flags = MsgFlags::MSG_DONTWAIT | MsgFlags::MSG_NOSIGNAL;
-        // A full pair tells of the signal already; anything else passes.
+        // A full pair tells of the signal already, and where the taker is gone nobody waits for it.
+        let passes = |error| matches!(error, Errno::EINTR | Errno::ENOBUFS | Errno::ENOMEM);
         for _ in 0..TRIES {
-            if matches!(send(writer, &[1], flags), Ok(_) | Err(Errno::EAGAIN)) {
+            if !send(writer, &[1], flags).is_err_and(passes) {
                 break;
             }
         }
