Counters: a core publishes its own with each reading, so that none goes back

Cause: the core that answers adds its own of now to what the others published at their last beat (50 ms); the next reading, by another core, knew the first one's only as of its last beat. New test counters_do_not_go_back_when_another_core_is_asked_for_them: before, 'query 0: 1, then 0'; now it passes. Why it works: what a reading held is published before it is given, so every later reading holds at least that.

--- a/crates/alderway/tests/common/mod.rs
+++ b/crates/alderway/tests/common/mod.rs
@@ -3,7 +3,7 @@
 pub mod control_cluster;
 
 use alderway_lab::load::{Load, Pace};
-use alderway_lab::program::Program;
+use alderway_lab::program::{Program, figures};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
@@ -99,6 +99,12 @@
         (status, String::from_utf8(body).expect("text"))
     }
 
+    /// The counters, as the core of this connection gives them.
+    pub fn counters(&mut self) -> BTreeMap<String, u64> {
+        self.send("GET /counters HTTP/1.1\r\n\r\n");
+        figures(&self.answer().1)
+    }
+
     pub fn up(&mut self) -> u16 {
         self.send("GET /up HTTP/1.1\r\n\r\n");
         self.answer().0
--- a/crates/alderway/tests/cores.rs
+++ b/crates/alderway/tests/cores.rs
@@ -75,6 +75,22 @@
     house.until("ids come back", |c| c["ids_open"] == 0);
 }
 
+/// Guards against counters that go back: a core that answers for all of them knew only what the others had last told.
+#[rstest]
+fn counters_do_not_go_back_when_another_core_is_asked_for_them() {
+    let house = house(4, 2, &Setting::default());
+    let mut clients = house.clients(4);
+    let merged = |client: &mut Client| client.counters().get("queries_merged{site-search}").copied().unwrap_or(0);
+    for query in 0..20 {
+        let (serving, another) = (query % 4, (query + 1) % 4);
+        clients[serving].query(&format!("q{query}"), 1500);
+        assert_eq!(clients[serving].answer().0, 200);
+        let before = merged(&mut clients[serving]);
+        let after = merged(&mut clients[another]);
+        assert!(after >= before, "query {query}: {before}, then {after}");
+    }
+}
+
 #[rstest]
 fn an_id_open_on_one_core_is_refused_on_every_other() {
     let house = house(4, 1, &Setting::default());
--- a/crates/router/src/io/core.rs
+++ b/crates/router/src/io/core.rs
@@ -177,7 +177,7 @@
         core_state.active_clients.store(dispatcher.clients.take_active_count(), Relaxed);
         core_state.busy_permille.store((work.look(now) * 1e3) as u64, Relaxed);
     }
-    core_state.metrics.send_replace(Arc::new(dispatcher.core_metrics()));
+    dispatcher.publish_metrics();
     core_state.heartbeat_ms.store((now * 1e3) as u64, Relaxed);
 }
 
--- a/crates/router/src/state/dispatcher/metrics.rs
+++ b/crates/router/src/state/dispatcher/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and gauges of this core.
 use super::Dispatcher;
 use crate::state::metrics::MetricsSnapshot;
+use std::sync::Arc;
 
 impl Dispatcher {
     /// What this core has counted, and what is open on it now.
@@ -24,9 +25,17 @@
         metrics
     }
 
-    /// All counters and gauges, of all cores.
+    /// Tells the other cores what `core_metrics` says now.
+    pub fn publish_metrics(&self) -> MetricsSnapshot {
+        let metrics = self.core_metrics();
+        self.shared.cores[self.core].metrics.send_replace(Arc::new(metrics.clone()));
+        metrics
+    }
+
+    /// All counters and gauges, of all cores. Published first: guards against counters that go back when the next
+    /// request for them is answered by another core.
     pub fn metrics_text(&self) -> String {
-        let mut metrics = self.core_metrics();
+        let mut metrics = self.publish_metrics();
         self.shared.add_other_cores(Some(self.core), &mut metrics);
         metrics.text()
     }
