Rounds: ends are told before begins, so that an id asked again gets its own answer

Callers: a client that leaves and asks again by the same id within one round (TickUs, 5 ms), or while the process stands still, got 200 {"whole":true,"results":[]} if a data node had answered the earlier query, 503 if none had, and nothing until its deadline if the policy had not heard of the earlier one. rule_violations{answer_under_floor} counted the first. Cause: a round told new queries first and ends of attempts and queries after them, both by id, so that the earlier query's ends were taken for the new one's. Why it works: ends come first, in the order in which things happened; splits stay before them. a_failed_call_of_the_parent_is_told_to_each_heir ended an attempt of a query that the policy had not been told, which cannot be; it tells the query first now and asserts the same.

--- a/crates/alderway/tests/cores.rs
+++ b/crates/alderway/tests/cores.rs
@@ -80,7 +80,8 @@
 fn counters_do_not_go_back_when_another_core_is_asked_for_them() {
     let house = house(4, 2, &Setting::default());
     let mut clients = house.clients(4);
-    let merged = |client: &mut Client| client.counters().get("queries_merged{site-search}").copied().unwrap_or(0);
+    let merged =
+        |client: &mut Client| client.counters().get("queries_merged{site-search}").copied().unwrap_or(0);
     for query in 0..20 {
         let (serving, another) = (query % 4, (query + 1) % 4);
         clients[serving].query(&format!("q{query}"), 1500);
--- a/crates/router/src/state/dispatcher/mod.rs
+++ b/crates/router/src/state/dispatcher/mod.rs
@@ -202,12 +202,13 @@
         if let Some(shard_map) = &mut self.shard_map {
             shard_map.notify_shards(now, policy);
         }
-        self.notify_new_queries(policy);
         if let Some(shard_map) = &mut self.shard_map {
             shard_map.notify_splits(policy);
         }
+        // Ends before begins: guards against a new query with the id of one that is over, which would get the other's.
         self.notify_ended_attempts(policy);
         self.pending.notify_disconnected(policy);
+        self.notify_new_queries(policy);
         if self.shutdown_phase < ShutdownPhase::Ending {
             self.notify_retired_classes(policy);
         }
--- a/crates/router/src/state/shard_map.rs
+++ b/crates/router/src/state/shard_map.rs
@@ -277,7 +277,7 @@
         }
     }
 
-    /// Tells the policy which shard requests were split, after the queries of the round.
+    /// Tells the policy which shard requests were split, of the queries that it knows.
     pub fn notify_splits(&mut self, policy: &mut dyn PolicyInput) {
         for split in std::mem::take(&mut self.splits) {
             let parts: Vec<(&str, u32, f64)> =
--- a/crates/router/tests/dispatcher/main.rs
+++ b/crates/router/tests/dispatcher/main.rs
@@ -9,6 +9,7 @@
 mod node_connections;
 mod queries;
 mod replies;
+mod reused_ids;
 
 use alderway::interface::NodeState;
 use alderway_router::state::clients::ClientConnection;
--- a/crates/router/tests/shard_map/splits.rs
+++ b/crates/router/tests/shard_map/splits.rs
@@ -93,6 +93,8 @@
 fn a_failed_call_of_the_parent_is_told_to_each_heir() {
     let mut dispatcher = dispatcher(100);
     take(&mut dispatcher, 0, 50);
+    // An attempt comes of a decision, so that the policy knows the query.
+    told(&mut dispatcher);
     let old = send(&mut dispatcher, "n0", &["q.1.0-50"]);
     write(&mut dispatcher, &old);
     // It ends, untold yet, before the change comes.
