Planner: a call that crosses the end of its query ends there

Callers with planners: each call that reached its forwarder when the client had left took a place at its data node, at the planner, until the forwarder's connection ended; with one node a planner decided nothing more after four of them. Cause: the forwarder starts no such call, so it had no end of it to tell. Why it works: a forwarder tells all ends of a query's calls before it tells that the query was left (one round, in that order), so whatever the planner still counts then was never started.

--- a/crates/router/src/tier/planner.rs
+++ b/crates/router/src/tier/planner.rs
@@ -102,6 +102,12 @@
     Some((session.parse().ok()?, name))
 }
 
+/// The end of a call of which the forwarder will tell none.
+fn cancelled(session: SessionId, (part, hop): (String, u32), node: String, latency: f64) -> Came {
+    let (part, hop) = (named(session, &part), hop as usize);
+    Came::Ended { part, hop, node, ending: AttemptOutcome::Cancelled, latency }
+}
+
 impl Planner {
     pub fn new(clock: Clock, verticals: usize, deadline: f64, room: usize, endpoints: EndpointTable) -> Self {
         Planner {
@@ -168,20 +174,31 @@
                 self.came.push(Came::Left(named(id, &query.id)));
             }
         }
-        for ((part, hop), (node, at)) in session.calls {
-            let (part, hop) = (named(id, &part), hop as usize);
-            self.came.push(Came::Ended {
-                part,
-                hop,
-                node,
-                ending: AttemptOutcome::Cancelled,
-                latency: now - at,
-            });
+        for (call, (node, started_at_s)) in session.calls {
+            self.came.push(cancelled(id, call, node, now - started_at_s));
         }
         self.counters.increment("forwarders{gone}");
         self.wake.notify_one();
     }
 
+    /// A query is over at its forwarder, which has told the end of every call that it started. Guards against calls that
+    /// count at a data node for ever: one that came to the forwarder after that was not started, and ends here.
+    fn left(&mut self, id: SessionId, query: &str) {
+        let name = named(id, query);
+        let Some(query) = self.ids.get(&name).copied().and_then(|number| self.forget(number)) else { return };
+        let now = self.clock.now();
+        let parts: BTreeSet<&str> =
+            query.parts.iter().filter_map(|part| unnamed(part)).map(|(_, part)| part).collect();
+        let session = self.sessions.get_mut(&id);
+        let calls = session.map(|session| &mut session.calls);
+        let not_started = calls
+            .into_iter()
+            .flat_map(|calls| calls.extract_if(.., |(part, _), _| parts.contains(part.as_str())));
+        let ends = not_started.map(|(call, (node, at))| cancelled(id, call, node, now - at));
+        self.came.extend(ends);
+        self.came.push(Came::Left(name));
+    }
+
     /// After a failure of the policy: ends all sessions, so that each forwarder has what it asked decided elsewhere, and
     /// tells the next policy the endpoint list from the start.
     pub fn start_over(&mut self) {
@@ -239,13 +256,7 @@
                     self.came.push(Came::Ended { part, hop, node, ending, latency });
                 }
             }
-            Message::Left { query } => {
-                let name = named(id, &query);
-                if let Some(number) = self.ids.get(&name).copied() {
-                    self.forget(number);
-                    self.came.push(Came::Left(name));
-                }
-            }
+            Message::Left { query } => self.left(id, &query),
             Message::Evidence { node, started, late, far, sick, .. } => {
                 let seen = self.clock.now();
                 let Some(here) = self.endpoints.nodes.get(&node).map(|node| node.started_at_s) else {
--- a/crates/router/tests/planner.rs
+++ b/crates/router/tests/planner.rs
@@ -1,12 +1,12 @@
 //! A planner without sockets: forwarders' sessions, and a policy that fails.
-use alderway::interface::PolicyConfig;
+use alderway::interface::{NodeState, PolicyConfig};
 use alderway::policy::Policy;
 use alderway_deployment as deployment;
 use alderway_router::state::endpoints::EndpointTable;
-use alderway_router::tier::planner::{self, Planner};
+use alderway_router::tier::planner::{self, Planner, SessionId};
 use alderway_telemetry::clock::Clock;
 use alderway_tier::messages::Message;
-use alderway_transport::Hello;
+use alderway_transport::{FrameReader, Hello, Received};
 use rstest::rstest;
 use std::cell::RefCell;
 
@@ -47,3 +47,56 @@
     assert_eq!(planner.borrow().open(), 0, "without a data node it is rejected at once");
     assert!(planner.borrow_mut().outbox(session).expect("it is served").bytes.len() > greeting_bytes);
 }
+
+/// A planner that knows one data node.
+fn planner_of_one_node() -> RefCell<Planner> {
+    let mut endpoints = EndpointTable::default();
+    endpoints.begin_update(1, true);
+    endpoints.update("s", ([127, 0, 0, 1], 1).into(), 0, NodeState::Serving, None);
+    RefCell::new(Planner::new(Clock::default(), 1, 5.0, 100, endpoints))
+}
+
+/// A forwarder as its planner sees it.
+struct Forwarder<'a> {
+    planner: &'a RefCell<Planner>,
+    session: SessionId,
+    reader: FrameReader<Message>,
+}
+
+impl<'a> Forwarder<'a> {
+    fn of(planner: &'a RefCell<Planner>) -> Self {
+        let hello = Hello::of_planner::<Message>("p-0", 1);
+        let (session, _wake) = planner.borrow_mut().begin(&hello);
+        Forwarder { planner, session, reader: FrameReader::default() }
+    }
+
+    /// Tells the planner; returns what that has sent after a round.
+    fn tells(&mut self, message: Message, policy: &mut Policy) -> Vec<Message> {
+        assert!(self.planner.borrow_mut().read(self.session, message));
+        planner::round(self.planner, policy).expect("a round");
+        let mut planner = self.planner.borrow_mut();
+        let outbox = planner.outbox(self.session).expect("it is served");
+        self.reader.feed(&std::mem::take(&mut outbox.bytes));
+        let frames = std::iter::from_fn(|| self.reader.next_frame().expect("sound"));
+        frames
+            .filter_map(|frame| match frame {
+                Received::Message(message) => Some(message),
+                Received::Hello(_) => None,
+            })
+            .collect()
+    }
+}
+
+/// Guards against calls that count at a data node for ever: a forwarder whose client left as the call was on its way
+/// starts none, and has no end of it to tell.
+#[rstest]
+fn a_call_that_crosses_the_end_of_its_query_does_not_count_at_its_data_node() {
+    let (planner, mut policy) = (planner_of_one_node(), policy());
+    let mut forwarder = Forwarder::of(&planner);
+    for number in 0..200 {
+        let query = format!("q{number}");
+        let decided = forwarder.tells(take(&query), &mut policy);
+        assert!(matches!(decided[..], [Message::Call { .. }]), "{query}: {decided:?}");
+        forwarder.tells(Message::Left { query }, &mut policy);
+    }
+}
