Forwarder: planners hear the end of every call as the own policy fails

Callers with planners: after a panic of a forwarder's own policy every call that a planner had out there took a place at its data node, at the planner, until the connection ended; a record of each call that was not started stayed for ever. Cause: start_over told planners that queries were left, and the dispatcher's ends of their calls were dropped with the policy; losers of queries answered before were told by nobody. Why it works: start_over tells the end of every call it knows, with its node, before the queries' ends.

--- a/crates/router/src/tier/forwarder.rs
+++ b/crates/router/src/tier/forwarder.rs
@@ -36,6 +36,13 @@
     parts: Vec<Part>,
 }
 
+/// A leaf call by a planner's decision, which has to hear how it ends.
+struct PlannedCall {
+    planner: Name,
+    node: String,
+    started_at_s: f64,
+}
+
 pub struct Forwarder {
     name: Name,
     incarnation: Incarnation,
@@ -45,8 +52,8 @@
     links: BTreeMap<Name, Outbox>,
     queries: BTreeMap<String, Query>,
     parts: BTreeMap<String, (String, usize)>,
-    /// Leaf calls that are out, or were when their query ended, by a planner's word: it has to hear how they end.
-    calls: BTreeMap<(String, usize), Name>,
+    /// Leaf calls that are out, or were when their query ended, by part and number.
+    calls: BTreeMap<(String, usize), PlannedCall>,
     /// Queries asked of a planner in this round, once all their parts are known.
     fresh: Vec<Asking>,
     /// Queries that the own module takes over in the next round.
@@ -170,7 +177,7 @@
         tracing::warn!(target: "tier", "planner {name} is lost: {held} queries asked anew, {left} planners able");
         self.counters.increment("planners_lost");
         self.counters.add("queries_asked_anew", held);
-        self.calls.retain(|_, planner| planner != name);
+        self.calls.retain(|_, call| call.planner != name);
         for asking in askings {
             self.ask(asking);
         }
@@ -197,7 +204,10 @@
         };
         for part in &record.parts {
             let still = part.calls.iter().enumerate().filter(|(_, call)| call.2.is_none());
-            out.extend(still.map(|(hop, _)| (part.id.clone(), hop)));
+            out.extend(still.map(|(hop, (node, started_at_s, _))| {
+                let (planner, node) = (planner.clone(), node.clone());
+                ((part.id.clone(), hop), PlannedCall { planner, node, started_at_s: *started_at_s })
+            }));
         }
         let take = Message::Take {
             term,
@@ -207,7 +217,7 @@
             parts: record.parts.iter().map(part).collect(),
             query,
         };
-        out.into_iter().for_each(|call| drop(self.calls.insert(call, planner.clone())));
+        self.calls.extend(out);
         self.counters.increment("queries_decided{planner}");
         self.send(&planner, &take);
     }
@@ -252,7 +262,9 @@
                 let Some((query, at)) = known else { return self.counters.increment("decisions_refused") };
                 let now = self.clock.now();
                 if let Some(record) = self.queries.get_mut(&query).map(|query| &mut query.parts[at]) {
-                    self.calls.insert((part.clone(), record.calls.len()), hello.name.clone());
+                    let call =
+                        PlannedCall { planner: hello.name.clone(), node: node.clone(), started_at_s: now };
+                    self.calls.insert((part.clone(), record.calls.len()), call);
                     record.calls.push((node.clone(), now, None));
                     dispatcher.start_attempt(&part, &node, limit);
                 }
@@ -260,7 +272,9 @@
             Message::Cancel { part, hop, .. } => {
                 // After the final answer as well: the losers of its race.
                 match self.calls.get(&(part.clone(), hop as usize)) {
-                    Some(planner) if *planner == hello.name => dispatcher.cancel_attempt(&part, hop as usize),
+                    Some(call) if call.planner == hello.name => {
+                        dispatcher.cancel_attempt(&part, hop as usize)
+                    }
                     Some(_) => self.counters.increment("decisions_refused"),
                     // The call ended here while the word to cancel it was on its way.
                     None => self.counters.increment("cancels_crossed"),
@@ -319,13 +333,35 @@
         self.forget(query);
     }
 
-    /// Everything is over, as after a failure of the own module.
+    /// A query has ended here, and the calls for it have. The planner that decides for it is told; false where none does.
+    fn left(&mut self, query: &str) -> bool {
+        let calls: Vec<(String, usize)> = self
+            .queries
+            .get(query)
+            .into_iter()
+            .flat_map(|query| &query.parts)
+            .flat_map(|part| (0..part.calls.len()).map(|hop| (part.id.clone(), hop)))
+            .collect();
+        let Some(Decider::Planner(planner)) = self.forget(query).map(|asking| asking.decider) else {
+            return false;
+        };
+        // Those that came when the query was over already, and were not started: no end of them will be told.
+        calls.iter().for_each(|call| drop(self.calls.remove(call)));
+        self.send(&planner, &Message::Left { query: query.into() });
+        true
+    }
+
+    /// Everything is over, as after a failure of the own module. Guards against calls that count at a planner's data
+    /// nodes for ever: nobody tells their ends after this.
     pub fn start_over(&mut self) {
+        let now = self.clock.now();
+        for ((part, hop), PlannedCall { planner, node, started_at_s }) in std::mem::take(&mut self.calls) {
+            let (hop, ending, latency) = (hop as u32, AttemptOutcome::Cancelled.into(), now - started_at_s);
+            self.send(&planner, &Message::Ended { part, hop, node, ending, latency });
+        }
         let open: Vec<String> = self.queries.keys().cloned().collect();
         for query in open {
-            if let Some(Asking { decider: Decider::Planner(planner), .. }) = self.forget(&query) {
-                self.send(&planner, &Message::Left { query });
-            }
+            self.left(&query);
         }
         self.own_due.clear();
         self.fresh.clear();
@@ -435,21 +471,18 @@
             call.2 = Some(ending);
         }
         match self.forwarder.calls.remove(&(part.into(), hop)) {
-            Some(planner) => {
+            Some(call) => {
                 let (part, node) = (part.into(), node.into());
                 let ended = Message::Ended { part, hop: hop as u32, node, ending: ending.into(), latency };
-                self.forwarder.send(&planner, &ended);
+                self.forwarder.send(&call.planner, &ended);
             }
             None => self.own.attempt_ended(part, hop, node, ending, latency),
         }
     }
 
     fn client_disconnected(&mut self, query: &str) {
-        match self.forwarder.forget(query).map(|asking| asking.decider) {
-            Some(Decider::Planner(planner)) => {
-                self.forwarder.send(&planner, &Message::Left { query: query.into() });
-            }
-            _ => self.own.client_disconnected(query),
+        if !self.forwarder.left(query) {
+            self.own.client_disconnected(query);
         }
     }
 
