Soak: a hold within send that a SIGSTOP prolongs is traced, and excuses that frame alone

Cause: the oracle. SIGSTOP fell into a call of send that the fault hold keeps back for 0.15 s; nothing in a program runs between its clock and its write there. Evidence: the preloaded library tells such holds now. The check stays for all else: a frame is excused by a traced hold that ended as it came, and by no more than its length (a_traced_hold_..., three cases).

--- a/crates/fault-injection/src/lib.rs
+++ b/crates/fault-injection/src/lib.rs
@@ -14,6 +14,10 @@
 /// The environment variable that holds the plan.
 pub const VARIABLE: &str = "ALDERWAY_FAULTS";
 
+/// How a line begins that tells of a `hold` that took longer than it should: from when until when, in seconds of the
+/// monotonic clock, follow.
+pub const HELD_IN_SEND: &str = "fault-preload: held in send";
+
 const LIBRARY: &str = "libalderway_fault_preload.so";
 
 /// Where the library lies: beside the running executable, or among its dependencies.
--- a/crates/fault-preload/src/lib.rs
+++ b/crates/fault-preload/src/lib.rs
@@ -3,7 +3,7 @@
 //! Each function here does what the C library's does, unless the plan in `ALDERWAY_FAULTS` has it fail first, with an
 //! error that Linux documents for it. The plan's times count from the first call.
 
-use alderway_fault_injection::{Kind, Plan, VARIABLE};
+use alderway_fault_injection::{HELD_IN_SEND, Kind, Plan, VARIABLE};
 use libc::{c_char, c_int, c_void, clockid_t, iovec, msghdr, off_t, size_t, sockaddr, socklen_t, ssize_t};
 use std::mem::transmute;
 use std::sync::OnceLock;
@@ -11,6 +11,8 @@
 
 /// How long `hold` keeps a call back, in microseconds.
 const HELD_US: u32 = 150_000;
+/// A hold that took so much longer, in seconds, is told: the process stood still within it.
+const PROLONGED_S: f64 = 0.01;
 /// Half a period of a wall clock that goes to and fro, in seconds.
 const WOBBLE: f64 = 0.005;
 
@@ -90,6 +92,20 @@
     T::from(-1)
 }
 
+/// Keeps a call back. One that takes longer than it should, as the process is stopped within it, is told on the standard
+/// error output, with its times on the monotonic clock.
+fn hold() {
+    let from = monotonic();
+    // SAFETY: sleeping is always sound.
+    unsafe { libc::usleep(HELD_US) };
+    let until = monotonic();
+    if until - from > f64::from(HELD_US) / 1e6 + PROLONGED_S {
+        let line = format!("{HELD_IN_SEND} {from:.6} {until:.6}\n");
+        // SAFETY: the line is valid for its length. By its number, so that no plan makes it fail.
+        unsafe { libc::syscall(libc::SYS_write, libc::STDERR_FILENO, line.as_ptr(), line.len()) };
+    }
+}
+
 /// How much of a transfer is allowed.
 fn shortened(length: size_t) -> size_t {
     match injector() {
@@ -127,8 +143,7 @@
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn send(fd: c_int, bytes: *const c_void, length: size_t, flags: c_int) -> ssize_t {
     if happens(Kind::Hold) {
-        // SAFETY: sleeping is always sound.
-        unsafe { libc::usleep(HELD_US) };
+        hold();
     }
     if happens(Kind::Interrupt) {
         return fail(libc::EINTR);
--- a/crates/lab/src/soak/ledger.rs
+++ b/crates/lab/src/soak/ledger.rs
@@ -17,6 +17,8 @@
     pub held: Vec<(f64, f64)>,
     /// The same within a stop, for no longer than the pages allow: its SIGKILL is not put off.
     pub held_in_stop: Vec<(f64, f64)>,
+    /// Holds between the last look and the write of a frame that a SIGSTOP made longer than the pages allow.
+    pub held_in_send: Vec<(f64, f64)>,
     /// Violations that the process counted itself, by counter.
     pub counted: BTreeMap<String, u64>,
     /// Lines of its log that tell of a failure.
@@ -29,6 +31,13 @@
         within(&self.held, from, until) + within(&self.held_in_stop, from, until)
     }
 
+    /// For how long the process was held within the call that wrote a frame's first byte at `begun`, if that was longer
+    /// than the pages allow; the two times differ by `tolerance` at most. No program can look again in there.
+    pub fn held_in_send_before(&self, begun: f64, tolerance: f64) -> f64 {
+        let ends_there = self.held_in_send.iter().filter(|(_, until)| (until - begun).abs() <= tolerance);
+        ends_there.map(|(from, until)| until - from).fold(0.0, f64::max)
+    }
+
     /// Seconds between two times by which a SIGKILL that is due is put off.
     pub fn kill_put_off(&self, from: f64, until: f64) -> f64 {
         within(&self.held, from, until)
--- a/crates/lab/src/soak/oracle.rs
+++ b/crates/lab/src/soak/oracle.rs
@@ -228,8 +228,11 @@
         let lag = self.ledger.lag(attempt.begun, attempt.whole);
         let at = attempt.begun;
         // A router that is held up between its last look and its write cannot see what comes meanwhile.
-        let router = &self.scenario.routers[self.run(attempt.run).router];
-        let held_up = if router.faults.contains("hold=") { HELD_UP } else { 0.0 };
+        let run = self.run(attempt.run);
+        let held_in_send = run.held_in_send_before(at, SLACK + lag);
+        let faults = &self.scenario.routers[run.router].faults;
+        let held_up = if faults.contains("hold=") { held_in_send.max(HELD_UP) } else { 0.0 };
+        let held_between_clock_and_write = held_in_send.max(HELD_UP);
         let over = match request.outcome {
             Outcome::Left { at } | Outcome::Closed { at, .. } => {
                 Some((at + LEFT + held_up, "its client had left"))
@@ -237,7 +240,7 @@
             Outcome::Answered { at, .. } => Some((at + SLACK + held_up, "its final answer")),
             Outcome::Open => None,
         };
-        let time_up = request.sent + request.patience + HELD_UP;
+        let time_up = request.sent + request.patience + held_between_clock_and_write;
         for (limit, why) in over.into_iter().chain([(time_up, "its client's time was up")]) {
             if at > limit + lag {
                 let what = format!("{} begins {:.3} s after the limit: {why}", attempt.part, at - limit);
@@ -247,7 +250,7 @@
         }
         let left = request.sent + request.patience - at;
         // A millisecond is the least that can be told.
-        if attempt.told > left.max(0.001) + HELD_UP + lag {
+        if attempt.told > left.max(0.001) + held_between_clock_and_write + lag {
             let what = format!("{} is told {:.3} s, {left:.3} s are left", attempt.part, attempt.told);
             let what = self.about(request, &what);
             self.breaks("deadline", at, what);
--- a/crates/lab/src/soak/processes.rs
+++ b/crates/lab/src/soak/processes.rs
@@ -2,8 +2,9 @@
 use super::ledger::Run;
 use super::scenario::{RouterPlan, Scenario};
 use super::world::World;
-use alderway_fault_injection::{Plan, inject};
+use alderway_fault_injection::{HELD_IN_SEND, Plan, inject};
 use nix::sys::signal::{Signal, kill};
+use nix::time::{ClockId, clock_gettime};
 use nix::unistd::Pid;
 use std::fs;
 use std::io::{BufRead, BufReader, Write};
@@ -141,12 +142,16 @@
     /// Takes over what its log and its last counters tell.
     pub fn read_log(&self, world: &World) {
         let text = fs::read_to_string(&self.log).unwrap_or_default();
+        let clock_began = monotonic() - world.clock.now();
         let mut ledger = world.ledger.borrow_mut();
         let run = &mut ledger.runs[self.run];
         for line in text.lines() {
             if FAILURES.iter().any(|word| line.contains(word)) {
                 run.failures.push(line.to_string());
             }
+            if let Some((from, until)) = held_in_send(line) {
+                run.held_in_send.push((from - clock_began, until - clock_began));
+            }
             if let Some((name, count)) = line.rsplit_once(' ').filter(|(name, _)| name.starts_with(COUNTED)) {
                 *run.counted.entry(name.to_string()).or_default() += count.parse::<u64>().unwrap_or(0);
             }
@@ -161,6 +166,17 @@
     }
 }
 
+/// Seconds of the system's monotonic clock.
+fn monotonic() -> f64 {
+    clock_gettime(ClockId::CLOCK_MONOTONIC).map(Duration::from).unwrap_or_default().as_secs_f64()
+}
+
+/// From when until when a process was held within one call, if a line of its log says so.
+fn held_in_send(line: &str) -> Option<(f64, f64)> {
+    let (from, until) = line.strip_prefix(HELD_IN_SEND)?.trim_start().split_once(' ')?;
+    Some((from.parse().ok()?, until.parse().ok()?))
+}
+
 /// Copies a process's log to a file line by line, and hands the lines over.
 fn copy_log(child: &mut Child, path: &PathBuf) -> Result<UnboundedReceiver<String>, String> {
     let lines = BufReader::new(child.stderr.take().ok_or("no log")?).lines();
--- a/crates/lab/tests/soak.rs
+++ b/crates/lab/tests/soak.rs
@@ -145,6 +145,22 @@
     assert_eq!(rules(&ledger), ["deadline"]);
 }
 
+/// A SIGSTOP within a `hold` is longer than either; only a trace of the process itself excuses what was written after it.
+#[rstest]
+#[case::written_at_its_end((1.0, 1.4), &[])]
+#[case::written_long_after_it((0.5, 0.9), &["deadline"])]
+#[case::shorter_than_what_was_told_too_much((1.2, 1.4), &["deadline"])]
+fn a_traced_hold_within_send_excuses_the_frame_it_held_and_no_more(
+    #[case] held: (f64, f64),
+    #[case] wanted: &[&str],
+) {
+    let mut ledger = sound(0);
+    ledger.attempts[0] = Attempt { told: 0.95, ..attempt(1.4) };
+    assert_eq!(rules(&ledger), ["deadline"], "0.6 s are left");
+    ledger.runs[0].held_in_send.push(held);
+    assert_eq!(rules(&ledger), wanted);
+}
+
 #[rstest]
 #[case::repeatable(0, 1.9, None, &[])]
 #[case::in_the_window(1, 1.3, None, &[])]
--- a/crates/router/tests/system_faults.rs
+++ b/crates/router/tests/system_faults.rs
@@ -1,5 +1,6 @@
 //! System calls that fail as Linux documents, and a wall clock that steps, while the program serves and stops.
 mod common;
+use alderway_fault_injection::HELD_IN_SEND;
 use common::*;
 use nix::sys::socket::{Backlog, listen};
 use rstest::rstest;
@@ -273,3 +274,26 @@
         assert!(told <= left + Duration::from_millis(150), "told {told:?}, left {left:?}");
     }
 }
+
+/// The soak's oracle goes by this trace: without it, a SIGSTOP within a held call would look like a frame encoded too early.
+#[rstest]
+fn a_hold_that_a_stop_prolongs_is_told_with_its_times() {
+    let (nodes, agent) = (Nodes::new(1), Agent::new());
+    let program = Program::with_faults(&nodes.addresses, agent.address, &settings(1000, 180), "hold=1");
+    // The answer's call is held for 0.15 s. A process that is slow to answer, as beside load, is stopped before that.
+    let stopped_within_the_call = || {
+        let mut client = program.connect();
+        client.send("GET /up HTTP/1.1\r\n\r\n");
+        thread::sleep(Duration::from_millis(75));
+        program.signal("STOP");
+        thread::sleep(Duration::from_millis(300));
+        program.signal("CONT");
+        assert_eq!(client.status(), "200");
+        program.log.try_iter().find(|line| line.starts_with(HELD_IN_SEND))
+    };
+    let line = (0..10).find_map(|_| stopped_within_the_call()).expect("a stop within a call is told");
+    let times = line.strip_prefix(HELD_IN_SEND).and_then(|times| times.trim().split_once(' '));
+    let (from, until) = times.expect("two times");
+    let span = until.parse::<f64>().expect("seconds") - from.parse::<f64>().expect("seconds");
+    assert!((0.3..5.0).contains(&span), "{line}");
+}
