Soak: half of the seeds have a rule on data nodes that have just started, and judge it

Data nodes restarted before, but no seed stated the rule. Now half of them do, drawn apart so that the rest of a seed stays as it was; the oracle counts what reached a node within the rule's span, with STANDING's room for chance, from routers told of its start. Ledgers that keep and break the rule: three cases.

--- a/crates/lab/src/soak/ledger.rs
+++ b/crates/lab/src/soak/ledger.rs
@@ -114,6 +114,13 @@
     pub at: f64,
 }
 
+/// A data node's process has started, and discovery has heard of it.
+#[derive(Clone, Copy, Debug)]
+pub struct NodeStart {
+    pub node: usize,
+    pub at: f64,
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
     pub runs: Vec<Run>,
@@ -121,6 +128,7 @@
     pub stalled: Vec<Stalled>,
     pub attempts: Vec<Attempt>,
     pub told: Vec<Told>,
+    pub node_starts: Vec<NodeStart>,
     /// How late this process itself was: by time, the lag of a timer.
     pub lag: Vec<(f64, f64)>,
     pub counts: BTreeMap<&'static str, u64>,
--- a/crates/lab/src/soak/nodes.rs
+++ b/crates/lab/src/soak/nodes.rs
@@ -13,6 +13,8 @@
 /// Service times in seconds, and how many times longer they are on a slow data node.
 const SERVICE: (f64, f64) = (0.002, 0.02);
 const SLOW: f64 = 25.0;
+/// Seconds of work of a shard request in the mean.
+pub const MEAN_WORK: f64 = (SERVICE.0 + SERVICE.1) / 2.0;
 
 /// A data node as the troubles set it.
 pub struct Node {
--- a/crates/lab/src/soak/oracle.rs
+++ b/crates/lab/src/soak/oracle.rs
@@ -1,6 +1,7 @@
 //! Judges a ledger by the rules of the users' pages.
-use super::ledger::{Attempt, Ledger, Outcome, Request, Run};
-use super::scenario::{Effect, Scenario};
+use super::ledger::{Attempt, Ledger, NodeStart, Outcome, Request, Run, Told};
+use super::nodes::MEAN_WORK;
+use super::scenario::{Effect, Scenario, SlowStart};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 
@@ -18,6 +19,8 @@
 const CROSSING: f64 = 0.05;
 /// The users' protocol: new connections keep coming for so long after SIGTERM.
 const NEW_AFTER_TERM: f64 = 0.4;
+/// STANDING: a fall breaks the rule where more than this share came from routers that had been told of the start.
+const TOLD_SHARE: f64 = 2.0 / 3.0;
 /// STANDING: a restarted router is ready within this.
 const READY: f64 = 6.0;
 /// The users' protocol: a request that came so long after SIGTERM and is unanswered at SIGKILL is lost.
@@ -45,6 +48,7 @@
     judge.attempts();
     judge.drains();
     judge.budgets();
+    judge.slow_starts();
     judge.runs();
     judge.violations.sort_by(|a, b| a.at.total_cmp(&b.at));
     (judge.violations, judge.counts)
@@ -60,6 +64,14 @@
     all
 }
 
+/// Requests of mean work that a data node takes within the rule's span without falling over, `age` seconds after it started:
+/// what the rule allows, and STANDING's room for chance.
+fn most_requests(rule: &SlowStart, age: f64) -> f64 {
+    let grown = (1.0 - rule.initial_fraction) * (age / rule.warm_up).min(1.0);
+    let stated = rule.multiple * (rule.initial_fraction + grown) * rule.span / MEAN_WORK;
+    if stated < 30.0 { stated + 3.0 * stated.sqrt() + 3.0 } else { stated + 2.0 * stated.sqrt() + 2.0 }
+}
+
 struct Judge<'a> {
     scenario: &'a Scenario,
     ledger: &'a Ledger,
@@ -338,6 +350,59 @@
         }
     }
 
+    /// No data node that has just started falls over by what routers send it that were told of the start.
+    fn slow_starts(&mut self) {
+        let Some(rule) = self.scenario.slow_start else { return };
+        let ledger = self.ledger;
+        for start in &ledger.node_starts {
+            self.count("data nodes started");
+            let of_node = |other: &&NodeStart| other.node == start.node && other.at > start.at;
+            let next = ledger.node_starts.iter().filter(of_node).map(|other| other.at);
+            let warm = start.at + rule.warm_up;
+            let until = next.fold(warm, f64::min);
+            let mut sent: Vec<&Attempt> = ledger
+                .attempts
+                .iter()
+                .filter(|attempt| attempt.node == start.node)
+                .filter(|attempt| attempt.begun >= start.at && attempt.begun < until)
+                .collect();
+            sent.sort_by(|one, other| one.begun.total_cmp(&other.begun));
+            self.falls(&rule, start, &sent);
+        }
+    }
+
+    /// The first fall of a data node that has just started ends it.
+    fn falls(&mut self, rule: &SlowStart, start: &NodeStart, sent: &[&Attempt]) {
+        for (number, last) in sent.iter().enumerate() {
+            let at = last.begun;
+            // A router may be held up between its clock and its write, and this process read late.
+            let span = rule.span - HELD_UP - self.ledger.lag(at - rule.span, at);
+            let within: Vec<&&Attempt> =
+                sent[..=number].iter().filter(|attempt| attempt.begun > at - span).collect();
+            let allowed = most_requests(rule, at - start.at);
+            if (within.len() as f64) <= allowed {
+                continue;
+            }
+            let told = within.iter().filter(|attempt| self.was_told(start, attempt)).count();
+            if told as f64 > TOLD_SHARE * within.len() as f64 {
+                let (node, age) = (start.node, at - start.at);
+                let what = format!(
+                    "node {node}, {age:.3} s after its start: {} requests, {told} of them by routers told of it, {allowed:.1} allowed",
+                    within.len()
+                );
+                self.breaks("slow start", at, what);
+            }
+            return;
+        }
+    }
+
+    /// Whether the router of an attempt had been told of the data node's start as it began.
+    fn was_told(&self, start: &NodeStart, attempt: &Attempt) -> bool {
+        let of_start = |told: &&Told| told.run == attempt.run && told.node == start.node && !told.leaving;
+        let mut times = self.ledger.told.iter().filter(of_start).map(|told| told.at);
+        times.any(|at| at >= start.at && at + SLACK <= attempt.begun)
+    }
+
     /// Processes start, are ready, end in time and do not fail.
     fn runs(&mut self) {
         for (number, run) in self.ledger.runs.iter().enumerate() {
--- a/crates/lab/src/soak/scenario.rs
+++ b/crates/lab/src/soak/scenario.rs
@@ -142,6 +142,18 @@
     }
 }
 
+/// What all routers together may send to a data node that has just started.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SlowStart {
+    /// Share of its capacity that it starts with.
+    pub initial_fraction: f64,
+    /// Seconds until it is warm.
+    pub warm_up: f64,
+    /// It falls over past so many times the capacity that it has, within `span` seconds.
+    pub multiple: f64,
+    pub span: f64,
+}
+
 #[derive(Clone, Debug)]
 pub struct Scenario {
     pub seed: u64,
@@ -156,6 +168,8 @@
     pub grace: f64,
     /// Free attempts, ratio, and window in seconds of the budget for further attempts.
     pub budget: Option<(f64, f64, f64)>,
+    /// The rule on data nodes that have just started, in some seeds.
+    pub slow_start: Option<SlowStart>,
     pub troubles: Vec<Trouble>,
     /// What happens within the stop of each router at the end.
     pub last_stops: Vec<StopPlan>,
@@ -237,6 +251,8 @@
 /// Share of seeds in which some routers have a crowd, and of their routers that have one.
 const CROWD_SHARE: f64 = 0.3;
 const CROWDED_ROUTERS: f64 = 0.4;
+/// Share of seeds that have a rule on data nodes that have just started.
+const SLOW_START_SHARE: f64 = 0.5;
 /// More than a router has descriptors.
 const CROWD_CLIENTS: usize = 300;
 
@@ -256,6 +272,16 @@
     chance.between(earliest, limit - 0.05)
 }
 
+fn draw_slow_start(chance: &mut Chance) -> Option<SlowStart> {
+    let rule = SlowStart {
+        initial_fraction: chance.between(0.15, 0.3),
+        warm_up: chance.between(2.0, 5.0),
+        multiple: chance.between(2.0, 3.0),
+        span: chance.between(0.5, 1.5),
+    };
+    chance.happens(SLOW_START_SHARE).then_some(rule)
+}
+
 impl Scenario {
     pub fn drawn(soak: &Soak, seed: u64) -> Scenario {
         let mut chance = Chance::new(seed, 11);
@@ -294,6 +320,7 @@
             classes,
             grace: chance.pick(&[0.25, 0.5, 1.0]),
             budget: chance.happens(0.5).then_some((10.0, 0.05, 10.0)),
+            slow_start: None,
             troubles: vec![],
             last_stops: vec![],
             crowds: vec![],
@@ -301,6 +328,7 @@
         scenario.draw_troubles(&mut chance, &without);
         scenario.draw_stops(&mut Chance::new(seed, 13), &without);
         scenario.draw_crowds(&mut Chance::new(seed, 14), &without);
+        scenario.slow_start = draw_slow_start(&mut Chance::new(seed, 15)).filter(|_| !without("cold"));
         scenario
     }
 
@@ -393,13 +421,22 @@
         };
         let services: Vec<String> = self.classes.iter().map(service).collect();
         let floors: Vec<String> = self.classes.iter().map(|class| class.floor.to_string()).collect();
-        let budget = self.budget.map_or(String::new(), |(free, ratio, window)| {
+        let budget = self.budget.map(|(free, ratio, window)| {
             format!(r#""ExtraFree":{free},"ResendRatio":{ratio},"CountedOverUs":{}"#, micros(window))
         });
+        let slow_start = self.slow_start.map(|rule| {
+            let SlowStart { initial_fraction, warm_up, multiple, span } = rule;
+            format!(
+                r#""ColdFrom":{initial_fraction},"WarmUpUs":{},"FallMultiple":{multiple},"FallUs":{}"#,
+                micros(warm_up),
+                micros(span)
+            )
+        });
+        let obligations: Vec<String> = budget.into_iter().chain(slow_start).collect();
         format!(
             r#"{{"Extra":{{"Cells":{},"Reach":{},"Slices":{},"BundleMax":4,"PerCallWorkUs":2000,
             "ClassNeed":[1,1,1],"FloorByClass":[{}]}},
-            "Discovery":"automatic","TickUs":2000,"ReplicasOfMe":{},"Obligations":{{{budget}}},
+            "Discovery":"automatic","TickUs":2000,"ReplicasOfMe":{},"Obligations":{{{}}},
             "Limits":{{"MayCancel":true,"ParallelTries":true,"MaxAttempts":4,"MaxOpen":400,
             "StreamsPerConn":4,"DialTimeoutUs":250000,"KeepaliveUs":3000000}},
             "Services":[{}]}}"#,
@@ -408,6 +445,7 @@
             self.shards,
             floors.join(","),
             self.routers.len(),
+            obligations.join(","),
             services.join(",")
         )
     }
--- a/crates/lab/src/soak/world.rs
+++ b/crates/lab/src/soak/world.rs
@@ -1,6 +1,6 @@
 //! Plays a scenario in real time: one thread for all stand-ins, and the routers as processes of their own.
 use super::discovery::{self, Agent, Entry, List, Status};
-use super::ledger::Ledger;
+use super::ledger::{Ledger, NodeStart};
 use super::nodes::Node;
 use super::processes::{self, Router};
 use super::scenario::{Act, Chance, LinkTrouble, Scenario, StopPlan, StopSignal, Trouble};
@@ -384,13 +384,20 @@
     let generation = world.nodes[node].generation.get() + 1;
     world.nodes[node].generation.set(generation);
     let name = discovery::name(node, generation);
-    change(world, Entry { name, node, status: Status::Serving, since_ms: unix_ms(), version: 0 });
+    started(world, Entry { name, node, status: Status::Serving, since_ms: unix_ms(), version: 0 });
+}
+
+/// A data node's new process serves.
+fn started(world: &Rc<World>, entry: Entry) {
+    let start = NodeStart { node: entry.node, at: world.clock.now() };
+    world.ledger.borrow_mut().node_starts.push(start);
+    change(world, entry);
 }
 
 fn restart_node(world: &Rc<World>, node: usize) {
     let Some(entry) = may_leave(world, node) else { return };
     world.nodes[node].reset();
-    change(world, Entry { since_ms: unix_ms(), ..entry });
+    started(world, Entry { since_ms: unix_ms(), ..entry });
 }
 
 fn unix_ms() -> u64 {
--- a/crates/lab/tests/soak.rs
+++ b/crates/lab/tests/soak.rs
@@ -1,8 +1,8 @@
 //! The soak's oracle against ledgers that break one rule each, and its schedules against their seeds.
 use alderway_lab::soak::Soak;
-use alderway_lab::soak::ledger::{Attempt, Ledger, Outcome, Request, Run, Stalled, Told};
+use alderway_lab::soak::ledger::{Attempt, Ledger, NodeStart, Outcome, Request, Run, Stalled, Told};
 use alderway_lab::soak::oracle::judge;
-use alderway_lab::soak::scenario::{Effect, Scenario};
+use alderway_lab::soak::scenario::{Effect, Scenario, SlowStart};
 use rstest::rstest;
 
 fn soak() -> Soak {
@@ -22,6 +22,7 @@
     let mut scenario = Scenario::drawn(&soak(), 1);
     scenario.grace = 0.5;
     scenario.budget = None;
+    scenario.slow_start = Some(SlowStart { initial_fraction: 0.2, warm_up: 4.0, multiple: 2.5, span: 0.65 });
     scenario.crowds.iter_mut().for_each(|crowd| *crowd = 0);
     scenario.classes[1].effect = Effect::Deduplicated(0.5);
     scenario.routers.iter_mut().for_each(|router| router.faults.clear());
@@ -199,6 +200,28 @@
     assert_eq!(rules(&ledger), Vec::<&str>::new());
 }
 
+/// 0.65 s of 2.5 times a fifth of a data node's capacity is 29.5 requests of 11 ms; with STANDING's room it falls past 49.
+#[rstest]
+#[case::within_the_rule(48, true, &[])]
+#[case::past_it(60, true, &["slow start"])]
+#[case::before_routers_were_told(60, false, &[])]
+fn what_makes_a_data_node_that_has_just_started_fall_is_told(
+    #[case] count: usize,
+    #[case] told: bool,
+    #[case] wanted: &[&str],
+) {
+    let mut ledger = sound(0);
+    ledger.node_starts.push(NodeStart { node: 2, at: 1.0 });
+    ledger.told.push(Told { run: 0, node: 2, leaving: false, at: if told { 1.0 } else { 1.3 } });
+    // Attempts of requests that were not noted.
+    let sent = (0..count).map(|number| Attempt {
+        part: format!("unnoted{number}.0"),
+        ..attempt(1.1 + 0.1 * number as f64 / count as f64)
+    });
+    ledger.attempts.extend(sent);
+    assert_eq!(rules(&ledger), wanted);
+}
+
 #[rstest]
 fn attempts_past_a_stated_budget_are_told() {
     let mut scenario = scenario();
