--- a/crates/alderway/tests/common/mod.rs
+++ b/crates/alderway/tests/common/mod.rs
@@ -105,6 +105,14 @@
         figures(&self.answer().1)
     }
 
+    /// All that comes until the connection ends.
+    pub fn rest(&mut self) -> String {
+        let mut bytes = vec![];
+        // A reset is an end as well.
+        let _ = self.0.read_to_end(&mut bytes);
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+
     pub fn up(&mut self) -> u16 {
         self.send("GET /up HTTP/1.1\r\n\r\n");
         self.answer().0
