Cores: one that fails answers what it has begun to read

Callers, on several cores as one fails: a request behind an open query ended with nothing after the first's 504; half a request too. Cause: the end of a failed core closed connections as a shutdown does while it serves, so that a request read then was taken and never decided. Evidence: a_core_that_fails_answers_what_it_has_begun_to_read failed in both cases before ([504, 0]; [0]); it passes. Why it works: it ends like the last moment of a shutdown now, in one function; the second wait for last answers is gone.

--- a/crates/alderway/tests/cores.rs
+++ b/crates/alderway/tests/cores.rs
@@ -162,6 +162,31 @@
     assert_eq!((sent.wrong, sent.lost, sent.late), (0, 0, 0));
 }
 
+/// Guards against a request that a core has read, in whole or in half, and nobody answers as the core fails.
+#[rstest]
+#[case::behind_an_open_query(|client: &mut Client, number: usize| {
+    client.query(&format!("held{number}"), 1900);
+    client.query(&format!("behind{number}"), 1900);
+}, 2)]
+#[case::half_sent(|client: &mut Client, _| client.send("POST /api HTTP/1.1\r\nX-Correlation-Id: h\r\n"), 1)]
+fn a_core_that_fails_answers_what_it_has_begun_to_read(
+    #[case] ask: impl Fn(&mut Client, usize),
+    #[case] answers: usize,
+) {
+    let house = house(3, 2, &Setting { slo_ms: 1900, ..Setting::default() });
+    house.until("all serve", |c| c["cores_serving"] == 3);
+    house.fleet.nodes.iter().for_each(|n| n.set(Fault::Silent));
+    // Three a core, so that the core that fails has some of them.
+    let mut clients: Vec<Client> = (0..9).map(|_| Client::to(&house.program)).collect();
+    clients.iter_mut().enumerate().for_each(|(number, client)| ask(client, number));
+    house.until("all are read", |c| c["bytes_from_clients"] > 0 && c["clients_open"] >= 9);
+    let mut another = Client::to(&house.program);
+    another.fault("fail");
+    let statuses = |client: &mut Client| (0..answers).map(|_| client.answer().0).collect::<Vec<u16>>();
+    let answered: Vec<Vec<u16>> = clients.iter_mut().map(statuses).collect();
+    assert!(answered.iter().flatten().all(|status| *status >= 408), "{answered:?}");
+}
+
 #[rstest]
 fn a_drain_reaches_every_core_also_one_that_hangs_through_it() {
     let house = house(3, 3, &Setting::default());
--- a/crates/router/src/io/client_session.rs
+++ b/crates/router/src/io/client_session.rs
@@ -268,7 +268,7 @@
                         if !self.must_reject_half_sent() {
                             return self.closed_while_idle();
                         }
-                        self.reject_unreadable("requests{half_sent}", (503, "this program ends"));
+                        self.reject_unreadable("requests{half_sent}", (503, "not served any more"));
                     }
                     yield_now().await;
                 }
@@ -285,7 +285,7 @@
         }
     }
 
-    /// Whether the client of half a request is owed an answer, as the program ends before the rest can come. Guards against
+    /// Whether the client of half a request is owed an answer, as the program or its core ends before the rest can come. Guards against
     /// a rest that comes in the last moment, with nobody to read it.
     fn must_reject_half_sent(&self) -> bool {
         self.client.is_half_sent.get() && self.client.close_request.get() == CloseRequest::AtProgramEnd
--- a/crates/router/src/io/core.rs
+++ b/crates/router/src/io/core.rs
@@ -11,7 +11,6 @@
 use crate::state::query_classes::{ClassRules, ConfigGeneration};
 use crate::state::shard_map::{ShardMapConfig, ShardMapView};
 use crate::state::shared::{CoreCommand, ObservationMessage, SharedState};
-use crate::state::shutdown_phase::ShutdownPhase;
 use alderway_cores::board::Board;
 use alderway_deployment::{AdmissionConfig, ConnectionConfig};
 use alderway_telemetry::clock::Clock;
@@ -28,12 +27,10 @@
 use tokio::sync::broadcast::{Receiver as Gossip, error::RecvError};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
-use tokio::time::{MissedTickBehavior, interval, sleep};
+use tokio::time::{MissedTickBehavior, interval};
 
 /// How often a core tells how it is.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(50);
-/// How long the last answers of a core that failed may take to go out.
-const FAREWELL: Duration = Duration::from_millis(200);
 
 /// How far the program is.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -126,17 +123,7 @@
     // dispatcher is still whole.
     let last = catch_unwind(AssertUnwindSafe(|| {
         dispatcher.borrow_mut().counters.increment("core_failures");
-        dispatcher.borrow_mut().shutdown_phase = ShutdownPhase::Closing;
-        dispatcher.borrow_mut().fail_all_queries();
-        dispatcher.borrow().clients.close_idle();
-        local.block_on(runtime, async {
-            let _ = tokio::time::timeout(FAREWELL, async {
-                while !dispatcher.borrow().clients.is_empty() {
-                    sleep(Duration::from_millis(5)).await;
-                }
-            })
-            .await;
-        });
+        local.block_on(runtime, graceful_shutdown::end_failed_core(&dispatcher));
         say(&dispatcher, slot, None);
         *board = std::mem::take(&mut dispatcher.borrow_mut().observations);
     }));
--- a/crates/router/src/lifecycle/graceful_shutdown.rs
+++ b/crates/router/src/lifecycle/graceful_shutdown.rs
@@ -113,6 +113,12 @@
     open_queries
 }
 
+/// Ends a core that has failed: whatever it has read gets its final answer, also what comes or is behind an open query now.
+pub async fn end_failed_core(dispatcher: &DispatcherHandle) {
+    fail_open_queries(dispatcher);
+    last_answers_written(dispatcher).await;
+}
+
 /// Waits until the last answers have gone out and all clients with them, for [`LAST_ANSWERS_S`] at most. Guards against a
 /// process that stands still just before or meanwhile, and would end before its tasks have written an answer: the time
 /// counts from here, and passes only with some polls.
--- a/crates/router/src/state/clients.rs
+++ b/crates/router/src/state/clients.rs
@@ -15,7 +15,7 @@
     WhenIdle,
     /// To close though part of a request has come: the rest takes too long.
     EvenIfHalfSent,
-    /// To close as the program ends: where part of a request has come, its client is told so.
+    /// To close as the program, or its core, ends: where part of a request has come, its client is told so.
     AtProgramEnd,
 }
 
