Policy: slow start knows no node; a hedge carries the node that it is to get past

Clean-up, no decision changed: the imports of node.rs and slow_start.rs went round in a circle (what a node may be sent is a method of its warm-up load now), and hedge() looked up the newest live attempt that late_action() had just found.

--- a/src/policy/hedging.rs
+++ b/src/policy/hedging.rs
@@ -20,10 +20,9 @@
 const REPLACEMENT_TIME_FRACTION: f64 = 0.5;
 
 /// What is done about a late shard request.
-#[derive(Clone, Copy, PartialEq)]
 enum LateAction {
-    /// Another attempt beside those in flight.
-    Hedge,
+    /// Another attempt beside those in flight, to get past the node of the newest.
+    Hedge { past: String },
     /// The attempts in flight are cancelled; another one follows in the next round.
     Replace,
 }
@@ -64,16 +63,13 @@
         let Some(action) = self.late_action(query, request) else { return };
         let Some(node) = self.select_node(position, &[request.shard], 1) else { return };
         match action {
-            LateAction::Hedge => self.hedge(position, &node.id, sink),
+            LateAction::Hedge { past } => self.hedge(position, past, &node.id, sink),
             LateAction::Replace => self.cancel_live_attempts(position, sink),
         }
     }
 
-    /// Sends a hedge to a node, if the budget pays and a hedge past the late node does.
-    fn hedge(&mut self, position: RequestPosition, to: &str, sink: &mut dyn DecisionSink) {
-        let request = &self.queries[&position.query].requests[position.index];
-        let Some(late) = request.attempts.iter().rfind(|attempt| attempt.is_live()) else { return };
-        let past = late.node.clone();
+    /// Sends a hedge past a late node to another, if the budget pays and a hedge past the late one does.
+    fn hedge(&mut self, position: RequestPosition, past: String, to: &str, sink: &mut dyn DecisionSink) {
         let pays = self.hedge_win_rate(&past).pays();
         if !pays && !self.hedge_success.trial_is_due(self.now_s) || !self.try_pay_for_hedge() {
             return;
@@ -114,7 +110,7 @@
             return None;
         }
         if self.may_hedge(query, request) && self.has_retry_token() {
-            return Some(LateAction::Hedge);
+            return Some(LateAction::Hedge { past: newest.node.clone() });
         }
         let replacement_s = REPLACEMENT_TIME_FRACTION * self.typical_latency_s(query.class);
         let in_time = self.now_s + replacement_s < query.objective_at_s;
--- a/src/policy/node.rs
+++ b/src/policy/node.rs
@@ -3,7 +3,7 @@
 use super::concurrency_limit::ConcurrencyLimit;
 use super::hedge_success::WinRate;
 use super::outlier_detection::{Health, OwnObservations, RemoteObservation};
-use super::slow_start::WarmUpLoad;
+use super::slow_start::{CapacityInputs, NodeCapacity, WarmUpLoad};
 use crate::interface::NodeState;
 use std::collections::BTreeMap;
 
@@ -78,6 +78,12 @@
         ages.fold(0.0, f64::max)
     }
 
+    /// How much it may be sent now.
+    pub fn capacity(&self, inputs: &CapacityInputs) -> NodeCapacity {
+        let free = self.concurrency.free_slots(self.in_flight.len());
+        self.warm_up_load.capacity(inputs, self.started_at_s, free)
+    }
+
     /// Whether it is removed and nothing is in flight at it.
     pub fn is_gone(&self) -> bool {
         self.state == NodeState::Removed && self.in_flight.is_empty()
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -7,7 +7,6 @@
 //! ([`crate::interface::SharedLimits::try_slow_start_turn`]).
 
 use super::CHECK_INTERVAL_S;
-use super::node::Node;
 use crate::interface::SlowStartConfig;
 use std::collections::VecDeque;
 
@@ -86,19 +85,19 @@
     rule.capacity_multiple * warm_fraction.min(1.0) / router_count
 }
 
-impl Node {
-    /// The rule and the node's age in seconds while it is warming up.
-    fn warm_up(&self, inputs: &CapacityInputs) -> Option<(SlowStartConfig, f64)> {
-        let (rule, started_at_s) = (inputs.slow_start?, self.started_at_s?);
-        let age_s = (inputs.now_s - started_at_s).max(0.0);
-        Some((rule, age_s)).filter(|_| age_s < rule.warm_up_s + rule.window_s)
-    }
+/// The rule, and the age in seconds of a node that is warming up.
+fn warm_up(inputs: &CapacityInputs, started_at_s: Option<f64>) -> Option<(SlowStartConfig, f64)> {
+    let (rule, started_at_s) = (inputs.slow_start?, started_at_s?);
+    let age_s = (inputs.now_s - started_at_s).max(0.0);
+    Some((rule, age_s)).filter(|_| age_s < rule.warm_up_s + rule.window_s)
+}
 
-    /// How much the node may be sent now. A node that is warm takes a whole batch where it takes anything, past its
-    /// concurrency limit: under overload single requests would each pay for an attempt.
-    pub fn capacity(&self, inputs: &CapacityInputs) -> NodeCapacity {
-        let free = self.concurrency.free_slots(self.in_flight.len());
-        let Some((rule, age_s)) = self.warm_up(inputs) else {
+impl WarmUpLoad {
+    /// How much a node may be sent now that started at `started_at_s` and whose concurrency limit leaves `free` slots. A
+    /// node that is warm takes a whole batch where it takes anything, past its concurrency limit: under overload single
+    /// requests would each pay for an attempt.
+    pub fn capacity(&self, inputs: &CapacityInputs, started_at_s: Option<f64>, free: usize) -> NodeCapacity {
+        let Some((rule, age_s)) = warm_up(inputs, started_at_s) else {
             let requests = if free > 0 { inputs.max_batch } else { 0 };
             return NodeCapacity { requests, exclusive_for_s: 0.0 };
         };
@@ -111,10 +110,10 @@
             (rule.window_s, WINDOW_QUOTA_FACTOR * quota * rule.window_s)
         };
         let exclusive_for_s = interval_s + CHECK_INTERVAL_S;
-        if single_requests && age_s < self.warm_up_load.phase * interval_s {
+        if single_requests && age_s < self.phase * interval_s {
             return NodeCapacity { requests: 0, exclusive_for_s };
         }
-        let sent_s = self.warm_up_load.sent_since(inputs.now_s - interval_s - CHECK_INTERVAL_S);
+        let sent_s = self.sent_since(inputs.now_s - interval_s - CHECK_INTERVAL_S);
         let within_quota = ((limit_s - sent_s) / work_s).max(0.0) as usize;
         NodeCapacity { requests: free.min(inputs.max_batch).min(within_quota), exclusive_for_s }
     }
