--- a/crates/alderway/tests/shutdown.rs
+++ b/crates/alderway/tests/shutdown.rs
@@ -1,25 +1,25 @@
 //! Graceful shutdowns on several cores of a process that stands still in the midst of one: every query that was read is
 //! answered, and the process has ended before the earliest SIGKILL.
 mod common;
+#[path = "../../router/tests/common/held_shutdown.rs"]
+mod held_shutdown;
 use alderway_lab::Clock;
 use alderway_lab::agent::Agent;
 use alderway_lab::fleet::Fleet;
 use alderway_lab::model::{Fault, Make};
 use alderway_lab::program::{Build, Program, Setting};
 use common::{Client, PATIENCE, until};
+use held_shutdown::{HELD_UP_S, KILL_AFTER_DEADLINE_S, faults, play_moments};
 use nix::sys::signal::Signal;
 use rstest::rstest;
 use std::sync::mpsc::RecvTimeoutError;
-use std::thread::{self, sleep};
+use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 const CORES: u64 = 3;
 /// The longest deadline of the settings below, in milliseconds.
 const LONGEST_DEADLINE_MS: u64 = 1000;
-/// The users' protocol: SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM.
-const EARLIEST_KILL_S: f64 = LONGEST_DEADLINE_MS as f64 / 1e3 + 0.7;
-/// The users' standing test: a router may be held up for so long.
-const HELD_UP_S: f64 = 0.15;
+const EARLIEST_KILL_S: f64 = LONGEST_DEADLINE_MS as f64 / 1e3 + KILL_AFTER_DEADLINE_S;
 /// The last part of a shutdown, in seconds before the earliest SIGKILL, in which its moments are tried.
 const LAST_PART_S: f64 = 0.4;
 const MOMENTS: usize = 20;
@@ -84,31 +84,13 @@
     at(held_from_s + HELD_UP_S);
     router.program.signal(Signal::SIGCONT);
 
-    let mut faults = vec![];
-    for (number, client) in clients.iter_mut().enumerate() {
-        let received = client.rest();
-        if received.matches("HTTP/1.1 ").count() != 1 {
-            faults.push(format!("held at {held_from_s:.2}: client {number} got {received:?}"));
-        }
-    }
+    let received: Vec<String> = clients.iter_mut().map(Client::rest).collect();
     router.ended();
-    let ended_s = terminated.elapsed().as_secs_f64();
-    if ended_s > EARLIEST_KILL_S {
-        faults.push(format!("held at {held_from_s:.2}: ended {ended_s:.3} s after SIGTERM"));
-    }
-    faults
+    faults(held_from_s, &received, terminated.elapsed().as_secs_f64(), EARLIEST_KILL_S)
 }
 
 /// Guards against queries read and never answered on some core, as the process that stood still ends first.
 #[rstest]
 fn a_shutdown_on_several_cores_held_up_at_any_moment_of_its_last_part_answers_what_was_read() {
-    let moment = |number: usize| {
-        EARLIEST_KILL_S - LAST_PART_S + number as f64 * (LAST_PART_S - HELD_UP_S) / MOMENTS as f64
-    };
-    let held: Vec<_> = (0..MOMENTS)
-        .map(|number| thread::spawn(move || faults_of_a_shutdown_held_up(moment(number))))
-        .collect();
-    let faults: Vec<String> =
-        held.into_iter().flat_map(|held| held.join().expect("a shutdown is played")).collect();
-    assert!(faults.is_empty(), "{faults:#?}");
+    play_moments(EARLIEST_KILL_S, LAST_PART_S, MOMENTS, faults_of_a_shutdown_held_up);
 }
--- a/crates/router/tests/shutdown.rs
+++ b/crates/router/tests/shutdown.rs
@@ -1,21 +1,21 @@
 //! Graceful shutdowns of a process that stands still in the midst of one: every query that was read is answered, and the
 //! process has ended before the earliest SIGKILL.
 mod common;
+#[path = "common/held_shutdown.rs"]
+mod held_shutdown;
 use common::*;
+use held_shutdown::{HELD_UP_S, KILL_AFTER_DEADLINE_S, faults, play_moments};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use rstest::rstest;
 use std::io::{Read, Write};
 use std::net::TcpStream;
-use std::thread::{self, sleep};
+use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 /// The longest deadline of the settings below, in seconds.
 const LONGEST_DEADLINE_S: f64 = 1.0;
-/// The users' protocol: SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM.
-const EARLIEST_KILL_S: f64 = LONGEST_DEADLINE_S + 0.7;
-/// The users' standing test: a router may be held up for so long.
-const HELD_UP_S: f64 = 0.15;
+const EARLIEST_KILL_S: f64 = LONGEST_DEADLINE_S + KILL_AFTER_DEADLINE_S;
 /// The last part of a shutdown, in seconds before the earliest SIGKILL, in which its moments are tried.
 const LAST_PART_S: f64 = 0.7;
 const MOMENTS: usize = 20;
@@ -58,33 +58,15 @@
     at(held_from_s + HELD_UP_S);
     let _ = kill(process, Signal::SIGCONT);
 
-    let mut faults = vec![];
-    for (number, client) in clients.into_iter().enumerate() {
-        let received = received(client);
-        if received.matches("HTTP/1.1 ").count() != 1 {
-            faults.push(format!("held at {held_from_s:.2}: client {number} got {received:?}"));
-        }
-    }
+    let received: Vec<String> = clients.into_iter().map(received).collect();
     program.child.wait().expect("it ends");
-    let ended_s = terminated.elapsed().as_secs_f64();
-    if ended_s > EARLIEST_KILL_S {
-        faults.push(format!("held at {held_from_s:.2}: ended {ended_s:.3} s after SIGTERM"));
-    }
-    faults
+    faults(held_from_s, &received, terminated.elapsed().as_secs_f64(), EARLIEST_KILL_S)
 }
 
 /// Guards against queries read and never answered, as a process that stood still ends with its last answers unwritten.
 #[rstest]
 fn a_shutdown_held_up_at_any_moment_of_its_last_part_answers_what_was_read() {
-    let moment = |number: usize| {
-        EARLIEST_KILL_S - LAST_PART_S + number as f64 * (LAST_PART_S - HELD_UP_S) / MOMENTS as f64
-    };
-    let held: Vec<_> = (0..MOMENTS)
-        .map(|number| thread::spawn(move || faults_of_a_shutdown_held_up(moment(number))))
-        .collect();
-    let faults: Vec<String> =
-        held.into_iter().flat_map(|held| held.join().expect("a shutdown is played")).collect();
-    assert!(faults.is_empty(), "{faults:#?}");
+    play_moments(EARLIEST_KILL_S, LAST_PART_S, MOMENTS, faults_of_a_shutdown_held_up);
 }
 
 /// Guards against a client that sends the rest of its request to a program that ends just then.
