Policy: a node's health record knows no node, and the circle of imports is gone

Clean-up, no decision changed: what own attempts and others' observations show is one type, HealthRecord, which node.rs holds; outlier_detection.rs and slow_start.rs import neither node.rs nor each other.

--- a/src/policy/events.rs
+++ b/src/policy/events.rs
@@ -138,7 +138,7 @@
         let age_s = self.now_s - observation.observed_at_s;
         let node = self.nodes.get_mut(id).filter(|node| node.started_at_s == observation.started_at_s);
         if let Some(node) = node {
-            node.record_remote(self.now_stall_free_s, age_s, observation);
+            node.health_record.record_remote(self.now_stall_free_s, age_s, observation);
         }
     }
 }
--- a/src/policy/node.rs
+++ b/src/policy/node.rs
@@ -1,8 +1,8 @@
 //! The record of one data node: what is in flight at it, and the state that the decisions about it keep.
 
-use super::concurrency_limit::ConcurrencyLimit;
+use super::concurrency_limit::{ConcurrencyLimit, LoadSample};
 use super::hedge_success::WinRate;
-use super::outlier_detection::{Health, OwnObservations, RemoteObservation};
+use super::outlier_detection::{EndedAttempt, Health, HealthRecord, InFlightAttempt};
 use super::slow_start::{CapacityInputs, NodeCapacity, WarmUpLoad};
 use crate::interface::NodeState;
 use std::collections::BTreeMap;
@@ -15,10 +15,7 @@
     pub started_at_s: Option<f64>,
     pub in_flight: BTreeMap<AttemptKey, InFlightAttempt>,
     pub concurrency: ConcurrencyLimit,
-    /// What this core's own attempts showed.
-    pub own: OwnObservations,
-    /// What other cores or routers observed.
-    pub remote: RemoteObservation,
+    pub health_record: HealthRecord,
     pub warm_up_load: WarmUpLoad,
     /// Of hedges past it, if any has ended.
     pub hedge_win_rate: Option<WinRate>,
@@ -33,14 +30,6 @@
 /// A shard request's id and the number of its attempt.
 pub(super) type AttemptKey = (String, usize);
 
-/// An attempt in flight at a node.
-#[derive(Clone, Copy)]
-pub(super) struct InFlightAttempt {
-    pub started_at_stall_free_s: f64,
-    /// The delay after which it is late, as of its start.
-    pub late_after_s: f64,
-}
-
 impl Node {
     /// A node that has just appeared. `warm_up_phase` is set for one that is warming up: its place, from 0 to 1, among
     /// the routers that send to it in turn.
@@ -56,8 +45,7 @@
             started_at_s,
             in_flight: BTreeMap::new(),
             concurrency: ConcurrencyLimit::new(warm_up_phase.is_some()),
-            own: OwnObservations::default(),
-            remote: RemoteObservation::default(),
+            health_record: HealthRecord::default(),
             warm_up_load: WarmUpLoad::new(warm_up_phase.unwrap_or(0.0)),
             hedge_win_rate: None,
             last_attempt: 0,
@@ -72,6 +60,29 @@
         Node::new(0, NodeState::Removed, None, None)
     }
 
+    /// Records how an attempt ended, for the node's health and for its concurrency limit.
+    pub fn record_outcome(&mut self, now_s: f64, attempt: &EndedAttempt) {
+        self.concurrency.record(&LoadSample {
+            outcome: attempt.outcome,
+            latency_s: attempt.latency_s,
+            shortest_objective_s: attempt.shortest_objective_s,
+            late: attempt.is_late(),
+            answered_since: self.health_record.last_answer_at_s() >= now_s - attempt.latency_s,
+        });
+        self.health_record.record(now_s, attempt);
+    }
+
+    /// What the log says as it is ejected, or readmitted.
+    pub fn ejection_log_line(&self, id: &str, ejected: bool) -> String {
+        let change = if ejected { "ejected" } else { "readmitted" };
+        let (in_flight, failures) = (self.in_flight.len(), self.health_record.consecutive_failures());
+        let limit = self.concurrency.limit();
+        format!(
+            "node {id} {change}: {in_flight} attempts in flight, {failures} consecutive failures, \
+             concurrency limit {limit:.1}"
+        )
+    }
+
     /// Age in seconds of its oldest attempt in flight, 0 if there is none.
     pub fn oldest_attempt_age_s(&self, now_stall_free_s: f64) -> f64 {
         let ages = self.in_flight.values().map(|attempt| now_stall_free_s - attempt.started_at_stall_free_s);
--- a/src/policy/outlier_detection.rs
+++ b/src/policy/outlier_detection.rs
@@ -7,8 +7,6 @@
 //! the router's own stalls.
 
 use super::Policy;
-use super::concurrency_limit::LoadSample;
-use super::node::Node;
 use crate::interface::{AttemptOutcome, DecisionSink, NodeObservation, NodeState};
 
 /// An answer, or an attempt without one, that takes this many times the delay for late attempts is far too late.
@@ -56,9 +54,17 @@
     }
 }
 
+/// An attempt in flight at a node.
+#[derive(Clone, Copy)]
+pub(super) struct InFlightAttempt {
+    pub started_at_stall_free_s: f64,
+    /// The delay after which it is late, as of its start.
+    pub late_after_s: f64,
+}
+
 /// What this core's own attempts showed of a node.
 #[derive(Default)]
-pub(super) struct OwnObservations {
+struct OwnObservations {
     /// When the node last answered.
     last_answer_at_s: f64,
     /// When an attempt last ended.
@@ -84,7 +90,7 @@
 
 /// What another core or router observed, when, and until when it counts. It is never shared on.
 #[derive(Clone, Copy, Default)]
-pub(super) struct RemoteObservation {
+struct RemoteObservation {
     observed_at_s: f64,
     slow_until_s: f64,
     very_slow_until_s: f64,
@@ -115,7 +121,7 @@
 }
 
 impl EndedAttempt {
-    fn is_late(&self) -> bool {
+    pub fn is_late(&self) -> bool {
         self.latency_s > self.late_after_s
     }
 
@@ -126,10 +132,6 @@
 }
 
 impl OwnObservations {
-    pub fn consecutive_failures(&self) -> i32 {
-        self.consecutive_failures
-    }
-
     /// Records how an attempt ended.
     pub fn record(&mut self, now_s: f64, attempt: &EndedAttempt) {
         (self.changed_since_shared, self.last_outcome_at_s) = (true, now_s);
@@ -190,31 +192,44 @@
     }
 }
 
-impl Node {
-    /// Records how an attempt ended, for the node's health and for its concurrency limit.
-    pub fn record_outcome(&mut self, now_s: f64, attempt: &EndedAttempt) {
-        self.concurrency.record(&LoadSample {
-            outcome: attempt.outcome,
-            latency_s: attempt.latency_s,
-            shortest_objective_s: attempt.shortest_objective_s,
-            late: attempt.is_late(),
-            answered_since: self.own.last_answer_at_s >= now_s - attempt.latency_s,
-        });
+/// What is known of a node's health.
+#[derive(Default)]
+pub(super) struct HealthRecord {
+    /// What this core's own attempts showed.
+    own: OwnObservations,
+    /// What other cores or routers observed.
+    remote: RemoteObservation,
+}
+
+impl HealthRecord {
+    /// Records how an attempt ended.
+    pub fn record(&mut self, now_s: f64, attempt: &EndedAttempt) {
         self.own.record(now_s, attempt);
     }
 
+    /// When the node last answered here.
+    pub fn last_answer_at_s(&self) -> f64 {
+        self.own.last_answer_at_s
+    }
+
+    pub fn consecutive_failures(&self) -> i32 {
+        self.own.consecutive_failures
+    }
+
     /// The health that own attempts show, those in flight included.
-    pub fn own_health(&self, now_s: f64) -> Health {
+    pub fn own_health<'a>(
+        &self,
+        now_s: f64,
+        in_flight: impl Iterator<Item = &'a InFlightAttempt> + Clone,
+    ) -> Health {
         // Age as a multiple of the delay after which the attempt is late.
-        let multiples = || {
-            self.in_flight.values().map(|attempt| {
-                let started_at_s = attempt.started_at_stall_free_s;
-                (started_at_s, (now_s - started_at_s) / attempt.late_after_s)
-            })
-        };
-        let oldest = multiples().map(|(_, multiple)| multiple).fold(0.0, f64::max);
-        let unanswered = multiples().any(|(started_at_s, multiple)| {
-            multiple > VERY_LATE_MULTIPLE && self.own.last_answer_at_s < started_at_s
+        let multiple =
+            |attempt: &InFlightAttempt| (now_s - attempt.started_at_stall_free_s) / attempt.late_after_s;
+        let oldest = in_flight.clone().map(multiple).fold(0.0, f64::max);
+        let mut in_flight = in_flight;
+        let unanswered = in_flight.any(|attempt| {
+            multiple(attempt) > VERY_LATE_MULTIPLE
+                && self.own.last_answer_at_s < attempt.started_at_stall_free_s
         });
         match () {
             _ if self.own.ejected_until_s > now_s || unanswered => Health::Unresponsive,
@@ -224,6 +239,11 @@
         }
     }
 
+    /// The health that other cores or routers observed.
+    pub fn remote_health(&self, now_s: f64) -> Health {
+        self.remote.health(now_s)
+    }
+
     /// Takes in what another core or router observed, `age_s` seconds ago. What this core has observed itself since
     /// outranks it, which guards against wrong observations of a node that answers here. An observation of a healthy
     /// node ends what was held against it.
@@ -248,8 +268,14 @@
     }
 
     /// What other cores should know: own attempts show another health than was shared, or the same for longer, or the
-    /// node answers here though others observed that it does not. `clock_s` is the monotonic clock.
-    pub fn observation_to_share(&mut self, now_s: f64, clock_s: f64, own: Health) -> Option<NodeObservation> {
+    /// node answers here though others observed that it does not. `started_at_s` is its start, `clock_s` the monotonic clock.
+    pub fn observation_to_share(
+        &mut self,
+        started_at_s: Option<f64>,
+        now_s: f64,
+        clock_s: f64,
+        own: Health,
+    ) -> Option<NodeObservation> {
         let contradicted = self.remote.health(now_s) > Health::Healthy
             && self.remote.observed_at_s < self.own.last_answer_at_s
             && self.own.slow_until_s <= now_s;
@@ -278,7 +304,7 @@
             };
         }
         Some(NodeObservation {
-            started_at_s: self.started_at_s,
+            started_at_s,
             observed_at_s: clock_s,
             slow_for_s: left_s(self.own.slow_until_s),
             very_slow_for_s: left_s(self.own.very_slow_until_s),
@@ -287,10 +313,10 @@
     }
 
     /// How long a shard request may have to wait for this node while it is unresponsive; `own` is the health that own
-    /// attempts show.
-    fn time_until_readmission_s(&self, now_s: f64, own: Health) -> f64 {
+    /// attempts show, `oldest_age_s` the age of the oldest in flight.
+    fn time_until_readmission_s(&self, now_s: f64, own: Health, oldest_age_s: f64) -> f64 {
         // A node that answers nothing is expected to do so for as long again as it has.
-        let unanswered_s = if own == Health::Unresponsive { self.oldest_attempt_age_s(now_s) } else { 0.0 };
+        let unanswered_s = if own == Health::Unresponsive { oldest_age_s } else { 0.0 };
         let ejected_until_s = self.own.ejected_until_s.max(self.remote.unresponsive_until_s);
         (ejected_until_s - now_s).max(unanswered_s)
     }
@@ -304,17 +330,25 @@
         let mut any_gone = false;
         for (id, node) in &mut self.nodes {
             any_gone |= node.is_gone();
-            let own = node.own_health(now_s);
-            let health = own.max(node.remote.health(now_s));
-            if shares_observations && let Some(observation) = node.observation_to_share(now_s, clock_s, own) {
+            let record = &mut node.health_record;
+            let own = record.own_health(now_s, node.in_flight.values());
+            let health = own.max(record.remote_health(now_s));
+            if shares_observations
+                && let Some(observation) = record.observation_to_share(node.started_at_s, now_s, clock_s, own)
+            {
                 sink.share_observation(id, observation);
             }
             let ejected = health == Health::Unresponsive;
             if ejected != (node.health == Health::Unresponsive) && node.state != NodeState::Removed {
-                sink.log(&ejection_log_line(id, node, ejected));
+                sink.log(&node.ejection_log_line(id, ejected));
             }
             node.health = health;
-            node.expected_wait_s = if ejected { node.time_until_readmission_s(now_s, own) } else { 0.0 };
+            node.expected_wait_s = if ejected {
+                let oldest_age_s = node.oldest_attempt_age_s(now_s);
+                node.health_record.time_until_readmission_s(now_s, own, oldest_age_s)
+            } else {
+                0.0
+            };
         }
         if any_gone {
             self.nodes.retain(|_, node| !node.is_gone());
@@ -339,13 +373,3 @@
         }
     }
 }
-
-fn ejection_log_line(id: &str, node: &Node, ejected: bool) -> String {
-    let change = if ejected { "ejected" } else { "readmitted" };
-    let (in_flight, failures) = (node.in_flight.len(), node.own.consecutive_failures());
-    let limit = node.concurrency.limit();
-    format!(
-        "node {id} {change}: {in_flight} attempts in flight, {failures} consecutive failures, \
-         concurrency limit {limit:.1}"
-    )
-}
--- a/src/policy/shard_changes.rs
+++ b/src/policy/shard_changes.rs
@@ -4,7 +4,8 @@
 
 use super::attempts_by_age::AttemptPosition;
 use super::latency::{LatencyWindow, SHARD_SAMPLES_MIN};
-use super::node::{InFlightAttempt, Node};
+use super::node::Node;
+use super::outlier_detection::InFlightAttempt;
 use super::query::{Attempt, RequestPosition, ShardClass, ShardRequest};
 use super::{Policy, ShardState};
 use crate::interface::{AttemptOutcome, ClassSlot, PolicyConfig, ShardHolders, StateTransfer};
