--- a/crates/lab/src/soak/oracle.rs
+++ b/crates/lab/src/soak/oracle.rs
@@ -1,7 +1,7 @@
 //! Judges a ledger by the rules of the users' pages.
 use super::ledger::{Attempt, Ledger, NodeStart, Outcome, Request, Run, Told};
 use super::nodes::MEAN_WORK;
-use super::scenario::{Effect, Scenario, SlowStart};
+use super::scenario::{Effect, HELD_UP, Scenario, SlowStart};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 
@@ -9,8 +9,6 @@
 const SLACK: f64 = 0.05;
 /// STANDING: an attempt may begin so long after its client's close.
 const LEFT: f64 = 0.1;
-/// STANDING: a router may be held up so long between its clock and its write; deadlines and windows allow for it.
-const HELD_UP: f64 = 0.15;
 /// STANDING: up to so long after its time an answer only earns nothing.
 const LATE: f64 = 0.5;
 /// The users' protocol, later edition: a bad client is owed its error or close so long after it connected.
--- a/crates/lab/src/soak/scenario.rs
+++ b/crates/lab/src/soak/scenario.rs
@@ -243,8 +243,8 @@
 /// The users' protocol: SIGKILL comes no sooner than the longest deadline, counted as 3 s at most, and 0.7 s.
 const KILL_AFTER_DEADLINE: f64 = 0.7;
 const LONGEST_DEADLINE: f64 = 3.0;
-/// The users' standing test: how long a router may be held up.
-const HOLD_MOST: f64 = 0.15;
+/// The users' standing test: a router may be held up so long between its clock and its write, or within a stop.
+pub const HELD_UP: f64 = 0.15;
 const SERIES_SHARE: f64 = 0.6;
 const SERIES_MOST: usize = 5;
 const STOP_HOLD_SHARE: f64 = 0.6;
@@ -347,7 +347,7 @@
                 signals.sort_by(|one, other| one.at().total_cmp(&other.at()));
             }
             let holds = chance.happens(STOP_HOLD_SHARE) && !without("stophold");
-            let hold = holds.then(|| (draw_moment(chance, limit), chance.between(0.05, HOLD_MOST)));
+            let hold = holds.then(|| (draw_moment(chance, limit), chance.between(0.05, HELD_UP)));
             StopPlan { signals, hold }
         };
         for trouble in &mut self.troubles {
--- a/crates/operator/src/arguments.rs
+++ b/crates/operator/src/arguments.rs
@@ -3,6 +3,7 @@
 use starlark::values::dict::DictRef;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 
 /// A whole number from `least` to `most`.
 ///
@@ -19,6 +20,22 @@
     })
 }
 
+/// Seconds from an argument in whole milliseconds, `usual` where it is not given.
+///
+/// # Errors
+/// Names the subject, the argument and what was found.
+pub fn seconds(
+    subject: &str,
+    name: &str,
+    value: Option<Value>,
+    usual: usize,
+    bounds: RangeInclusive<usize>,
+) -> anyhow::Result<f64> {
+    let (least, most) = bounds.into_inner();
+    let value = value.map_or(Ok(usual), |value| whole(subject, name, value, least, most))?;
+    Ok(value as f64 / 1e3)
+}
+
 /// True or False.
 ///
 /// # Errors
--- a/crates/operator/src/statements.rs
+++ b/crates/operator/src/statements.rs
@@ -1,5 +1,5 @@
 //! The calls that an operator's file may make: each subject is said once, by its arguments.
-use crate::arguments::{addresses, flag, whole};
+use crate::arguments::{addresses, flag, seconds, whole};
 use crate::values::{
     Control, Cores, Count, Layouts, LogForm, MOST_CONTROL, MOST_CORES, MOST_MEMBERS, MOST_TOLD_OF, Peers,
     Subscription, Tier,
@@ -90,12 +90,8 @@
         #[starlark(require = named)] lagging_nodes_ms: Option<Value<'v>>,
         eval: &mut Evaluator<'v, '_, '_>,
     ) -> anyhow::Result<NoneType> {
-        let span = |name, value: Option<Value<'v>>, usual, least, most| {
-            let value = value.map_or(Ok(usual), |value| whole("layouts", name, value, least, most))?;
-            anyhow::Ok(value as f64 / 1e3)
-        };
-        let late_clients = span("late_clients_ms", late_clients_ms, 2000, 0, 3_600_000)?;
-        let lagging_nodes = span("lagging_nodes_ms", lagging_nodes_ms, 250, 10, 60_000)?;
+        let late_clients = seconds("layouts", "late_clients_ms", late_clients_ms, 2000, 0..=3_600_000)?;
+        let lagging_nodes = seconds("layouts", "lagging_nodes_ms", lagging_nodes_ms, 250, 10..=60_000)?;
         once(&said(eval)?.layouts, "layouts", Layouts { late_clients, lagging_nodes })
     }
 
@@ -118,12 +114,8 @@
             return Err(anyhow::anyhow!("`forwarder`: `planners` names one twice"));
         }
         let count = whole("forwarder", "count", count, 1, 10_000)?;
-        let span = |name, value: Option<Value<'v>>, usual, least, most| {
-            let value = value.map_or(Ok(usual), |value| whole("forwarder", name, value, least, most))?;
-            anyhow::Ok(value as f64 / 1e3)
-        };
-        let beat = span("beat_ms", beat_ms, 50, 5, 10_000)?;
-        let patience = span("patience_ms", patience_ms, 250, 10, 60_000)?;
+        let beat = seconds("forwarder", "beat_ms", beat_ms, 50, 5..=10_000)?;
+        let patience = seconds("forwarder", "patience_ms", patience_ms, 250, 10..=60_000)?;
         if patience < 2.0 * beat {
             return Err(anyhow::anyhow!("`forwarder`: `patience_ms` is under two beats"));
         }
@@ -154,12 +146,11 @@
             let found = members.len();
             return Err(anyhow::anyhow!("`peers`: `members` are 2 to {MOST_MEMBERS}, found {found}"));
         }
-        let span = |name, value: Option<Value<'v>>, usual| {
-            let value = value.map_or(Ok(usual), |value| whole("peers", name, value, 5, 60_000))?;
-            anyhow::Ok(value as f64 / 1e3)
-        };
-        let (beat, pulse) = (span("beat_ms", beat_ms, 100)?, span("pulse_ms", pulse_ms, 1000)?);
-        let stale = span("stale_ms", stale_ms, 2000)?;
+        let (beat, pulse) = (
+            seconds("peers", "beat_ms", beat_ms, 100, 5..=60_000)?,
+            seconds("peers", "pulse_ms", pulse_ms, 1000, 5..=60_000)?,
+        );
+        let stale = seconds("peers", "stale_ms", stale_ms, 2000, 5..=60_000)?;
         if pulse < beat {
             return Err(anyhow::anyhow!("`peers`: `pulse_ms` is under `beat_ms`"));
         }
@@ -280,13 +271,9 @@
             return Err(anyhow::anyhow!("`subscription`: no machine of `control` is in `zone` \"{zone}\""));
         }
         let keep = text("keep", keep)?;
-        let span = |name, value: Option<Value<'v>>, usual, least, most| {
-            let value = value.map_or(Ok(usual), |value| whole("subscription", name, value, least, most))?;
-            anyhow::Ok(value as f64 / 1e3)
-        };
         // A machine answers a pulse a second.
-        let silent = span("silent_ms", silent_ms, 3000, 2000, 60_000)?;
-        let old = span("old_ms", old_ms, 10_000, 2000, 86_400_000)?;
+        let silent = seconds("subscription", "silent_ms", silent_ms, 3000, 2000..=60_000)?;
+        let old = seconds("subscription", "old_ms", old_ms, 10_000, 2000..=86_400_000)?;
         if old < silent {
             return Err(anyhow::anyhow!("`subscription`: `old_ms` is under `silent_ms`"));
         }
--- a/crates/router/src/io/client_session.rs
+++ b/crates/router/src/io/client_session.rs
@@ -285,8 +285,8 @@
         }
     }
 
-    /// Whether the client of half a request is owed an answer, as the program or its core ends before the rest can come. Guards against
-    /// a rest that comes in the last moment, with nobody to read it.
+    /// Whether the client of half a request is owed an answer, as the program or its core ends before the rest can come.
+    /// Guards against a rest that comes in the last moment, with nobody to read it.
     fn must_reject_half_sent(&self) -> bool {
         self.client.is_half_sent.get() && self.client.close_request.get() == CloseRequest::AtProgramEnd
     }
--- a/crates/router/src/io/core.rs
+++ b/crates/router/src/io/core.rs
@@ -123,7 +123,7 @@
     // dispatcher is still whole.
     let last = catch_unwind(AssertUnwindSafe(|| {
         dispatcher.borrow_mut().counters.increment("core_failures");
-        local.block_on(runtime, graceful_shutdown::end_failed_core(&dispatcher));
+        local.block_on(runtime, graceful_shutdown::end_open_queries(&dispatcher));
         say(&dispatcher, slot, None);
         *board = std::mem::take(&mut dispatcher.borrow_mut().observations);
     }));
--- a/crates/router/src/lifecycle/graceful_shutdown.rs
+++ b/crates/router/src/lifecycle/graceful_shutdown.rs
@@ -78,8 +78,7 @@
         }
         sleep(POLL_INTERVAL).await;
     }
-    let open_queries = fail_open_queries(&dispatcher);
-    last_answers_written(&dispatcher).await;
+    let open_queries = end_open_queries(&dispatcher).await;
     let took_s = clock.now() - times.began;
     tracing::info!(target: "stop", "ended after {took_s:.1} s: {open_queries} queries aborted");
 }
@@ -113,10 +112,12 @@
     open_queries
 }
 
-/// Ends a core that has failed: whatever it has read gets its final answer, also what comes or is behind an open query now.
-pub async fn end_failed_core(dispatcher: &DispatcherHandle) {
-    fail_open_queries(dispatcher);
+/// Ends what a core has open, at the end of a shutdown or as the core has failed: whatever it has read gets its final
+/// answer, also what comes or is behind an open query now. How many queries were open.
+pub async fn end_open_queries(dispatcher: &DispatcherHandle) -> usize {
+    let open_queries = fail_open_queries(dispatcher);
     last_answers_written(dispatcher).await;
+    open_queries
 }
 
 /// Waits until the last answers have gone out and all clients with them, for [`LAST_ANSWERS_S`] at most. Guards against a
--- a/crates/router/src/state/dispatcher/metrics.rs
+++ b/crates/router/src/state/dispatcher/metrics.rs
@@ -26,16 +26,16 @@
     }
 
     /// Tells the other cores what `core_metrics` says now.
-    pub fn publish_metrics(&self) -> MetricsSnapshot {
-        let metrics = self.core_metrics();
-        self.shared.cores[self.core].metrics.send_replace(Arc::new(metrics.clone()));
+    pub fn publish_metrics(&self) -> Arc<MetricsSnapshot> {
+        let metrics = Arc::new(self.core_metrics());
+        self.shared.cores[self.core].metrics.send_replace(metrics.clone());
         metrics
     }
 
     /// All counters and gauges, of all cores. Published first: guards against counters that go back when the next
     /// request for them is answered by another core.
     pub fn metrics_text(&self) -> String {
-        let mut metrics = self.publish_metrics();
+        let mut metrics = MetricsSnapshot::clone(&self.publish_metrics());
         self.shared.add_other_cores(Some(self.core), &mut metrics);
         metrics.text()
     }
--- a/crates/router/src/tier/planner.rs
+++ b/crates/router/src/tier/planner.rs
@@ -1,19 +1,20 @@
 //! A planner: the decision module for many forwarders. It follows discovery by itself, takes queries with what was tried
 //! for them, and tells each forwarder the decisions for its own. What a forwarder that is gone had out ends here with its
 //! session, so that nothing of it weighs on a data node for ever. No sockets.
+mod rounds;
+
+pub use rounds::{PolicyFailed, round};
+
 use super::{Outbox, received_observation};
 use crate::io::discovery::Follower;
 use crate::state::counters::Counters;
 use crate::state::endpoints::EndpointTable;
-use alderway::interface::{AttemptOutcome, DecisionSink, NodeObservation, PolicyInput};
-use alderway::policy::Policy;
+use alderway::interface::{AttemptOutcome, NodeObservation, PolicyInput};
 use alderway_telemetry::clock::Clock;
 use alderway_tier::messages::{Message, Tried};
 use alderway_tier::ramp;
 use alderway_transport::Hello;
 use std::collections::{BTreeMap, BTreeSet};
-use std::convert::Infallible;
-use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
 use std::sync::Arc;
 use tokio::sync::Notify;
@@ -396,91 +397,6 @@
     }
 }
 
-/// The policy panicked in a round: nothing of it may be used any more.
-#[derive(Debug, thiserror::Error)]
-#[error("the decision module failed")]
-pub struct PolicyFailed;
-
-/// One round: all that came in is told, and decisions go to their forwarders.
-///
-/// # Errors
-/// The policy panicked. The planner goes on with another one after [`Planner::start_over`].
-pub fn round(planner: &std::cell::RefCell<Planner>, module: &mut Policy) -> Result<(), PolicyFailed> {
-    let now = planner.borrow().clock.now();
-    let tell = |intake: &mut dyn PolicyInput| {
-        planner.borrow_mut().tell(now, intake);
-        Ok::<(), Infallible>(())
-    };
-    let round = AssertUnwindSafe(|| module.round(now, tell, &mut Pen(planner)));
-    let Ok(Ok(())) = catch_unwind(round) else { return Err(PolicyFailed) };
-    planner.borrow_mut().counters.increment("rounds");
-    Ok(())
-}
-
-struct Pen<'a>(&'a std::cell::RefCell<Planner>);
-
-impl DecisionSink for Pen<'_> {
-    fn start_attempt(&mut self, part: &str, node: &str, limit: f64) {
-        let mut planner = self.0.borrow_mut();
-        let Some((number, calls)) = planner.parts.get_mut(part) else { return };
-        let (number, hop) = (*number, *calls);
-        *calls += 1;
-        let (Some((session, term)), Some((_, name))) = (planner.of(number), unnamed(part)) else { return };
-        let now = planner.clock.now();
-        let (name, node) = (name.to_string(), node.to_string());
-        if let Some(session) = planner.sessions.get_mut(&session) {
-            session.calls.insert((name.clone(), hop), (node.clone(), now));
-        }
-        planner.counters.increment("leaf_calls_decided");
-        planner.send(session, &Message::Call { term, part: name, node, limit });
-    }
-
-    fn cancel_attempt(&mut self, part: &str, hop: usize) {
-        let mut planner = self.0.borrow_mut();
-        let number = planner.parts.get(part).map(|part| part.0);
-        let term = number.and_then(|number| planner.of(number)).map_or(0, |of| of.1);
-        let Some((session, name)) = unnamed(part) else { return };
-        planner.send(session, &Message::Cancel { term, part: name.into(), hop: hop as u32 });
-    }
-
-    fn answer(&mut self, query: &str, whole: bool) {
-        self.0.borrow_mut().finish(query, |term, query| Message::Answer { term, query, whole });
-    }
-
-    fn reject(&mut self, query: &str, come_back: Option<f64>) {
-        self.0.borrow_mut().finish(query, |term, query| Message::Reject { term, query, come_back });
-    }
-
-    fn fail(&mut self, query: &str) {
-        self.0.borrow_mut().finish(query, |term, query| Message::Abort { term, query });
-    }
-
-    fn set_timer(&mut self, span: f64, tag: u64) {
-        let mut planner = self.0.borrow_mut();
-        let at = planner.clock.now() + span;
-        planner.alarms.push((at, tag));
-    }
-
-    fn poll_endpoints(&mut self) {
-        self.0.borrow().asked.notify_one();
-    }
-
-    fn log(&mut self, text: &str) {
-        tracing::info!(target: "module", "{text}");
-    }
-
-    fn share_observation(&mut self, node: &str, seen: NodeObservation) {
-        let mut planner = self.0.borrow_mut();
-        let now = planner.clock.now();
-        let started = planner.endpoints.nodes.get(node).and_then(|node| node.started_at_s).map(|at| now - at);
-        let NodeObservation { slow_for_s: late, very_slow_for_s: far, unresponsive_for_s: sick, .. } = seen;
-        for (n, session) in planner.sessions.values_mut().enumerate() {
-            let (node, relay) = (node.into(), n == 0);
-            session.outbox.send(&Message::Evidence { node, started, late, far, sick, relay });
-        }
-    }
-}
-
 impl Follower for Planner {
     fn clock(&self) -> Clock {
         self.clock
--- a/crates/router/tests/common/dispatcher.rs
+++ b/crates/router/tests/common/dispatcher.rs
@@ -2,7 +2,8 @@
 use alderway::interface::{
     AttemptOutcome, DecisionSink, NodeState, PolicyInput, ShardHolders, StateTransfer,
 };
-use alderway_deployment::{AdmissionConfig, ConnectionConfig};
+use alderway::policy::Policy;
+use alderway_deployment::{self as deployment, AdmissionConfig, ConnectionConfig};
 use alderway_router::state::clients::ClientConnection;
 use alderway_router::state::dispatcher::Dispatcher;
 use alderway_router::state::node_connection::Dial;
@@ -91,6 +92,15 @@
     }
 }
 
+/// A policy that knows one query class.
+pub fn one_class_policy() -> Policy {
+    let settings = r#"{"Extra":{"Cells":1,"Reach":1},"Discovery":"automatic","Obligations":{},"ReplicasOfMe":1,
+        "Limits":{"MayCancel":true,"ParallelTries":true,"MaxAttempts":3},"Services":[{"Name":"v","Worth":1,
+        "PromiseUs":1000000,"DeadlineUs":5000000,"Effect":"idempotent","LateShare":0.3}]}"#;
+    let settings = deployment::parse(settings).expect("readable");
+    deployment::policy(7, &settings).expect("sound").0
+}
+
 /// Carries a policy's decisions out as they are written.
 pub struct DispatcherSink<'a>(pub &'a RefCell<Dispatcher>);
 
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Stand-ins of clients, data nodes and discovery that speak to the program over loopback.
 #![allow(dead_code)] // Each file of stories uses what it needs.
 pub mod dispatcher;
+pub mod tier;
 
 use alderway_fault_injection::{Plan, inject};
 use std::collections::BTreeMap;
--- a/crates/router/tests/dispatcher/queries.rs
+++ b/crates/router/tests/dispatcher/queries.rs
@@ -1,7 +1,6 @@
 //! Queries at the end of a shutdown and after a failure of the policy.
-use crate::common::dispatcher::{played, response_text};
+use crate::common::dispatcher::{one_class_policy, played, response_text};
 use crate::{dispatcher, told};
-use alderway_deployment as deployment;
 use alderway_router::io::rounds;
 use alderway_router::state::clients::ClientConnection;
 use alderway_router::state::descriptors;
@@ -9,6 +8,7 @@
 use alderway_router::state::queries::ShardRequest;
 use alderway_router::state::shutdown_phase::ShutdownPhase;
 use rstest::rstest;
+use std::convert::Infallible;
 use std::rc::Rc;
 
 #[rstest]
@@ -28,11 +28,7 @@
 #[rstest]
 fn a_failure_of_the_module_aborts_what_is_open_and_the_router_goes_on() {
     // The module knows one vertical, the dispatcher two: a query of the second makes it panic.
-    let settings = r#"{"Extra":{"Cells":1,"Reach":1},"Discovery":"automatic","Obligations":{},"ReplicasOfMe":1,
-        "Limits":{"MayCancel":true,"ParallelTries":true,"MaxAttempts":3},"Services":[{"Name":"v","Worth":1,
-        "PromiseUs":1000000,"DeadlineUs":5000000,"Effect":"idempotent","LateShare":0.3}]}"#;
-    let settings = deployment::parse(settings).expect("readable");
-    let module = move || deployment::policy(7, &settings).map(|made| made.0);
+    let module = || Ok::<_, Infallible>(one_class_policy());
     let dispatcher = Rc::new(std::cell::RefCell::new(dispatcher()));
     dispatcher.borrow_mut().query_classes.push("w".into());
     let taken = |id: &str, vertical| {
--- a/crates/router/tests/dispatcher/reused_ids.rs
+++ b/crates/router/tests/dispatcher/reused_ids.rs
@@ -1,9 +1,10 @@
 //! A client that leaves and asks again by the same id, before the policy has heard that it left.
-use crate::common::dispatcher::{DispatcherSink, open_query, response_text, shard_requests};
+use crate::common::dispatcher::{
+    DispatcherSink, one_class_policy, open_query, response_text, shard_requests,
+};
 use crate::dispatcher;
 use alderway::interface::{AttemptOutcome, PolicyInput};
 use alderway::policy::Policy;
-use alderway_deployment as deployment;
 use alderway_router::state::attempts::AttemptId;
 use alderway_router::state::clients::ClientConnection;
 use alderway_router::state::dispatcher::Dispatcher;
@@ -19,14 +20,9 @@
 
 impl Router {
     fn new() -> Self {
-        let settings = r#"{"Extra":{"Cells":1,"Reach":1},"Discovery":"automatic","Obligations":{},"ReplicasOfMe":1,
-            "Limits":{"MayCancel":true,"ParallelTries":true,"MaxAttempts":3},"Services":[{"Name":"v","Worth":1,
-            "PromiseUs":1000000,"DeadlineUs":5000000,"Effect":"idempotent","LateShare":0.3}]}"#;
-        let settings = deployment::parse(settings).expect("readable");
-        let (policy, _) = deployment::policy(7, &settings).expect("sound");
         let mut dispatcher = dispatcher();
         dispatcher.endpoints.mark_all_changed();
-        Router { dispatcher: RefCell::new(dispatcher), policy }
+        Router { dispatcher: RefCell::new(dispatcher), policy: one_class_policy() }
     }
 
     /// A client asks for shard 1.
--- a/crates/router/tests/forwarder.rs
+++ b/crates/router/tests/forwarder.rs
@@ -5,8 +5,9 @@
 use alderway_telemetry::clock::Clock;
 use alderway_tier::members::Watch;
 use alderway_tier::messages::{Ended, Message};
-use alderway_transport::{FrameReader, Hello, Received};
+use alderway_transport::{FrameReader, Hello};
 use common::dispatcher::{Recorded, RecordingPolicy};
+use common::tier::take_messages;
 use rstest::rstest;
 use std::rc::Rc;
 
@@ -65,14 +66,9 @@
     /// What the planner has been sent since the last look, beats and their answers apart.
     fn sent(&mut self) -> Vec<Message> {
         let outbox = self.forwarder.outbox(&self.planner).expect("it is there");
-        self.reader.feed(&std::mem::take(&mut outbox.bytes));
-        let frames = std::iter::from_fn(|| self.reader.next_frame().expect("sound"));
-        frames
-            .filter_map(|frame| match frame {
-                Received::Message(Message::Heard { .. }) | Received::Hello(_) => None,
-                Received::Message(message) => Some(message),
-            })
-            .collect()
+        let mut messages = take_messages(outbox, &mut self.reader);
+        messages.retain(|message| !matches!(message, Message::Heard { .. }));
+        messages
     }
 
     /// Plays one round with what the dispatcher tells in it.
--- a/crates/router/tests/planner.rs
+++ b/crates/router/tests/planner.rs
@@ -1,24 +1,17 @@
 //! A planner without sockets: forwarders' sessions, and a policy that fails.
+mod common;
 use alderway::interface::{NodeState, PolicyConfig};
 use alderway::policy::Policy;
-use alderway_deployment as deployment;
 use alderway_router::state::endpoints::EndpointTable;
 use alderway_router::tier::planner::{self, Planner, SessionId};
 use alderway_telemetry::clock::Clock;
 use alderway_tier::messages::Message;
-use alderway_transport::{FrameReader, Hello, Received};
+use alderway_transport::{FrameReader, Hello};
+use common::dispatcher::one_class_policy;
+use common::tier::take_messages;
 use rstest::rstest;
 use std::cell::RefCell;
 
-/// A policy that knows one query class.
-fn policy() -> Policy {
-    let settings = r#"{"Extra":{"Cells":1,"Reach":1},"Discovery":"automatic","Obligations":{},"ReplicasOfMe":1,
-        "Limits":{"MayCancel":true,"ParallelTries":true,"MaxAttempts":3},"Services":[{"Name":"v","Worth":1,
-        "PromiseUs":1000000,"DeadlineUs":5000000,"Effect":"idempotent","LateShare":0.3}]}"#;
-    let settings = deployment::parse(settings).expect("readable");
-    deployment::policy(7, &settings).expect("sound").0
-}
-
 fn take(query: &str) -> Message {
     let parts = vec![(format!("{query}.0"), 0, 1.0, vec![])];
     Message::Take { term: 1, query: query.into(), vertical: 0, customer: String::new(), left: 5.0, parts }
@@ -43,7 +36,7 @@
     let (session, _wake) = planner.borrow_mut().begin(&hello);
     let greeting_bytes = planner.borrow_mut().outbox(session).expect("it is served").bytes.len();
     assert!(planner.borrow_mut().read(session, take("r")));
-    assert!(planner::round(&planner, &mut policy()).is_ok());
+    assert!(planner::round(&planner, &mut one_class_policy()).is_ok());
     assert_eq!(planner.borrow().open(), 0, "without a data node it is rejected at once");
     assert!(planner.borrow_mut().outbox(session).expect("it is served").bytes.len() > greeting_bytes);
 }
@@ -76,14 +69,7 @@
         planner::round(self.planner, policy).expect("a round");
         let mut planner = self.planner.borrow_mut();
         let outbox = planner.outbox(self.session).expect("it is served");
-        self.reader.feed(&std::mem::take(&mut outbox.bytes));
-        let frames = std::iter::from_fn(|| self.reader.next_frame().expect("sound"));
-        frames
-            .filter_map(|frame| match frame {
-                Received::Message(message) => Some(message),
-                Received::Hello(_) => None,
-            })
-            .collect()
+        take_messages(outbox, &mut self.reader)
     }
 }
 
@@ -91,7 +77,7 @@
 /// starts none, and has no end of it to tell.
 #[rstest]
 fn a_call_that_crosses_the_end_of_its_query_does_not_count_at_its_data_node() {
-    let (planner, mut policy) = (planner_of_one_node(), policy());
+    let (planner, mut policy) = (planner_of_one_node(), one_class_policy());
     let mut forwarder = Forwarder::of(&planner);
     for number in 0..200 {
         let query = format!("q{number}");
--- a/crates/router/tests/shard_map/any_order.rs
+++ b/crates/router/tests/shard_map/any_order.rs
@@ -288,6 +288,16 @@
     }
 }
 
+/// Cases drawn from a seed.
+fn cases(seed: u64) -> ProptestConfig {
+    contextualize_config(ProptestConfig {
+        cases: 400,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })
+}
+
 /// Each of these happened in the cases, or they have shown nothing.
 fn all_happened(totals: &[Cell<u64>], names: &[&str]) {
     for (total, name) in totals.iter().zip(names) {
@@ -316,15 +326,9 @@
 /// held.
 #[rstest]
 fn any_order_of_changes_and_answers_ends_in_one_right_answer_for_each_query() {
-    let config = contextualize_config(ProptestConfig {
-        cases: 400,
-        rng_seed: RngSeed::Fixed(20),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    });
     let steps = prop::collection::vec((0..10u8, any::<u8>(), 0..100u32, 1..60u32), 20..120);
     let totals: [Cell<u64>; NAMES.len()] = Default::default();
-    let played = TestRunner::new(config).run(&(steps, any::<bool>()), |(steps, once)| {
+    let played = TestRunner::new(cases(20)).run(&(steps, any::<bool>()), |(steps, once)| {
         let mut world = World::new(if once { Idempotency::NonIdempotent } else { Idempotency::Idempotent });
         for (n, (step, kind, at, keys)) in steps.into_iter().enumerate() {
             match step {
@@ -358,15 +362,9 @@
 fn any_order_with_ids_asked_again_ends_in_one_right_answer_for_each_query() {
     const NAMES: [&str; 4] =
         ["queries_merged{v}", "queries_left{v}", "parts_divided", "leaf_calls_sent{copy}"];
-    let config = contextualize_config(ProptestConfig {
-        cases: 400,
-        rng_seed: RngSeed::Fixed(21),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    });
     let steps = prop::collection::vec((0..12u8, any::<u8>(), 0..100u32, 1..60u32), 20..120);
     let totals: [Cell<u64>; NAMES.len()] = Default::default();
-    let played = TestRunner::new(config).run(&steps, |steps| {
+    let played = TestRunner::new(cases(21)).run(&steps, |steps| {
         let mut world = World::new(Idempotency::Idempotent);
         for (n, (step, kind, at, keys)) in steps.into_iter().enumerate() {
             match step {
--- a/src/policy/outlier_detection.rs
+++ b/src/policy/outlier_detection.rs
@@ -220,13 +220,12 @@
     pub fn own_health<'a>(
         &self,
         now_s: f64,
-        in_flight: impl Iterator<Item = &'a InFlightAttempt> + Clone,
+        mut in_flight: impl Iterator<Item = &'a InFlightAttempt> + Clone,
     ) -> Health {
         // Age as a multiple of the delay after which the attempt is late.
         let multiple =
             |attempt: &InFlightAttempt| (now_s - attempt.started_at_stall_free_s) / attempt.late_after_s;
         let oldest = in_flight.clone().map(multiple).fold(0.0, f64::max);
-        let mut in_flight = in_flight;
         let unanswered = in_flight.any(|attempt| {
             multiple(attempt) > VERY_LATE_MULTIPLE
                 && self.own.last_answer_at_s < attempt.started_at_stall_free_s
--- a/src/policy/replica_selection.rs
+++ b/src/policy/replica_selection.rs
@@ -7,8 +7,7 @@
 
 use super::Policy;
 use super::attempts_by_age::AttemptPosition;
-use super::outlier_detection::Health;
-use super::outlier_detection::InFlightAttempt;
+use super::outlier_detection::{Health, InFlightAttempt};
 use super::query::{Attempt, Query, RequestPosition, ShardClass, ShardRequest};
 use super::slow_start::{CapacityInputs, NodeCapacity, warm_up_memory_s};
 use crate::interface::{DecisionSink, Idempotency, NodeState};
