--- a/review/1/test.rs
+++ b/review/1/test.rs
@@ -12,6 +12,7 @@
 
 unsafe extern "C" {
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+    fn ioctl(fd: i32, request: u64, value: *mut i32) -> i32;
 }
 
 const CELLS: usize = 6;
@@ -35,8 +36,14 @@
     };
     let (mut bytes, mut chunk) = (Vec::new(), [0; 4096]);
     loop {
-        while stands_still(world) {
-            pause_ms(1);
+        if stands_still(world) {
+            while stands_still(world) {
+                pause_ms(1);
+            }
+            // FIONREAD
+            let mut come = 0;
+            unsafe { ioctl(stream.as_raw_fd(), 0x541b, &mut come) };
+            record.line(&format!("node s-{n}: goes on; {come} bytes have come so far on a connection that it has not read"));
         }
         match stream.read(&mut chunk) {
             Ok(count) if count > 0 => bytes.extend_from_slice(&chunk[..count]),
