--- a/crates/router/src/io/node_session.rs
+++ b/crates/router/src/io/node_session.rs
@@ -347,6 +347,7 @@
         let Outgoing { frame, written_bytes, .. } = &mut self.outgoing;
         let mut dispatcher = self.dispatcher.borrow_mut();
         if !frame.is_empty() {
+            dispatcher.check_written_attempts(self.node, self.connection);
             let now = dispatcher.clock.now();
             if let Some(state) = dispatcher.endpoints.connection(self.node, self.connection) {
                 state.frame_written(now);
--- a/crates/router/src/state/dispatcher/invariants.rs
+++ b/crates/router/src/state/dispatcher/invariants.rs
@@ -22,29 +22,38 @@
     /// Checks the attempts of the frame that is being written. Called when the first byte of the frame has
     /// been written.
     pub fn check_started_attempts(&mut self, node: &str, connection: u64) {
-        let now = self.clock.now();
         let Some(record) = self.endpoints.nodes.get(node) else { return };
-        let state = record.state;
-        let Some(connection) = record.connections.get(&connection) else { return };
+        self.check_writing_attempts(node, connection, record.state, "started");
+    }
+
+    /// Checks the attempts of the frame that is being written. Called when the last byte of the frame has
+    /// been written. The data node executes the attempts only now; that it drains by now does not matter.
+    pub fn check_written_attempts(&mut self, node: &str, connection: u64) {
+        self.check_writing_attempts(node, connection, NodeState::Serving, "written to its end");
+    }
+
+    fn check_writing_attempts(&mut self, node: &str, connection: u64, state: NodeState, what: &str) {
+        let now = self.clock.now();
+        let Some(connection) = self.endpoints.connection(node, connection) else { return };
         for id in connection.writing_attempts().to_vec() {
-            self.check_attempt_started(&id, node, state, now);
+            self.check_writing_attempt(&id, node, state, now, what);
         }
     }
 
-    fn check_attempt_started(&mut self, id: &AttemptId, node: &str, state: NodeState, now: f64) {
+    fn check_writing_attempt(&mut self, id: &AttemptId, node: &str, state: NodeState, now: f64, what: &str) {
         let Some((class, request)) = self.queries.class_and_request(&id.request_id) else {
             return self.report_violation(
                 "call_after_answer",
                 &id.request_id,
-                "an attempt was started after the query had ended",
+                &format!("an attempt was {what} after the query had ended"),
             );
         };
         let first_effect_at_s = request.first_possible_execution(Some(id.number));
         let idempotency = self.query_classes[class].idempotency;
         let not_after_s =
             self.queries.request_content(&id.request_id).map_or(now, |requested| requested.not_after_s);
-        // The same check allowed the frame before its first write. `LATE_RESPONSE_S` covers the time that the
-        // write took.
+        // The same check allowed the frame before the write. `LATE_RESPONSE_S` covers the time that the write
+        // took.
         let start = permits::AttemptToStart {
             now_s: now,
             deadline_s: not_after_s + LATE_RESPONSE_S,
@@ -56,7 +65,7 @@
             self.report_violation(
                 "call",
                 &id.request_id,
-                &format!("an attempt was started at node {node} though denied: {}", denial.label()),
+                &format!("an attempt was {what} at node {node} though denied: {}", denial.label()),
             );
         }
     }
