--- a/crates/router/src/io/node_session.rs
+++ b/crates/router/src/io/node_session.rs
@@ -6,13 +6,15 @@
 use super::{arrival, policy_loop, sleep_until};
 use crate::state::DispatcherHandle;
 use crate::state::descriptors::{DescriptorPermit, DescriptorPool};
+use crate::state::dispatcher::DeliveryCheck;
 use crate::state::node_connection::DialRequest;
 use crate::state::node_connection::NodeConnection;
 use crate::state::node_protocol::NodeReply;
+use crate::state::undelivered::Delivery;
 use crate::wire::buffer::ReadBuffer;
 use crate::wire::{ParseError, frames};
 use alderway::interface::AttemptOutcome;
-use alderway_sockets::Sender;
+use alderway_sockets::{SendQueue, Sender};
 use alderway_telemetry::clock::Clock;
 use std::cell::Cell;
 use std::io;
@@ -28,6 +30,8 @@
 
 /// Size of the length prefix of a frame, in bytes.
 const LENGTH_BYTES: usize = 4;
+/// Time between two checks of a connection with frames that have not arrived completely, in seconds.
+const DELIVERY_CHECK_INTERVAL_S: f64 = 0.02;
 
 /// Why a connection to a data node was closed.
 #[derive(Debug)]
@@ -48,6 +52,9 @@
     EndedByNode,
     /// No byte of a frame could be written within the idle timeout, as the data node did not read.
     WriteTimeout,
+    /// The kernel held bytes of an attempt that must not arrive any more. Closing resets the connection, so
+    /// that the kernel discards these bytes.
+    Undelivered,
     /// The data node sent a malformed or unexpected frame.
     Corrupted(CorruptedFrame),
 }
@@ -63,6 +70,7 @@
             CloseReason::Idle => "idle",
             CloseReason::EndedByNode => "ended_by_node",
             CloseReason::WriteTimeout => "takes_nothing",
+            CloseReason::Undelivered => "undelivered",
             CloseReason::Corrupted(_) => "spoilt",
         }
     }
@@ -173,6 +181,9 @@
     /// Deadline for writing more of the current frame, in seconds of the monotonic clock; infinite if no
     /// frame is blocked.
     write_by: f64,
+    /// When to check next whether the frames with attempts have arrived, in seconds of the monotonic clock;
+    /// infinite if all have.
+    check_delivery_at: f64,
     /// Deadline for receiving the rest of a partly received frame, in seconds of the monotonic clock;
     /// infinite if there is no such frame.
     read_by: f64,
@@ -192,6 +203,26 @@
     total_bytes: u64,
 }
 
+impl Outgoing {
+    fn is_partly_written(&self) -> bool {
+        (1..self.frame.len()).contains(&self.written_bytes)
+    }
+
+    fn clear_frame(&mut self) {
+        self.frame.clear();
+        self.written_bytes = 0;
+    }
+
+    /// How far the bytes of this connection have come. If the kernel does not tell, they count as arrived.
+    fn delivery(&self, stream: &TcpStream) -> Delivery {
+        let held = SendQueue::of(stream).unwrap_or_default();
+        Delivery {
+            transmitted: self.total_bytes.saturating_sub(held.untransmitted),
+            acknowledged: self.total_bytes.saturating_sub(held.unacknowledged),
+        }
+    }
+}
+
 /// Progress of writing frames to a data node.
 #[derive(Clone, Copy, PartialEq)]
 enum WriteProgress {
@@ -229,6 +260,7 @@
             incoming: ReadBuffer::new(frames::MAX_FRAME_BYTES + LENGTH_BYTES),
             outgoing: Outgoing::default(),
             write_by: f64::INFINITY,
+            check_delivery_at: f64::INFINITY,
             read_by: f64::INFINITY,
             handled_stall: 0,
         })
@@ -238,6 +270,7 @@
     async fn run(mut self) -> CloseReason {
         loop {
             if let Err(reason) = self.step().await {
+                self.discard_cancelled();
                 return reason;
             }
         }
@@ -246,6 +279,7 @@
     async fn step(&mut self) -> Result<(), CloseReason> {
         self.read_pending_input_after_stall().await;
         self.check_still_open_before_reuse()?;
+        self.check_delivery()?;
         let progress = self.write_frames()?;
         let idle_since = self.check_idle()?;
         let (clock, stream, wake) = (self.clock, self.stream, self.wake.clone());
@@ -261,6 +295,7 @@
             () = sleep_until(clock, self.write_by), if self.write_by.is_finite() => {
                 return Err(CloseReason::WriteTimeout);
             }
+            () = sleep_until(clock, self.check_delivery_at), if self.check_delivery_at.is_finite() => {}
             () = sleep_until(clock, self.read_by), if self.read_by.is_finite() => {
                 let problem = "a reply was not complete in time";
                 return Err(CloseReason::Corrupted(CorruptedFrame::unnamed(problem)));
@@ -288,7 +323,7 @@
                 let now = dispatcher.clock.now();
                 dispatcher.stall_detector.check(now)
             };
-            if !self.with_state(|state| state.next_starts_attempts()).unwrap_or(false) {
+            if !self.with_state(|state| state.next_sends_attempts()).unwrap_or(false) {
                 return;
             }
             if replace(&mut self.handled_stall, stall) == stall {
@@ -312,11 +347,44 @@
         Ok(())
     }
 
+    /// Checks whether the frames that were written have arrived. Returns an error if a frame must not arrive
+    /// any more; the close of the connection then makes the kernel discard the frame's bytes.
+    fn check_delivery(&mut self) -> Result<(), CloseReason> {
+        if self.clock.now() < self.check_delivery_at {
+            return Ok(());
+        }
+        let delivery = self.outgoing.delivery(self.stream);
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        let check = dispatcher.check_delivery(self.node, self.connection, delivery);
+        if check == DeliveryCheck::Discard {
+            // On failure the close sends the bytes; nothing more can be done about them.
+            let _ = self.stream.set_zero_linger();
+            dispatcher.discard_undelivered(self.node, self.connection);
+            return Err(CloseReason::Undelivered);
+        }
+        let is_pending = check == DeliveryCheck::Pending || self.outgoing.is_partly_written();
+        let next_s = self.clock.now() + DELIVERY_CHECK_INTERVAL_S;
+        self.check_delivery_at = if is_pending { next_s } else { f64::INFINITY };
+        Ok(())
+    }
+
+    /// Called before the connection closes. If a cancelled attempt has not arrived yet, makes the close reset
+    /// the connection. Otherwise the kernel would go on sending the attempt after the close.
+    fn discard_cancelled(&self) {
+        let delivery = self.outgoing.delivery(self.stream);
+        if self.with_state(|state| state.undelivered.has_cancelled(delivery)).unwrap_or(false) {
+            let _ = self.stream.set_zero_linger();
+        }
+    }
+
     /// Writes frames until none is left or the socket's send buffer is full. Sets a deadline for a blocked
     /// frame, because a machine that has crashed never closes its connections.
     fn write_frames(&mut self) -> Result<WriteProgress, CloseReason> {
         let before = self.outgoing.total_bytes;
         let progress = self.write_until_blocked()?;
+        if self.outgoing.total_bytes != before {
+            self.check_delivery_at = self.check_delivery_at.min(self.clock.now() + DELIVERY_CHECK_INTERVAL_S);
+        }
         if progress == WriteProgress::Complete {
             self.write_by = f64::INFINITY;
         } else if self.write_by.is_infinite() || self.outgoing.total_bytes != before {
@@ -327,9 +395,13 @@
 
     fn write_until_blocked(&mut self) -> Result<WriteProgress, CloseReason> {
         loop {
-            // The connection is aborted if an attempt in the current frame has ended while the frame was
-            // partly written, for example because its query has been answered. Closing the connection is the
-            // only way to leave out the rest of the frame.
+            // The rest of a frame is left out if an attempt of the frame has ended while the frame was partly
+            // written, for example because its query has been answered, or has lost its permission.
+            if self.outgoing.is_partly_written()
+                && !self.dispatcher.borrow_mut().may_continue_frame(self.node, self.connection)
+            {
+                self.outgoing.clear_frame();
+            }
             if self.with_state(|state| state.is_aborted).unwrap_or(true) {
                 return Err(CloseReason::CutOrBroken);
             }
@@ -344,18 +416,16 @@
 
     /// Begins the next frame; returns false if there is no frame to write.
     fn begin_next_frame(&mut self) -> bool {
-        let Outgoing { frame, written_bytes, .. } = &mut self.outgoing;
         let mut dispatcher = self.dispatcher.borrow_mut();
-        if !frame.is_empty() {
+        if !self.outgoing.frame.is_empty() {
             dispatcher.check_written_attempts(self.node, self.connection);
             let now = dispatcher.clock.now();
             if let Some(state) = dispatcher.endpoints.connection(self.node, self.connection) {
-                state.frame_written(now);
+                state.frame_written(now, self.outgoing.total_bytes);
             }
-            frame.clear();
-            *written_bytes = 0;
+            self.outgoing.clear_frame();
         }
-        dispatcher.encode_next_frame(self.node, self.connection, frame)
+        dispatcher.encode_next_frame(self.node, self.connection, &mut self.outgoing.frame)
     }
 
     /// Writes as much of the current frame as the socket accepts; returns the number of bytes written.
--- a/crates/router/src/state/attempts.rs
+++ b/crates/router/src/state/attempts.rs
@@ -30,6 +30,18 @@
     pub started_at_s: f64,
     /// When the attempt times out, in seconds of the monotonic clock.
     pub timeout_at_s: f64,
+    /// The time-out that the attempt's frame tells the data node; `None` until the frame is encoded.
+    pub advertised: Option<AdvertisedTimeout>,
+}
+
+/// The time-out that a frame tells a data node.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AdvertisedTimeout {
+    /// The time-out in milliseconds, from the arrival of the attempt.
+    pub timeout_ms: u64,
+    /// When the attempt has to have arrived, so that the time-out does not expire too long after the client's
+    /// deadline, in seconds of the monotonic clock.
+    pub arrive_by_s: f64,
 }
 
 /// An ended attempt whose outcome the policy has not received yet.
@@ -58,7 +70,13 @@
     /// clock.
     pub fn start(&mut self, id: AttemptId, node: &str, now: f64, timeout_at_s: f64) {
         self.timeouts.insert(timeout_at_s, id.clone());
-        let attempt = Attempt { node: node.into(), connection: None, started_at_s: now, timeout_at_s };
+        let attempt = Attempt {
+            node: node.into(),
+            connection: None,
+            started_at_s: now,
+            timeout_at_s,
+            advertised: None,
+        };
         self.in_flight.insert(id, attempt);
     }
 
--- a/crates/router/src/state/dispatcher/attempts.rs
+++ b/crates/router/src/state/dispatcher/attempts.rs
@@ -117,8 +117,8 @@
     }
 
     /// Ends an attempt that has no reply. If no byte of its frame has been written, the attempt is removed
-    /// from the frame; if the frame is partly written, the connection is closed; if the frame is completely
-    /// written, a cancellation is queued.
+    /// from the frame; if the frame is partly written, it is abandoned; if the frame is completely written, a
+    /// cancellation is queued.
     pub(super) fn abort_attempt(&mut self, id: &AttemptId, outcome: AttemptOutcome) {
         let Some(attempt) = self.attempts.get(id) else { return };
         let (node, connection) = (attempt.node.clone(), attempt.connection);
@@ -127,13 +127,18 @@
         }
         let (now, dial_timeout_s) = (self.clock.now(), self.connection_config.dial_timeout_s);
         let longest_deadline_s = self.longest_deadline_s(now);
-        if let Some(connection) = connection.and_then(|number| self.endpoints.connection(&node, number)) {
+        if let Some(number) = connection
+            && let Some(connection) = self.endpoints.connection(&node, number)
+        {
             match connection.send_progress(id) {
                 SendProgress::Queued => connection.remove_queued(id),
                 SendProgress::InFlight => {
                     connection.cancel(id, now, now + longest_deadline_s, dial_timeout_s);
                 }
-                SendProgress::Writing => connection.abort_for(id),
+                SendProgress::Writing => {
+                    connection.remove_writing(id);
+                    self.abandon_frame(&node, number);
+                }
                 SendProgress::NotOnConnection => {}
             }
         }
--- a/crates/router/src/state/dispatcher/connections.rs
+++ b/crates/router/src/state/dispatcher/connections.rs
@@ -4,7 +4,7 @@
 //! attempts. A fence, shared by all cores, keeps this core from starting attempts while its endpoint list may
 //! be outdated.
 use super::Dispatcher;
-use crate::state::attempts::AttemptId;
+use crate::state::attempts::{AdvertisedTimeout, AttemptId};
 use crate::state::node_connection::{
     DialRequest, NodeConnection, OutboundFrame, SendProgress, UnfinishedAttempts,
 };
@@ -49,7 +49,7 @@
         Some(number)
     }
 
-    fn remove_connection(&mut self, node: &str, number: u64) -> Option<NodeConnection> {
+    pub(super) fn remove_connection(&mut self, node: &str, number: u64) -> Option<NodeConnection> {
         self.endpoints.nodes.get_mut(node)?.connections.remove(&number)
     }
 
@@ -100,19 +100,7 @@
     pub fn requeue_unsent(&mut self, node: &str, number: u64) {
         let Some(mut connection) = self.remove_connection(node, number) else { return };
         let queued = connection.take_queued();
-        self.counters.add("calls_put_back", queued.len());
-        if queued.is_empty() {
-            return;
-        }
-        for id in &queued {
-            if let Some(attempt) = self.attempts.get_mut(id) {
-                attempt.connection = None;
-            }
-        }
-        if let Some(record) = self.endpoints.nodes.get_mut(node) {
-            record.unsent_attempts.extend(queued);
-            self.nodes_to_flush.insert(node.to_string());
-        }
+        self.put_back(node, queued);
     }
 
     /// Writes the next queued frame of a connection, or the frame that is being written, to `writer`. False
@@ -133,7 +121,8 @@
             }
             Some(OutboundFrame::Attempts(attempts)) => {
                 let attempts = attempts.clone();
-                writer.write_attempts(attempts.iter().filter_map(|id| self.attempt_request(id, now)));
+                self.set_advertised_timeouts(&attempts, now);
+                writer.write_attempts(attempts.iter().filter_map(|id| self.attempt_request(id)));
                 self.counters.increment("frames_sent{call}");
                 for id in attempts {
                     if let Some(request) = self.queries.request_mut(&id.request_id) {
@@ -145,16 +134,34 @@
         true
     }
 
+    /// Sets the time-outs that the data node is told in the frame with these attempts. The time-outs count
+    /// from the arrival of the frame, which takes longer for a large frame.
+    fn set_advertised_timeouts(&mut self, attempts: &[AttemptId], now: f64) {
+        let text_bytes = |id: &AttemptId| {
+            self.queries.request_content(&id.request_id).map_or(0, |content| content.text.len())
+        };
+        let frame_bytes = attempts.iter().map(text_bytes).sum();
+        for id in attempts {
+            let Some(content) = self.queries.request_content(&id.request_id) else { continue };
+            let not_after_s = content.not_after_s;
+            let Some(attempt) = self.attempts.get_mut(id) else { continue };
+            let arrival_s = now + permits::transit_time_s(frame_bytes, not_after_s - now);
+            let timeout_ms =
+                permits::attempt_timeout_for_node_ms(arrival_s, attempt.timeout_at_s, not_after_s);
+            let arrive_by_s = permits::latest_arrival_s(timeout_ms, not_after_s);
+            attempt.advertised = Some(AdvertisedTimeout { timeout_ms, arrive_by_s });
+        }
+    }
+
     /// The content of an attempt in a frame; `None` if the query of the attempt has ended.
-    fn attempt_request<'a>(&'a self, id: &'a AttemptId, now: f64) -> Option<AttemptRequest<'a>> {
+    fn attempt_request<'a>(&'a self, id: &'a AttemptId) -> Option<AttemptRequest<'a>> {
         let requested = self.queries.request_content(&id.request_id)?;
-        let timeout_at_s =
-            self.attempts.get(id).map_or(requested.not_after_s, |attempt| attempt.timeout_at_s);
+        let advertised = self.attempts.get(id)?.advertised?;
         let version = self.shard_map.as_ref().and_then(ShardMapView::version).unwrap_or(0);
         Some(AttemptRequest {
             request_id: &id.request_id,
             shard: requested.shard,
-            timeout_ms: permits::attempt_timeout_for_node_ms(now, timeout_at_s, requested.not_after_s),
+            timeout_ms: advertised.timeout_ms,
             text: requested.text,
             keys: requested.keys.map(|keys| KeysAtVersion { version, keys }),
         })
--- a/crates/router/src/state/dispatcher/mod.rs
+++ b/crates/router/src/state/dispatcher/mod.rs
@@ -14,6 +14,7 @@
 //! - `replies`: matches the replies of data nodes with attempts, and records the values of the replies
 //! - `connections`: chooses connections for attempts, encodes frames, and ends attempts when a connection
 //!   closes
+//! - `delivery`: keeps the rest of a frame from its data node when the permission of an attempt has ended
 //! - `shard_changes`: applies changes of the shard map to attempts and shard requests
 //! - `config`: applies changes of the configuration while queries are open
 //! - `observations`: exchanges observations of data nodes with other cores and routers
@@ -21,6 +22,7 @@
 mod attempts;
 mod config;
 mod connections;
+mod delivery;
 mod invariants;
 mod metrics;
 mod observations;
@@ -28,6 +30,8 @@
 mod replies;
 mod shard_changes;
 
+pub use delivery::DeliveryCheck;
+
 use super::arrival_time::ArrivalEstimator;
 use super::attempts::AttemptTable;
 use super::clients::ClientTable;
--- a/crates/router/src/state/mod.rs
+++ b/crates/router/src/state/mod.rs
@@ -19,7 +19,7 @@
 //!   sends a list with the data node, dropped when the data node is removed and has no connection left.
 //! - Connections to data nodes, with their frames and attempts: [`node_connection::NodeConnection`] in the
 //!   record of the data node. Acquired by `choose_connection`, released by `connection_lost`,
-//!   `connection_corrupted`, `connection_not_opened` or `requeue_unsent`.
+//!   `connection_corrupted`, `connection_not_opened`, `requeue_unsent` or `discard_undelivered`.
 //! - Connections of clients and their responses: [`clients::ClientTable`]. Added and removed by the task of
 //!   the connection.
 //! - The shard map and the splits of open shard requests: [`shard_map::ShardMapView`]. Changed in
@@ -55,6 +55,7 @@
 pub mod shutdown_phase;
 pub mod stall_detector;
 pub mod timer_queue;
+pub mod undelivered;
 pub mod watch_state;
 
 pub use dispatcher::DispatcherHandle;
--- a/crates/router/src/state/node_connection.rs
+++ b/crates/router/src/state/node_connection.rs
@@ -3,6 +3,7 @@
 //! the connection from when the attempt is queued until it is answered or cancelled. A retired connection
 //! gets no new attempts and closes when it is idle. All times are seconds of the monotonic clock.
 use super::attempts::AttemptId;
+use super::undelivered::{Delivery, UndeliveredFrames};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -74,6 +75,11 @@
     pub is_retired: bool,
     /// Whether the connection is to close immediately.
     pub is_aborted: bool,
+    /// Whether a frame was abandoned of which a part had been written. Nothing more is written then; the
+    /// connection is retired, and stays open for the replies to the attempts in flight.
+    pub has_abandoned_frame: bool,
+    /// The frames with attempts that may not have arrived at the data node yet.
+    pub undelivered: UndeliveredFrames,
     queued: VecDeque<OutboundFrame>,
     writing: Option<OutboundFrame>,
     /// Shard requests whose frame has been completely written and that have no reply, each with the number of
@@ -163,6 +169,14 @@
             .retain(|frame| !matches!(frame, OutboundFrame::Attempts(attempts) if attempts.is_empty()));
     }
 
+    /// Removes an attempt that ends from the frame that is being written. Guards against the attempt ending a
+    /// second time when the frame is abandoned.
+    pub fn remove_writing(&mut self, id: &AttemptId) {
+        if let Some(OutboundFrame::Attempts(attempts)) = &mut self.writing {
+            attempts.retain(|writing| writing != id);
+        }
+    }
+
     /// The attempts of the next queued frame. Empty if another frame is being written or the next frame has
     /// no attempts.
     pub fn next_attempts(&self) -> &[AttemptId] {
@@ -177,6 +191,11 @@
         self.writing.is_none() && matches!(self.queued.front(), Some(OutboundFrame::Attempts(_)))
     }
 
+    /// Whether the frame that is being written, or the next one if there is none, has attempts.
+    pub fn next_sends_attempts(&self) -> bool {
+        matches!(self.writing.as_ref().or(self.queued.front()), Some(OutboundFrame::Attempts(_)))
+    }
+
     /// The attempts of the frame that is being written.
     pub fn writing_attempts(&self) -> &[AttemptId] {
         match &self.writing {
@@ -201,10 +220,11 @@
         }
     }
 
-    /// Records that the last byte of the frame that is being written was written at `now`: the attempts of
-    /// that frame are in flight from then on.
-    pub fn frame_written(&mut self, now: f64) {
+    /// Records that the last byte of the frame that is being written was written at `now`, and is byte number
+    /// `end` of the connection: the attempts of that frame are in flight from then on.
+    pub fn frame_written(&mut self, now: f64, end: u64) {
         if let Some(OutboundFrame::Attempts(attempts)) = self.writing.take() {
+            self.undelivered.frame_written(attempts.clone(), end, now);
             self.in_flight.extend(attempts.into_iter().map(|id| (id.request_id, id.number)));
             self.silent_since_s.get_or_insert(now);
         }
@@ -239,19 +259,44 @@
         self.is_retired |= self.silent_since_s.is_some_and(|since| since + silence_timeout_s <= now);
         self.cancelled.retain(|_, until_s| *until_s > now);
         self.cancelled.insert(id.request_id.clone(), reply_until_s);
+        self.undelivered.cancelled(id, now);
         self.idle_since_s = now;
-        self.enqueue(OutboundFrame::Cancel(id.request_id.clone()));
+        if self.has_abandoned_frame {
+            // No frame can be written; the connection closes when the last attempt in flight has ended.
+            self.wake.notify_one();
+        } else {
+            self.enqueue(OutboundFrame::Cancel(id.request_id.clone()));
+        }
     }
 
-    /// Closes the connection because an attempt was aborted while its frame was being written. Also removes
-    /// the attempt from the frame. Guards against the attempt ending a second time, as one that was never
-    /// executed, when the connection closes.
-    pub fn abort_for(&mut self, id: &AttemptId) {
-        if let Some(OutboundFrame::Attempts(attempts)) = &mut self.writing {
-            attempts.retain(|writing| writing != id);
-        }
-        self.is_aborted = true;
+    /// Abandons the frame that is being written, because its rest must not reach the data node, and retires
+    /// the connection. Leaving out the rest makes any later frame unreadable, so nothing more can be written.
+    /// The connection stays open for the replies to the attempts in flight, or is aborted if there are none.
+    /// Returns the attempts of the abandoned frame and of the queued frames, which the data node cannot have
+    /// executed.
+    pub fn abandon_frame(&mut self) -> Vec<AttemptId> {
+        let mut attempts = match self.writing.take() {
+            Some(OutboundFrame::Attempts(attempts)) => attempts,
+            Some(OutboundFrame::Cancel(_)) | None => vec![],
+        };
+        attempts.extend(self.take_queued());
+        (self.has_abandoned_frame, self.is_retired) = (true, true);
+        self.is_aborted |= self.in_flight.is_empty();
         self.wake.notify_one();
+        attempts
+    }
+
+    /// The attempts in flight whose frame has not been transmitted completely, by `delivery`.
+    pub fn untransmitted(&self, delivery: Delivery) -> Vec<AttemptId> {
+        let attempts = self.undelivered.untransmitted(delivery);
+        attempts.filter(|id| self.in_flight.get(&id.request_id) == Some(&id.number)).cloned().collect()
+    }
+
+    /// The attempts in flight whose frame was transmitted and not acknowledged for so long at `now` that it
+    /// may be lost, by `delivery`.
+    pub fn unacknowledged(&self, delivery: Delivery, now: f64) -> Vec<AttemptId> {
+        let attempts = self.undelivered.unacknowledged(delivery, now);
+        attempts.filter(|id| self.in_flight.get(&id.request_id) == Some(&id.number)).cloned().collect()
     }
 
     /// Matches a reply that is received at `now` with an attempt, and removes the attempt from those in
--- a/crates/router/tests/common/dispatcher.rs
+++ b/crates/router/tests/common/dispatcher.rs
@@ -186,7 +186,7 @@
     let mut out = vec![];
     let has_frame = dispatcher.encode_next_frame(&dial.node, dial.connection, &mut out);
     let now = dispatcher.clock.now();
-    dispatcher.endpoints.connection(&dial.node, dial.connection)?.frame_written(now);
+    dispatcher.endpoints.connection(&dial.node, dial.connection)?.frame_written(now, 0);
     has_frame.then(|| String::from_utf8_lossy(&out[4..]).to_string())
 }
 
--- a/crates/router/tests/dispatcher/any_order.rs
+++ b/crates/router/tests/dispatcher/any_order.rs
@@ -9,6 +9,7 @@
 use alderway_router::state::attempts::AttemptId;
 use alderway_router::state::clients::ClientConnection;
 use alderway_router::state::dispatcher::Dispatcher;
+use alderway_router::state::node_connection::NodeConnection;
 use alderway_router::state::queries::Query;
 use alderway_router::state::queries::ShardRequest;
 use alderway_router::state::query_classes::ClassRules;
@@ -168,10 +169,13 @@
             Event::FrameWritten(number) => {
                 let Some((node, number)) = self.connection(number) else { return };
                 let now = self.dispatcher.clock.now();
-                // The task of an aborted connection writes nothing more.
+                // After the connection is aborted, or a frame abandoned, its task writes nothing more.
                 let connection = self.dispatcher.endpoints.connection(&node, number);
-                if let Some(connection) = connection.filter(|connection| !connection.is_aborted) {
-                    connection.frame_written(now);
+                let writes = |connection: &&mut NodeConnection| {
+                    !connection.is_aborted && !connection.has_abandoned_frame
+                };
+                if let Some(connection) = connection.filter(writes) {
+                    connection.frame_written(now, 0);
                     self.written.extend(self.writing.remove(&number).unwrap_or_default());
                 }
             }
@@ -223,6 +227,31 @@
             }
             Event::Round => self.run_round(),
         }
+        self.record_abandoned_frames();
+    }
+
+    /// Updates the model with the frames that were abandoned: none of them may have been written completely.
+    /// The attempts that were put back have not been executed and may begin again.
+    fn record_abandoned_frames(&mut self) {
+        for (node, number) in &self.connections {
+            let connection = self.dispatcher.endpoints.connection(node, *number);
+            if !connection.is_some_and(|connection| connection.has_abandoned_frame) {
+                continue;
+            }
+            for attempt in self.writing.remove(number).unwrap_or_default() {
+                assert!(!self.written.contains(&attempt), "{attempt}: its frame was written completely");
+                let (request, attempt_number) = attempt.split_once(' ').expect("an id and a number");
+                let id = AttemptId::new(request, attempt_number.parse().expect("a number"));
+                if self
+                    .dispatcher
+                    .attempts
+                    .get(&id)
+                    .is_some_and(|attempt| attempt.connection != Some(*number))
+                {
+                    self.executed.entry(request.to_string()).or_default().remove(&attempt);
+                }
+            }
+        }
     }
 
     /// Encodes the next frame of a connection, and checks that each attempt of the frame may be sent.
--- a/crates/router/tests/dispatcher/main.rs
+++ b/crates/router/tests/dispatcher/main.rs
@@ -8,6 +8,7 @@
 mod client_connections;
 mod endpoints;
 mod node_connections;
+mod partial_frames;
 mod queries;
 mod replies;
 mod reused_ids;
--- a/crates/router/tests/dispatcher/reused_ids.rs
+++ b/crates/router/tests/dispatcher/reused_ids.rs
@@ -56,7 +56,11 @@
             .collect();
         for (node, connection) in connections {
             while dispatcher.encode_next_frame(&node, connection, &mut vec![]) {
-                dispatcher.endpoints.connection(&node, connection).expect("a connection").frame_written(now);
+                dispatcher
+                    .endpoints
+                    .connection(&node, connection)
+                    .expect("a connection")
+                    .frame_written(now, 0);
             }
         }
     }
--- a/crates/router/tests/shard_map/any_order.rs
+++ b/crates/router/tests/shard_map/any_order.rs
@@ -132,7 +132,7 @@
                 let now = self.dispatcher.borrow().clock.now();
                 if let Some(connection) = self.dispatcher.borrow_mut().endpoints.connection(node, *number) {
                     connection.is_open = true;
-                    connection.frame_written(now);
+                    connection.frame_written(now, 0);
                 }
                 let text = String::from_utf8(frame.split_off(4)).expect("text");
                 frame.clear();
--- a/crates/sockets/src/lib.rs
+++ b/crates/sockets/src/lib.rs
@@ -5,9 +5,11 @@
 //! retry the first, wait out the second and report only the third. No driver matches on error kinds by itself.
 
 mod failure;
+mod send_queue;
 pub mod signals;
 
 pub use failure::Failure;
+pub use send_queue::SendQueue;
 
 use nix::errno::Errno;
 use std::cell::Cell;
--- a/src/permits.rs
+++ b/src/permits.rs
@@ -19,6 +19,8 @@
     IdempotencyWindowPassed,
     /// An earlier attempt of a non-idempotent shard request may have had an effect.
     PossibleEffect,
+    /// The time-out that the data node is told would expire too long after the client's deadline.
+    AdvertisedTimeoutTooLong,
     /// The data node is draining or removed.
     NodeNotServing,
     /// Bytes have arrived on the connection that have not been read yet.
@@ -41,6 +43,7 @@
             Denial::DeadlinePassed => "time_over",
             Denial::IdempotencyWindowPassed => "window_over",
             Denial::PossibleEffect => "may_have_run",
+            Denial::AdvertisedTimeoutTooLong => "told_too_long",
             Denial::NodeNotServing => "node_leaving",
             Denial::UnreadBytes => "unread",
             Denial::QueryOpen => "query_open",
@@ -88,10 +91,53 @@
     }
 }
 
+/// The state of an attempt of which a part has been sent; input of [`may_complete_attempt`].
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptToComplete {
+    /// The current time.
+    pub now_s: f64,
+    /// When the attempt's time-out or the client's deadline passes, whichever is first.
+    pub deadline_s: f64,
+    /// When the attempt has to have arrived, by [`latest_arrival_s`].
+    pub arrive_by_s: f64,
+    /// Whether the shard request may be repeated.
+    pub idempotency: Idempotency,
+    /// When the first other attempt of the shard request that may have had an effect started; `None` if there
+    /// is no such attempt.
+    pub first_effect_at_s: Option<f64>,
+}
+
+/// Checks whether the rest of an attempt may reach the data node. The data node executes the attempt once the
+/// last byte has arrived, so the permission to start the attempt has to last until then. Only the node's
+/// state does not matter any more: a node that begins to drain finishes the attempts that have started.
+///
+/// # Errors
+/// `DeadlinePassed`, `AdvertisedTimeoutTooLong`, `IdempotencyWindowPassed` or `PossibleEffect`.
+pub fn may_complete_attempt(attempt: &AttemptToComplete) -> Result<(), Denial> {
+    let &AttemptToComplete { now_s, deadline_s, arrive_by_s, idempotency, first_effect_at_s } = attempt;
+    if arrive_by_s <= now_s {
+        return Err(Denial::AdvertisedTimeoutTooLong);
+    }
+    let node_state = NodeState::Serving;
+    may_start_attempt(&AttemptToStart { now_s, deadline_s, idempotency, first_effect_at_s, node_state })
+}
+
 /// The time-out sent to a data node expires at least this many seconds before the client's deadline. The
 /// request takes time to arrive at the node, and the router has to send the query's final answer before the
 /// deadline.
 const TRANSIT_MARGIN_S: f64 = 0.01;
+/// The time-out sent to a data node counts from the arrival of the attempt. It may expire this many seconds
+/// after the client's deadline, because the attempt may arrive late.
+const LATE_ARRIVAL_S: f64 = 0.1;
+
+/// The throughput to a data node that the router expects at least, in bytes per second.
+const MIN_THROUGHPUT_BYTES_PER_S: f64 = 1e6;
+
+/// How long a frame of this size may take to arrive, in seconds: at most half of `time_left_s`, so that the
+/// data node has time left for its work.
+pub fn transit_time_s(frame_bytes: usize, time_left_s: f64) -> f64 {
+    (frame_bytes as f64 / MIN_THROUGHPUT_BYTES_PER_S).min(time_left_s.max(0.0) / 2.0)
+}
 
 /// The time-out in milliseconds, at least 1, that the router sends to the data node with an attempt that
 /// starts at `now_s`. The time-out expires at `timeout_at_s` or `TRANSIT_MARGIN_S` before the client's
@@ -101,6 +147,13 @@
     (left_s * 1e3).max(1.0) as u64
 }
 
+/// The last time at which an attempt may arrive at the data node that is told the time-out `timeout_ms`, in
+/// milliseconds from the arrival: later, the data node could work on it for too long after the client's
+/// deadline `not_after_s`.
+pub fn latest_arrival_s(timeout_ms: u64, not_after_s: f64) -> f64 {
+    not_after_s + LATE_ARRIVAL_S - timeout_ms as f64 / 1e3
+}
+
 /// The state of a client connection that the router is about to close; input of [`may_close_connection`].
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectionToClose {
