--- a/crates/router/src/state/dispatcher/invariants.rs
+++ b/crates/router/src/state/dispatcher/invariants.rs
@@ -4,7 +4,7 @@
 //! logged with the id of the query or shard request; a violation does not change what the router does.
 use super::Dispatcher;
 use crate::state::attempts::AttemptId;
-use crate::state::queries::Query;
+use crate::state::queries::{Query, ShardRequest};
 use alderway::interface::NodeState;
 use alderway::permits;
 
@@ -81,26 +81,27 @@
                 &format!("the answer was sent {late_by_s:.3} s after the deadline of the query"),
             );
         }
-        if query.coverage.is_some() {
-            return;
-        }
         let class = &self.query_classes[query.class];
-        let total: f64 = query.requests.iter().map(|request| request.weight).sum();
-        let answered = query.requests.iter().filter(|request| request.value.is_some());
-        let answered: f64 = answered.map(|request| request.weight).sum();
-        let fraction = answered / if total > 0.0 { total } else { 1.0 };
         let required = if complete { class.complete_fraction } else { class.minimum_fraction };
-        if fraction < required - WEIGHT_TOLERANCE {
+        let answered = answered_fraction(query);
+        if answered < required - WEIGHT_TOLERANCE {
             self.report_violation(
                 "answer_under_floor",
                 &query.id,
                 &format!(
-                    "an answer was sent with fraction {fraction:.4} of the query, required is {required:.4}"
+                    "an answer was sent with fraction {answered:.4} of the query, required is {required:.4}"
                 ),
             );
         }
     }
 
+    /// Whether an answer to a query may be marked as complete. Guards against the decision of a planner that
+    /// sums weights in another way or has other settings.
+    pub(super) fn may_mark_complete(&self, query: &Query) -> bool {
+        let required = self.query_classes[query.class].complete_fraction;
+        answered_fraction(query) >= required - WEIGHT_TOLERANCE
+    }
+
     /// Checks that a rejected query may be retried: a query whose class is not idempotent may be rejected
     /// only if no data node may have executed an attempt of the query.
     pub(super) fn check_rejection(&mut self, query: &Query) {
@@ -126,3 +127,15 @@
         );
     }
 }
+
+/// The answered fraction of a query's weight, 1 if all shard requests are answered. The weights are rounded,
+/// so their sum may be more or less than 1; the smaller result counts. Keys are counted by the policy alone.
+fn answered_fraction(query: &Query) -> f64 {
+    let (answered, missing): (Vec<_>, Vec<_>) =
+        query.requests.iter().partition(|request| request.value.is_some());
+    if missing.is_empty() || query.coverage.is_some() {
+        return 1.0;
+    }
+    let weight = |requests: &[&ShardRequest]| requests.iter().map(|request| request.weight).sum::<f64>();
+    weight(&answered).min(1.0 - weight(&missing))
+}
--- a/crates/router/src/state/dispatcher/queries.rs
+++ b/crates/router/src/state/dispatcher/queries.rs
@@ -88,6 +88,13 @@
     /// Answers a query with the values that data nodes have sent so far. Ends the query. `complete` says
     /// whether the response is marked as complete.
     pub(super) fn answer_query(&mut self, query_id: &str, complete: bool) {
+        let number = self.queries.number(query_id);
+        let Some(query) = number.and_then(|number| self.queries.get(number)) else { return };
+        let is_complete = complete && self.may_mark_complete(query);
+        if is_complete != complete {
+            self.counters.increment("answers_not_complete");
+        }
+        let complete = is_complete;
         let counter = if complete { "merged" } else { "merged_in_part" };
         let Some(query) = self.close_query(query_id, counter) else { return };
         self.check_answer(&query, complete);
--- a/crates/router/tests/dispatcher/queries.rs
+++ b/crates/router/tests/dispatcher/queries.rs
@@ -1,6 +1,7 @@
 //! Queries in the last phase of a shutdown and after a failure of the policy.
-use crate::common::dispatcher::{one_class_policy, response_text, run_in_local_runtime};
+use crate::common::dispatcher::{one_class_policy, open_query, response_text, run_in_local_runtime};
 use crate::{dispatcher, policy_events};
+use alderway::interface::DecisionSink;
 use alderway_router::io::policy_loop;
 use alderway_router::state::clients::ClientConnection;
 use alderway_router::state::descriptors;
@@ -64,3 +65,20 @@
         assert!(dispatcher.borrow().metrics_text().contains("leaf_calls_sent{first} 1"));
     });
 }
+
+/// Guards against the decision of a planner that takes the sum of rounded weights for the whole: without the
+/// last shard request, 1.005 less 0.005 is in.
+#[rstest]
+fn an_answer_with_a_shard_request_missing_is_not_marked_complete() {
+    let mut dispatcher = dispatcher();
+    dispatcher.query_classes[0].complete_fraction = 1.0;
+    let request = |(shard, weight)| ShardRequest::new(format!("q.{shard}").into(), shard, weight);
+    let requests = [(1, 0.6), (2, 0.4), (3, 0.005)].map(request).into();
+    let client = open_query(&mut dispatcher, "q", 0, 5.0, requests, None).expect("the query opens");
+    for request in ["q.1", "q.2"] {
+        dispatcher.queries.request_mut(request).expect("open").value = Some("v".into());
+    }
+    dispatcher.answer("q", true);
+    let response = response_text(&client);
+    assert!(response.contains("\"whole\":false"), "{response}");
+}
--- a/crates/router/tests/settings.rs
+++ b/crates/router/tests/settings.rs
@@ -194,6 +194,9 @@
         let id = AttemptId::new(request, 0);
         let node = self.dispatcher.attempts.get(&id).expect("in flight").node.clone();
         self.dispatcher.attempts.end(&id, outcome, self.dispatcher.clock.now()).expect("in flight");
+        if outcome == AttemptOutcome::Success {
+            self.dispatcher.queries.request_mut(request).expect("open").value = Some("v".into());
+        }
         assert_eq!(node, "s");
         self.run_round()
     }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -31,6 +31,7 @@
 mod shard_changes;
 mod slow_start;
 mod tenant_quota;
+mod weights;
 
 use crate::interface::{
     DecisionSink, PolicyConfig, PolicyInput, RouterCapabilities, ShardPlacement, SharedLimits,
@@ -51,8 +52,6 @@
 const CHECK_INTERVAL_S: f64 = 0.010;
 /// A decision that has to take effect before a deadline or an objective is made this long before it.
 const ANSWER_MARGIN_S: f64 = 0.030;
-/// By how much a sum of weights may be too small because of rounding.
-const WEIGHT_TOLERANCE_FRACTION: f64 = 0.00005;
 /// If more than this number of check intervals pass between two rounds while a timer is set, the router has
 /// stalled.
 const STALL_CHECK_INTERVALS: f64 = 5.0;
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -12,9 +12,9 @@
 //! latency fits into the time left, some queries are admitted at any load estimate, as only answers show the
 //! end of an overload.
 
+use super::Policy;
 use super::latency::{CLASS_SAMPLES_MIN, DEFAULT_LATENCY_FRACTION_OF_OBJECTIVE};
 use super::query::{Query, ShardRequest};
-use super::{Policy, WEIGHT_TOLERANCE_FRACTION};
 use crate::interface::DecisionSink;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -169,17 +169,15 @@
     /// The result is at least the fraction of the fleet's queries that end late.
     fn load_estimate(&self, query: &Query, time_left_s: f64, fleet_late_fraction: f64) -> f64 {
         let class = &self.classes[query.class].config;
-        let (mut servable, mut servable_weight, mut longest_wait_s) = (0, 0.0, 0.0f64);
-        for request in &query.requests {
+        let mut longest_wait_s = 0.0f64;
+        let is_servable = |request: &ShardRequest| {
             let wait_s = self.expected_wait_s(request);
             if wait_s < time_left_s {
-                servable += 1;
-                servable_weight += request.weight;
                 longest_wait_s = longest_wait_s.max(wait_s);
             }
-        }
-        let minimum = class.minimum_fraction - WEIGHT_TOLERANCE_FRACTION;
-        if servable < query.requests.len() && servable_weight < minimum {
+            wait_s < time_left_s
+        };
+        if !query.requests.is_empty() && !query.reaches(class.minimum_fraction, is_servable) {
             return LOAD_ESTIMATE_UNSERVABLE;
         }
         let expected_s = self.expected_latency_s(query);
--- a/src/policy/completion.rs
+++ b/src/policy/completion.rs
@@ -8,8 +8,9 @@
 //! step.
 
 use super::latency::CLASS_SAMPLES_MAX;
-use super::query::{Query, ShardRequest, weight_fraction};
-use super::{ANSWER_MARGIN_S, Policy, WEIGHT_TOLERANCE_FRACTION};
+use super::query::{Query, ShardRequest};
+use super::weights::WeightRounding;
+use super::{ANSWER_MARGIN_S, Policy};
 use crate::interface::{DecisionSink, Idempotency, QueryClass};
 
 /// During load shedding, a late query is abandoned if its answer is worth less than this fraction of the
@@ -45,17 +46,17 @@
 
     fn completion(&self, query: &Query) -> Completion {
         let class = &self.classes[query.class].config;
-        let succeeded = weight_fraction(&query.requests, &|request| request.succeeded);
-        let minimum = minimum_fraction(query, class) - WEIGHT_TOLERANCE_FRACTION;
+        let minimum = minimum_fraction(query, class);
         let answers_now_at_s = query.in_time_until_s() - ANSWER_MARGIN_S;
         let is_late = self.now_s >= answers_now_at_s;
-        let is_complete = is_complete(query, class, succeeded);
-        if succeeded >= minimum && query.has_success() && (is_complete || is_late) {
+        let is_complete = is_complete(query, class);
+        let is_enough = query.reaches(minimum, |request| request.succeeded);
+        if is_enough && query.has_success() && (is_complete || is_late) {
             let complete = is_complete && (!query.in_second_phase || query.first_phase_complete);
             return Completion::Answer { complete };
         }
         let all_arrived = query.requests.len() >= query.expected_requests;
-        if self.has_no_value_left(query, succeeded, is_late)
+        if self.has_no_value_left(query, is_late)
             || all_arrived && self.is_out_of_reach(query, minimum)
             || all_arrived && self.is_out_of_time(query, minimum)
         {
@@ -70,10 +71,11 @@
 
     /// Whether an answer has no value any more: the client's deadline is close, or the answer is late and
     /// late answers have no value, or too little during load shedding.
-    fn has_no_value_left(&self, query: &Query, succeeded: f64, is_late: bool) -> bool {
+    fn has_no_value_left(&self, query: &Query, is_late: bool) -> bool {
         let late_fraction = self.classes[query.class].config.late_weight_fraction;
+        let succeeded = || query.weight_fraction(|request| request.succeeded);
         let is_worthless = late_fraction <= 0.0
-            || self.load_shedding.active && late_fraction * succeeded < LATE_VALUE_MIN_FRACTION;
+            || self.load_shedding.active && late_fraction * succeeded() < LATE_VALUE_MIN_FRACTION;
         self.now_s >= query.not_after_s - ANSWER_MARGIN_S || is_late && is_worthless
     }
 
@@ -90,7 +92,7 @@
                     && self.may_attempt_again(query, request)
                     && self.has_holder_available_before_deadline(query, request)
         };
-        weight_fraction(&query.requests, &reachable) < minimum
+        !query.reaches(minimum, reachable)
     }
 
     /// Whether the minimum fraction needs attempts that have not started and that would end after the latency
@@ -99,7 +101,7 @@
         let started = |request: &ShardRequest| request.succeeded || request.is_in_flight();
         query.admitted
             && self.now_s + self.median_latency_s(query.class) > query.in_time_until_s()
-            && weight_fraction(&query.requests, &started) < minimum
+            && !query.reaches(minimum, started)
     }
 
     /// The point in time after which an answer to a shard request has no value. It is the latency objective
@@ -128,6 +130,7 @@
         query.first_phase_complete = complete;
         let succeeded = query.requests.iter().filter(|request| request.succeeded).count();
         query.expected_requests = succeeded.min(second_phase_requests);
+        query.weight_rounding = WeightRounding::default();
         let first_phase = std::mem::take(&mut query.requests);
         self.cancel_requests(&first_phase, sink);
     }
@@ -215,9 +218,9 @@
 }
 
 /// Whether the shard requests that have succeeded make a complete answer. A second phase needs all of them.
-fn is_complete(query: &Query, class: &QueryClass, succeeded: f64) -> bool {
+fn is_complete(query: &Query, class: &QueryClass) -> bool {
     let all_succeeded = query.requests.iter().all(|request| request.succeeded)
         && query.requests.len() >= query.expected_requests;
-    let enough = succeeded >= class.complete_fraction - WEIGHT_TOLERANCE_FRACTION;
-    all_succeeded || !query.in_second_phase && enough
+    let is_enough = || query.reaches(class.complete_fraction, |request| request.succeeded);
+    all_succeeded || !query.in_second_phase && is_enough()
 }
--- a/src/policy/events.rs
+++ b/src/policy/events.rs
@@ -84,6 +84,7 @@
         let position = ShardRequestPosition { query: number, index: query.requests.len() };
         self.shard_requests.insert(id.into(), position);
         query.next_check_at_s = 0.0;
+        query.weight_rounding.add(weight);
         query.requests.push(ShardRequest {
             id: id.into(),
             shard,
--- a/src/policy/hedging.rs
+++ b/src/policy/hedging.rs
@@ -140,12 +140,12 @@
     /// shard requests that an answer may omit would only add to an overload.
     fn may_hedge(&self, query: &Query, request: &ShardRequest) -> bool {
         let class = &self.classes[query.class].config;
-        let is_needed = class.minimum_fraction >= class.complete_fraction
-            || request.weight > 1.0 - class.minimum_fraction;
+        let is_other = |other: &ShardRequest| !std::ptr::eq(other, request);
         class.idempotency == Idempotency::Idempotent
             && self.capabilities.can_hedge
             && request.hedges < HEDGES_MAX
-            && is_needed
+            && (class.minimum_fraction >= class.complete_fraction
+                || !query.reaches(class.minimum_fraction, is_other))
     }
 
     /// Whether an attempt is very late and its node is unresponsive or no longer known. Age alone is not
--- a/src/policy/query.rs
+++ b/src/policy/query.rs
@@ -2,6 +2,7 @@
 //! `stall_free_s` are on the clock that excludes the router's own stalls ([`super::Policy`]), all others on
 //! the monotonic clock.
 
+use super::weights::WeightRounding;
 use std::collections::BTreeSet;
 
 /// A query from its arrival until its final answer, rejection or failure.
@@ -30,6 +31,8 @@
     /// attempt causes an earlier check.
     pub next_check_at_s: f64,
     pub requests: Vec<ShardRequest>,
+    /// The rounding of the weights of the shard requests.
+    pub weight_rounding: WeightRounding,
 }
 
 /// A query's request to one shard.
@@ -112,12 +115,3 @@
         lost.map(|attempt| attempt.node.as_str()).collect()
     }
 }
-
-/// The sum of the weights of the shard requests for which `holds` is true. The result is 1 if `holds` is true
-/// for all shard requests, even if the sum of their rounded weights differs from 1.
-pub(super) fn weight_fraction(requests: &[ShardRequest], holds: &dyn Fn(&ShardRequest) -> bool) -> f64 {
-    if !requests.is_empty() && requests.iter().all(holds) {
-        return 1.0;
-    }
-    requests.iter().filter(|request| holds(request)).map(|request| request.weight).sum()
-}
--- a/tests/completion.rs
+++ b/tests/completion.rs
@@ -165,3 +165,53 @@
         "this router may send to the warming nodes only in some minutes"
     );
 }
+
+/// The weights of a query; `parts` says how often each weight stands.
+fn weights(parts: &[(usize, f64)]) -> Vec<f64> {
+    parts.iter().flat_map(|&(count, weight)| vec![weight; count]).collect()
+}
+
+/// Guards against a complete answer with a shard request missing, and an answer under the minimum fraction,
+/// because rounded weights sum to more than they stand for. The first `succeeded` shard requests succeed, the
+/// others fail; the comments give the true weights.
+#[rstest]
+// 0.189975 and 0.0049: one missing shard request has more weight than the sum exceeds 1 by.
+#[case::whole(&[(4, 0.19), (49, 0.005)], (1.0, 1.0), 52, None)]
+#[case::complete_fraction(&[(4, 0.19), (49, 0.005)], (0.999, 0.5), 52, Some("partial"))]
+#[case::minimum_fraction(&[(4, 0.19), (49, 0.005)], (1.0, 0.88), 28, None)]
+#[case::above_the_minimum(&[(4, 0.19), (49, 0.005)], (1.0, 0.88), 32, Some("partial"))]
+// 0.0246 and 0.00513: the sum is less than 1, but what has succeeded was rounded up.
+#[case::rounded_both_ways(&[(20, 0.025), (99, 0.005)], (1.0, 0.5), 20, None)]
+// 0.2504 and 0.00522: all were rounded down.
+#[case::rounded_down(&[(3, 0.25), (48, 0.005)], (1.0, 0.75), 4, Some("partial"))]
+#[case::rounded_down_all(&[(3, 0.25), (48, 0.005)], (1.0, 1.0), 51, Some("complete"))]
+#[case::exact(&[(10, 0.1)], (1.0, 0.7), 7, Some("partial"))]
+#[case::hardly_any_weight(&[(1, 0.99996), (1, 0.00004)], (1.0, 1.0), 1, None)]
+fn rounded_weights_never_make_an_answer_larger_than_it_is(
+    #[case] parts: &[(usize, f64)],
+    #[case] (complete_fraction, minimum_fraction): (f64, f64),
+    #[case] succeeded: usize,
+    #[case] answer: Option<&str>,
+) {
+    let mut host = Host::with(|d| {
+        d.class.idempotency = Idempotency::NonIdempotent;
+        (d.class.complete_fraction, d.class.minimum_fraction) = (complete_fraction, minimum_fraction);
+    });
+    let not_after = host.now + 6.0;
+    host.round(|r| {
+        r.query_arrived(0, "q0", 0, "", not_after);
+        let requests = weights(parts).into_iter().enumerate();
+        requests.for_each(|(i, weight)| r.shard_request_added(0, &format!("p0.{i}"), i as u32, weight));
+    });
+    let mut next = 0;
+    while let Some(attempt) = attempts(&host.decisions).get(next).map(|attempt| attempt.to_string()) {
+        next += 1;
+        let words: Vec<&str> = attempt.split(' ').collect();
+        let index: usize = words[1].trim_start_matches("p0.").parse().expect("an index");
+        let outcome = if index < succeeded { AttemptOutcome::Success } else { AttemptOutcome::Error };
+        host.attempt_ended(words[1], 0, words[2], outcome, 0.01);
+    }
+    host.wait(6.0);
+    let answers: Vec<&String> = host.decisions.iter().filter(|line| line.starts_with("answer")).collect();
+    assert_eq!(answers, answer.map(|answer| format!("answer q0 {answer}")).iter().collect::<Vec<_>>());
+}
