--- a/crates/router/src/state/dispatcher/attempts.rs
+++ b/crates/router/src/state/dispatcher/attempts.rs
@@ -4,6 +4,7 @@
 use super::Dispatcher;
 use crate::state::attempts::AttemptId;
 use crate::state::node_connection::{DialRequest, OutboundFrame, SendProgress};
+use crate::state::queries::ShardRequest;
 use alderway::interface::{AttemptOutcome, NodeState, PolicyInput};
 use std::rc::Rc;
 
@@ -102,13 +103,29 @@
         }
     }
 
+    /// Records that a data node may execute an attempt, of which the first byte is written at `now`.
+    pub(super) fn record_possible_execution(&mut self, id: &AttemptId, now: f64) {
+        self.update_with_parts(&id.request_id, |request| request.record_possible_execution(id.number, now));
+    }
+
+    /// Records that no data node executed an attempt.
+    pub(super) fn rule_out_execution(&mut self, id: &AttemptId) {
+        self.update_with_parts(&id.request_id, |request| request.rule_out_execution(id.number));
+    }
+
+    /// Updates a shard request and the parts that it was split into, which share its attempts.
+    fn update_with_parts(&mut self, request_id: &Rc<str>, update: impl Fn(&mut ShardRequest)) {
+        let parts = self.shard_map.iter().flat_map(|shard_map| shard_map.families.parts(request_id));
+        for request_id in parts.chain([request_id]) {
+            self.queries.request_mut(request_id).into_iter().for_each(&update);
+        }
+    }
+
     /// Records the outcome of an attempt. If the outcome proves that the data node did not execute the
     /// attempt, the attempt no longer counts as possibly executed, so that its shard request may be repeated.
     pub(super) fn record_attempt_end(&mut self, id: &AttemptId, outcome: AttemptOutcome) {
-        if outcome.had_no_effect()
-            && let Some(request) = self.queries.request_mut(&id.request_id)
-        {
-            request.rule_out_execution(id.number);
+        if outcome.had_no_effect() {
+            self.rule_out_execution(id);
         }
         if self.attempts.end(id, outcome, self.clock.now()).is_some() {
             self.counters.attempt_ended(outcome);
--- a/crates/router/src/state/dispatcher/connections.rs
+++ b/crates/router/src/state/dispatcher/connections.rs
@@ -124,11 +124,7 @@
                 self.set_advertised_timeouts(&attempts, now);
                 writer.write_attempts(attempts.iter().filter_map(|id| self.attempt_request(id)));
                 self.counters.increment("frames_sent{call}");
-                for id in attempts {
-                    if let Some(request) = self.queries.request_mut(&id.request_id) {
-                        request.record_possible_execution(id.number, now);
-                    }
-                }
+                attempts.iter().for_each(|id| self.record_possible_execution(id, now));
             }
         }
         true
@@ -192,11 +188,7 @@
         let Some(connection) = self.endpoints.connection(node, number) else { return };
         let attempts = connection.writing_attempts().to_vec();
         connection.return_frame();
-        for id in attempts {
-            if let Some(request) = self.queries.request_mut(&id.request_id) {
-                request.rule_out_execution(id.number);
-            }
-        }
+        attempts.iter().for_each(|id| self.rule_out_execution(id));
         self.counters.increment("frames_not_taken");
     }
 
--- a/crates/router/src/state/dispatcher/delivery.rs
+++ b/crates/router/src/state/dispatcher/delivery.rs
@@ -67,9 +67,7 @@
     pub(super) fn put_back(&mut self, node: &str, attempts: Vec<AttemptId>) {
         self.counters.add("calls_put_back", attempts.len());
         for id in attempts {
-            if let Some(request) = self.queries.request_mut(&id.request_id) {
-                request.rule_out_execution(id.number);
-            }
+            self.rule_out_execution(&id);
             if let Some(attempt) = self.attempts.get_mut(&id) {
                 attempt.connection = None;
                 attempt.advertised = None;
--- a/crates/router/src/state/queries.rs
+++ b/crates/router/src/state/queries.rs
@@ -122,6 +122,13 @@
         self.possible_executions.retain(|execution| execution.attempt != attempt);
     }
 
+    /// Takes over the attempts of the shard request that this one was split from: their number, and those
+    /// that a data node may have executed.
+    pub fn inherit_attempts(&mut self, split: &ShardRequest) {
+        self.attempts = split.attempts;
+        self.possible_executions.clone_from(&split.possible_executions);
+    }
+
     /// Whether this shard request was split into several requests.
     pub fn is_split(&self) -> bool {
         self.keys.is_some_and(|keys| keys.is_split)
--- a/crates/router/src/state/shard_map.rs
+++ b/crates/router/src/state/shard_map.rs
@@ -213,7 +213,7 @@
     pub fn split_requests(&self, query_id: &str, request: &ShardRequest) -> Vec<ShardRequest> {
         let (Some(history), Some(keys)) = (&self.history, request.keys) else { return vec![] };
         let mut split_into = requests_by_keys(history, query_id, keys.range, request.weight);
-        split_into.iter_mut().for_each(|part| part.attempts = request.attempts);
+        split_into.iter_mut().for_each(|part| part.inherit_attempts(request));
         split_into
     }
 
--- a/crates/router/tests/shard_map/splits.rs
+++ b/crates/router/tests/shard_map/splits.rs
@@ -1,14 +1,43 @@
 //! Shard requests that are split, after a change of the shard map, while attempts are in flight. The policy
 //! is the code that decides about queries and attempts. A hedge is an additional attempt for a shard request
 //! that has an attempt in flight.
+use crate::common;
 use crate::{
     apply_changes, dispatcher, move_shard, open_query_for_keys, policy_events, reply_received, response_body,
     split_shard, start_attempts, write_next_frame,
 };
 use alderway::interface::AttemptOutcome;
 use alderway::interface::DecisionSink;
+use alderway::interface::Idempotency;
 use rstest::rstest;
 
+/// Guards against a repeat after the deduplication window by way of a split: the parts of a split request
+/// count the window from the attempts of that request.
+#[rstest]
+#[case::failed(AttemptOutcome::Error, None)]
+#[case::rejected(AttemptOutcome::Rejected, Some("Sq.3.0-20 "))]
+fn the_parts_of_a_split_request_are_not_sent_after_its_window(
+    #[case] first: AttemptOutcome,
+    #[case] frame: Option<&str>,
+) {
+    let mut dispatcher = dispatcher(100);
+    dispatcher.query_classes[0].idempotency = Idempotency::IdempotentWithKey { window_s: 0.05 };
+    open_query_for_keys(&mut dispatcher, 0, 50);
+    let old = start_attempts(&mut dispatcher, "n0", &["q.1.0-50"]);
+    write_next_frame(&mut dispatcher, &old);
+    policy_events(&mut dispatcher);
+    apply_changes(
+        &mut dispatcher,
+        2,
+        vec![split_shard(1, &[(3, 0), (4, 20)]), move_shard(3, &[2]), move_shard(4, &[3])],
+    );
+    reply_received(&mut dispatcher, "n0", old.connection, "q.1.0-50", first, "", "");
+    let new = start_attempts(&mut dispatcher, "n2", &["q.3.0-20"]);
+    std::thread::sleep(std::time::Duration::from_millis(60));
+    let sent = common::dispatcher::write_next_frame(&mut dispatcher, &new);
+    assert_eq!(sent.as_deref().map(|text| &text[..10]), frame);
+}
+
 #[rstest]
 fn a_request_without_a_common_holder_is_split_and_its_late_answer_replaces_those_of_its_parts() {
     let mut dispatcher = dispatcher(100);
