--- a/crates/router/src/io/node_session.rs
+++ b/crates/router/src/io/node_session.rs
@@ -3,6 +3,9 @@
 //! is malformed. An attempt is one transmission of a shard request to one data node; a frame is a message
 //! with a length prefix. A retired connection takes no new attempts and closes when it is idle. A stall is a
 //! time in which the operating system did not run this thread.
+mod close_reason;
+mod outgoing;
+
 use super::{arrival, policy_loop, sleep_until};
 use crate::state::DispatcherHandle;
 use crate::state::descriptors::{DescriptorPermit, DescriptorPool};
@@ -10,12 +13,12 @@
 use crate::state::node_connection::DialRequest;
 use crate::state::node_connection::NodeConnection;
 use crate::state::node_protocol::NodeReply;
-use crate::state::undelivered::Delivery;
 use crate::wire::buffer::ReadBuffer;
-use crate::wire::{ParseError, frames};
+use crate::wire::frames;
 use alderway::interface::AttemptOutcome;
-use alderway_sockets::{SendQueue, Sender};
 use alderway_telemetry::clock::Clock;
+use close_reason::{CloseReason, CorruptedFrame};
+use outgoing::Outgoing;
 use std::cell::Cell;
 use std::io;
 use std::mem::replace;
@@ -33,63 +36,6 @@
 /// Time between two checks of a connection with frames that have not arrived completely, in seconds.
 const DELIVERY_CHECK_INTERVAL_S: f64 = 0.02;
 
-/// Why a connection to a data node was closed.
-#[derive(Debug)]
-enum CloseReason {
-    /// The dispatcher has removed the connection from its state.
-    Forgotten,
-    /// The data node closed the connection while the connection was idle; the router detected the close
-    /// before writing the next frame.
-    EndedWhileIdle,
-    /// Writing failed, or the router aborted the connection: an attempt ended while its frame was partly
-    /// written, or the data node has restarted since the connection was opened.
-    CutOrBroken,
-    /// The connection was idle, and its file descriptor was needed for another connection.
-    Retired,
-    /// The connection was idle for longer than the idle timeout.
-    Idle,
-    /// The data node closed the connection, or reading failed.
-    EndedByNode,
-    /// No byte of a frame could be written within the idle timeout, as the data node did not read.
-    WriteTimeout,
-    /// The kernel held bytes of an attempt that must not arrive any more. Closing resets the connection, so
-    /// that the kernel discards these bytes.
-    Undelivered,
-    /// The data node sent a malformed or unexpected frame.
-    Corrupted(CorruptedFrame),
-}
-
-impl CloseReason {
-    /// The label of this reason in the counter `connection_closes`.
-    fn label(&self) -> &'static str {
-        match self {
-            CloseReason::Forgotten => "forgotten",
-            CloseReason::EndedWhileIdle => "ended_idle",
-            CloseReason::CutOrBroken => "cut_or_broken",
-            CloseReason::Retired => "retired",
-            CloseReason::Idle => "idle",
-            CloseReason::EndedByNode => "ended_by_node",
-            CloseReason::WriteTimeout => "takes_nothing",
-            CloseReason::Undelivered => "undelivered",
-            CloseReason::Corrupted(_) => "spoilt",
-        }
-    }
-}
-
-/// A malformed or unexpected frame from a data node, with the id of the shard request that the frame answers,
-/// if the id could be read.
-#[derive(Debug)]
-struct CorruptedFrame {
-    problem: ParseError,
-    shard_request: Option<String>,
-}
-
-impl CorruptedFrame {
-    fn unnamed(problem: ParseError) -> Self {
-        CorruptedFrame { problem, shard_request: None }
-    }
-}
-
 /// Connects to a data node, serves the connection until it closes, and reports the close to the dispatcher.
 pub async fn run(dispatcher: DispatcherHandle, dial: DialRequest, descriptors: Arc<DescriptorPool>) {
     let DialRequest { node, connection, address } = dial;
@@ -192,37 +138,6 @@
     handled_stall: u64,
 }
 
-/// The frame that is being written, and the number of bytes written.
-#[derive(Default)]
-struct Outgoing {
-    sender: Sender,
-    frame: Vec<u8>,
-    /// Number of bytes of the current frame that were written to the socket.
-    written_bytes: usize,
-    /// Number of bytes that were written to the socket since the connection was opened.
-    total_bytes: u64,
-}
-
-impl Outgoing {
-    fn is_partly_written(&self) -> bool {
-        (1..self.frame.len()).contains(&self.written_bytes)
-    }
-
-    fn clear_frame(&mut self) {
-        self.frame.clear();
-        self.written_bytes = 0;
-    }
-
-    /// How far the bytes of this connection have come. If the kernel does not tell, they count as arrived.
-    fn delivery(&self, stream: &TcpStream) -> Delivery {
-        let held = SendQueue::of(stream).unwrap_or_default();
-        Delivery {
-            transmitted: self.total_bytes.saturating_sub(held.untransmitted),
-            acknowledged: self.total_bytes.saturating_sub(held.unacknowledged),
-        }
-    }
-}
-
 /// Progress of writing frames to a data node.
 #[derive(Clone, Copy, PartialEq)]
 enum WriteProgress {
