--- a/crates/router/src/state/dispatcher/attempts.rs
+++ b/crates/router/src/state/dispatcher/attempts.rs
@@ -134,7 +134,7 @@
     }
 
     /// Ends an attempt that has no reply. If no byte of its frame has been written, the attempt is removed
-    /// from the frame; if the frame is partly written, it is abandoned; if the frame is completely written, a
+    /// from the frame; if the frame is partly written, it is truncated; if the frame is completely written, a
     /// cancellation is queued.
     pub(super) fn abort_attempt(&mut self, id: &AttemptId, outcome: AttemptOutcome) {
         let Some(attempt) = self.attempts.get(id) else { return };
@@ -154,7 +154,7 @@
                 }
                 SendProgress::Writing => {
                     connection.remove_writing(id);
-                    self.abandon_frame(&node, number);
+                    self.truncate_frame(&node, number);
                 }
                 SendProgress::NotOnConnection => {}
             }
--- a/crates/router/src/state/dispatcher/delivery.rs
+++ b/crates/router/src/state/dispatcher/delivery.rs
@@ -21,18 +21,18 @@
 
 impl Dispatcher {
     /// Whether the rest of the frame that is being written may be written now. If an attempt of the frame has
-    /// lost its permission, the attempt ends as never sent, and the frame is abandoned.
+    /// lost its permission, the attempt ends as never sent, and the frame is truncated.
     pub fn may_continue_frame(&mut self, node: &str, number: u64) -> bool {
         let now = self.clock.now();
         let Some(connection) = self.endpoints.connection(node, number) else { return false };
-        if connection.has_abandoned_frame {
+        if connection.has_truncated_frame {
             return false;
         }
         let writing = connection.writing_attempts().to_vec();
         let mut may_continue = true;
         for id in &writing {
             if let Err(denial) = self.may_complete(id, now) {
-                self.counters.increment(&format!("calls_broken_off{{{}}}", denial.label()));
+                self.counters.increment(&format!("calls_truncated{{{}}}", denial.label()));
                 self.abort_attempt(id, AttemptOutcome::NeverSent);
                 may_continue = false;
             }
@@ -53,12 +53,12 @@
         })
     }
 
-    /// Abandons the frame that is being written on a connection. The attempts of the frame and of the frames
+    /// Truncates the frame that is being written on a connection. The attempts of the frame and of the frames
     /// queued behind it are put back, to be sent on another connection to the same data node.
-    pub(super) fn abandon_frame(&mut self, node: &str, number: u64) {
+    pub(super) fn truncate_frame(&mut self, node: &str, number: u64) {
         let Some(connection) = self.endpoints.connection(node, number) else { return };
-        let unsent = connection.abandon_frame();
-        self.counters.increment("frames_broken_off");
+        let unsent = connection.truncate_frame();
+        self.counters.increment("frames_truncated");
         self.put_back(node, unsent);
     }
 
--- a/crates/router/src/state/node_connection.rs
+++ b/crates/router/src/state/node_connection.rs
@@ -75,9 +75,9 @@
     pub is_retired: bool,
     /// Whether the connection is to close immediately.
     pub is_aborted: bool,
-    /// Whether a frame was abandoned of which a part had been written. Nothing more is written then; the
-    /// connection is retired, and stays open for the replies to the attempts in flight.
-    pub has_abandoned_frame: bool,
+    /// Whether a frame was truncated: a part of it was written, and the rest never is. Nothing more is written
+    /// then; the connection is retired, and stays open for the replies to the attempts in flight.
+    pub has_truncated_frame: bool,
     /// The frames with attempts that may not have arrived at the data node yet.
     pub undelivered: UndeliveredFrames,
     queued: VecDeque<OutboundFrame>,
@@ -170,7 +170,7 @@
     }
 
     /// Removes an attempt that ends from the frame that is being written. Guards against the attempt ending a
-    /// second time when the frame is abandoned.
+    /// second time when the frame is truncated.
     pub fn remove_writing(&mut self, id: &AttemptId) {
         if let Some(OutboundFrame::Attempts(attempts)) = &mut self.writing {
             attempts.retain(|writing| writing != id);
@@ -261,7 +261,7 @@
         self.cancelled.insert(id.request_id.clone(), reply_until_s);
         self.undelivered.cancelled(id, now);
         self.idle_since_s = now;
-        if self.has_abandoned_frame {
+        if self.has_truncated_frame {
             // No frame can be written; the connection closes when the last attempt in flight has ended.
             self.wake.notify_one();
         } else {
@@ -269,18 +269,18 @@
         }
     }
 
-    /// Abandons the frame that is being written, because its rest must not reach the data node, and retires
+    /// Truncates the frame that is being written, because its rest must not reach the data node, and retires
     /// the connection. Leaving out the rest makes any later frame unreadable, so nothing more can be written.
     /// The connection stays open for the replies to the attempts in flight, or is aborted if there are none.
-    /// Returns the attempts of the abandoned frame and of the queued frames, which the data node cannot have
+    /// Returns the attempts of the truncated frame and of the queued frames, which the data node cannot have
     /// executed.
-    pub fn abandon_frame(&mut self) -> Vec<AttemptId> {
+    pub fn truncate_frame(&mut self) -> Vec<AttemptId> {
         let mut attempts = match self.writing.take() {
             Some(OutboundFrame::Attempts(attempts)) => attempts,
             Some(OutboundFrame::Cancel(_)) | None => vec![],
         };
         attempts.extend(self.take_queued());
-        (self.has_abandoned_frame, self.is_retired) = (true, true);
+        (self.has_truncated_frame, self.is_retired) = (true, true);
         self.is_aborted |= self.in_flight.is_empty();
         self.wake.notify_one();
         attempts
--- a/crates/router/tests/dispatcher/any_order.rs
+++ b/crates/router/tests/dispatcher/any_order.rs
@@ -169,10 +169,10 @@
             Event::FrameWritten(number) => {
                 let Some((node, number)) = self.connection(number) else { return };
                 let now = self.dispatcher.clock.now();
-                // After the connection is aborted, or a frame abandoned, its task writes nothing more.
+                // After the connection is aborted, or a frame truncated, its task writes nothing more.
                 let connection = self.dispatcher.endpoints.connection(&node, number);
                 let writes = |connection: &&mut NodeConnection| {
-                    !connection.is_aborted && !connection.has_abandoned_frame
+                    !connection.is_aborted && !connection.has_truncated_frame
                 };
                 if let Some(connection) = connection.filter(writes) {
                     connection.frame_written(now, 0);
@@ -227,15 +227,15 @@
             }
             Event::Round => self.run_round(),
         }
-        self.record_abandoned_frames();
+        self.record_truncated_frames();
     }
 
-    /// Updates the model with the frames that were abandoned: none of them may have been written completely.
+    /// Updates the model with the frames that were truncated: none of them may have been written completely.
     /// The attempts that were put back have not been executed and may begin again.
-    fn record_abandoned_frames(&mut self) {
+    fn record_truncated_frames(&mut self) {
         for (node, number) in &self.connections {
             let connection = self.dispatcher.endpoints.connection(node, *number);
-            if !connection.is_some_and(|connection| connection.has_abandoned_frame) {
+            if !connection.is_some_and(|connection| connection.has_truncated_frame) {
                 continue;
             }
             for attempt in self.writing.remove(number).unwrap_or_default() {
--- a/crates/router/tests/dispatcher/partial_frames.rs
+++ b/crates/router/tests/dispatcher/partial_frames.rs
@@ -143,10 +143,10 @@
     });
 }
 
-/// Guards against losing what shares a connection with a frame that is broken off: an attempt that waits for
+/// Guards against losing what shares a connection with a truncated frame: an attempt that waits for
 /// its reply, one of the same frame, and one that is queued behind.
 #[rstest]
-fn a_frame_that_is_broken_off_takes_no_other_attempt_with_it() {
+fn a_truncated_frame_takes_no_other_attempt_with_it() {
     let node = StalledNode::new();
     run_in_local_runtime(async {
         node.open("q", 10, 60.0);
