--- a/crates/router/src/state/dispatcher/connections.rs
+++ b/crates/router/src/state/dispatcher/connections.rs
@@ -201,7 +201,7 @@
         };
         let start = permits::AttemptToStart {
             now_s: now,
-            deadline_s: self.attempts.get(id).map_or(now, |attempt| attempt.timeout_at_s),
+            deadline_s: self.attempt_deadline_s(id).unwrap_or(now),
             idempotency: self.query_classes[class].idempotency,
             first_effect_at_s: request.first_possible_execution(None),
             node_state: node,
@@ -209,6 +209,14 @@
         permits::may_start_attempt(&start).err()
     }
 
+    /// When the attempt's time-out or the client's deadline passes, whichever is first, in seconds of the
+    /// monotonic clock; `None` if the attempt or its query has ended. The time-out may be the later one: a
+    /// planner's decision takes time to arrive, and the time-out counts from its arrival.
+    pub(super) fn attempt_deadline_s(&self, id: &AttemptId) -> Option<f64> {
+        let not_after_s = self.queries.request_content(&id.request_id)?.not_after_s;
+        Some(self.attempts.get(id)?.timeout_at_s.min(not_after_s))
+    }
+
     /// Removes the attempts that may no longer be sent (see [`denial`](Self::denial)) from the next frame,
     /// and ends them as never sent.
     fn drop_denied_attempts(&mut self, node: &str, number: u64) {
--- a/crates/router/src/state/dispatcher/delivery.rs
+++ b/crates/router/src/state/dispatcher/delivery.rs
@@ -46,7 +46,7 @@
         let attempt = self.attempts.get(id).ok_or(Denial::QueryEnded)?;
         permits::may_complete_attempt(&permits::AttemptToComplete {
             now_s: now,
-            deadline_s: attempt.timeout_at_s,
+            deadline_s: self.attempt_deadline_s(id).unwrap_or(now),
             arrive_by_s: attempt.advertised.map_or(f64::INFINITY, |advertised| advertised.arrive_by_s),
             idempotency: self.query_classes[class].idempotency,
             first_effect_at_s: request.first_possible_execution(Some(id.number)),
--- a/crates/router/tests/dispatcher/attempts.rs
+++ b/crates/router/tests/dispatcher/attempts.rs
@@ -1,6 +1,6 @@
 //! Attempts, from the decision of the policy, the code that starts attempts, to the last byte of the
 //! attempts' frame.
-use crate::common::dispatcher::{start_attempts, write_next_frame};
+use crate::common::dispatcher::{open_query, shard_requests, start_attempts, write_next_frame};
 use crate::{dispatcher, mark_open, open, policy_events, update_endpoint};
 use alderway::interface::AttemptOutcome;
 use alderway::interface::DecisionSink;
@@ -144,3 +144,15 @@
     assert!(text.starts_with("Sq.2 "), "{text}");
     assert_eq!(policy_events(&mut dispatcher), ["q.1 0 s NeverSent"]);
 }
+
+/// Guards against an attempt for a client that no longer waits: the time-out of a planner's attempt counts
+/// from the arrival of the decision, and may end after the client's deadline.
+#[rstest]
+fn an_attempt_does_not_begin_after_the_clients_deadline_whatever_its_time_out() {
+    let mut dispatcher = dispatcher();
+    open_query(&mut dispatcher, "q", 0, 0.05, shard_requests("q", &[1], 1.0), None).expect("the query opens");
+    let dial = start_attempts(&mut dispatcher, "s", &["q.1"]).remove(0);
+    // No run of the policy has ended the query yet.
+    std::thread::sleep(std::time::Duration::from_millis(60));
+    assert_eq!(write_next_frame(&mut dispatcher, &dial), None);
+}
